Add ports, stand-ins, configuration and membership

Cause: the project starts empty; everything else builds on the outside systems' interfaces and on the documents that are agreed. Change: abstract ports with HTTP implementations and stand-ins, settings and configuration in JSON with comments, agreed documents and member lists.

--- /dev/null
+++ b/waxwingpitch/http_server.py
@@ -0,0 +1,58 @@
+"""WSGI server shared by the daemon and the stand-ins."""
+
+from __future__ import annotations
+
+import logging
+import socket
+
+from gevent import pywsgi
+from gevent.pool import Pool
+
+MAX_REQUEST_LINE_BYTES = 8192
+
+logger = logging.getLogger(__name__)
+
+
+class _Handler(pywsgi.WSGIHandler):
+    """Disables Nagle's algorithm so that small pieces leave at once."""
+
+    MAX_REQUEST_LINE = MAX_REQUEST_LINE_BYTES
+
+    def __init__(self, sock, address, server):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().__init__(sock, address, server)
+
+    def log_request(self):
+        """Requests are logged by the application."""
+
+    def log_error(self, msg, *args):
+        logger.debug("http: " + msg, *args)
+
+
+class HttpServer(pywsgi.WSGIServer):
+    """A WSGI server on one address.
+
+    Parameters
+    ----------
+    host, port
+        Address to bind; port 0 takes a free one.
+    app
+        WSGI application.
+    connections
+        Most connections at once; None for no limit.
+    """
+
+    def __init__(self, host: str, port: int, app, *, connections: int | None = None):
+        super().__init__(
+            (host, port),
+            app,
+            handler_class=_Handler,
+            log=None,
+            error_log=logging.getLogger("waxwingpitch.http"),
+            spawn=Pool(connections) if connections else "default",
+        )
+
+    @property
+    def address_text(self) -> str:
+        """``IP:port`` after the start."""
+        return f"{self.address[0]}:{self.address[1]}"
--- /dev/null
+++ b/waxwingpitch/jsonc/reader.py
@@ -0,0 +1,153 @@
+"""Parsing of JSON with comments into checked data classes."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import re
+import types
+import typing
+from pathlib import Path
+from typing import Any, TypeVar
+
+import jsoncfg
+import msgspec
+
+from ..errors import SettingsError, WaxwingpitchError
+
+T = TypeVar("T")
+
+_PATH = re.compile(r" - at `\$(?P<path>[^`]*)`$")
+_STEP = re.compile(r"\.(?P<key>[^.\[\]]+)|\[(?P<index>\d+|\.\.\.)\]")
+_UNKNOWN_FIELD = re.compile(r"unknown field `(?P<field>[^`]+)`")
+_PARSE_LOCATION = re.compile(r"\[line=(?P<line>\d+);col=(?P<column>\d+)\]")
+
+
+def read_file(path: str | Path, cls: type[T]) -> T:
+    """Read a file of JSON with comments into a data class.
+
+    Parameters
+    ----------
+    path
+        File to read.
+    cls
+        Frozen data class that describes the content.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read, or names file, line, key and wrong value.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"{path}: can't be read: {exc}") from exc
+    return decode(text, cls, source=str(path))
+
+
+def decode(
+    text: str,
+    cls: type[T],
+    *,
+    source: str = "<text>",
+    error: type[WaxwingpitchError] = SettingsError,
+) -> T:
+    """Parse JSON with comments and check it against a data class.
+
+    Parameters
+    ----------
+    text
+        JSON; ``//`` and ``/* */`` comments and trailing commas are allowed.
+    cls
+        Frozen data class that describes the content.
+    source
+        Name of the text in error messages.
+    error
+        Class of the error to raise.
+
+    Examples
+    --------
+    >>> import dataclasses
+    >>> @dataclasses.dataclass(frozen=True)
+    ... class Point:
+    ...     x: int
+    >>> decode('{"x": 1 /* metres */}', Point)
+    Point(x=1)
+    """
+    try:
+        plain = jsoncfg.loads(text)
+        located = jsoncfg.loads_config(text)
+    except jsoncfg.JSONConfigParserException as exc:
+        raise error(f"{source}: {_describe_syntax(exc)}") from exc
+    except RecursionError as exc:
+        raise error(f"{source}: nested too deeply") from exc
+    try:
+        return msgspec.convert(plain, cls, strict=True)
+    except msgspec.ValidationError as exc:
+        raise error(_describe_invalid(source, str(exc), plain, located, cls)) from exc
+
+
+def _describe_syntax(exc: Exception) -> str:
+    message = str(exc)
+    match = _PARSE_LOCATION.search(message)
+    if match is None:
+        return message
+    text = message[: match.start()].strip()
+    return f"line {match['line']}, column {match['column']}: {text}"
+
+
+def _describe_invalid(
+    source: str, message: str, plain: Any, located: Any, cls: type
+) -> str:
+    match = _PATH.search(message)
+    path = match["path"] if match else ""
+    problem = message[: match.start()] if match else message
+    value, node, kind = plain, located, cls
+    for key in _iter_steps(path):
+        try:
+            value, node = value[key], node[key]
+        except (KeyError, IndexError, TypeError):
+            break
+        kind = _child_type(kind, key)
+    line = jsoncfg.node_location(node).line
+    shown = f"{value!r:.80}" if path else "the top level"
+    valid = _describe_valid(kind, problem)
+    return f"{source}: line {line}, key '{path.lstrip('.')}': {problem}; got {shown}{valid}"
+
+
+def _iter_steps(path: str):
+    for match in _STEP.finditer(path):
+        if match["key"] is not None:
+            yield match["key"]
+        elif match["index"] == "...":
+            return
+        else:
+            yield int(match["index"])
+
+
+def _child_type(kind: Any, key: str | int) -> Any:
+    kind = _strip_optional(kind)
+    if dataclasses.is_dataclass(kind) and isinstance(key, str):
+        return typing.get_type_hints(kind).get(key)
+    args = [arg for arg in typing.get_args(kind) if arg is not Ellipsis]
+    return args[-1] if args else None
+
+
+def _strip_optional(kind: Any) -> Any:
+    if isinstance(kind, types.UnionType):
+        kept = [arg for arg in typing.get_args(kind) if arg is not types.NoneType]
+        return kept[0] if len(kept) == 1 else kind
+    if typing.get_origin(kind) is typing.Annotated:
+        return typing.get_args(kind)[0]
+    return kind
+
+
+def _describe_valid(kind: Any, problem: str) -> str:
+    kind = _strip_optional(kind)
+    if isinstance(kind, type) and issubclass(kind, enum.Enum):
+        values = ", ".join(repr(member.value) for member in kind)
+        return f"; valid values: {values}"
+    if _UNKNOWN_FIELD.search(problem) and dataclasses.is_dataclass(kind):
+        names = ", ".join(field.name for field in dataclasses.fields(kind))
+        return f"; valid keys: {names}"
+    return ""
--- /dev/null
+++ b/waxwingpitch/membership/__init__.py
@@ -0,0 +1,19 @@
+"""Membership aggregate: which entry hosts share the work of a zone."""
+
+from __future__ import annotations
+
+from .members import Member, MemberList, PriorList, decode_members, encode_members
+from .rendezvous import rank_by_rendezvous
+from .shares import split_cap
+from .topology import select_neighbours
+
+__all__ = [
+    "Member",
+    "MemberList",
+    "PriorList",
+    "decode_members",
+    "encode_members",
+    "rank_by_rendezvous",
+    "select_neighbours",
+    "split_cap",
+]
--- /dev/null
+++ b/waxwingpitch/membership/members.py
@@ -0,0 +1,147 @@
+"""Versioned list of the entry hosts of one zone.
+
+A list keeps the prior lists that a member may still act on. A prior list is
+dropped once each of its members confirmed a later one, was replaced by a new
+incarnation, or its host was reported gone by the platform.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, replace
+
+import msgspec
+
+from ..errors import PeerError, ResultCode
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A running entry daemon.
+
+    Attributes
+    ----------
+    id
+        Name of the entry host.
+    incarnation
+        Changes whenever the daemon starts again.
+    http, mesh
+        ``IP:port`` for callers and for peers.
+    """
+
+    id: str
+    incarnation: str
+    zone: str
+    http: str
+    mesh: str
+
+
+@dataclass(frozen=True, slots=True)
+class PriorList:
+    """Members of an earlier list that may still be acted on."""
+
+    version: int
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MemberList:
+    """The entry hosts of a zone.
+
+    Attributes
+    ----------
+    version
+        Grows by one with each change of members.
+    prior
+        Earlier lists that are not yet settled.
+    """
+
+    zone: str
+    version: int = 0
+    members: tuple[Member, ...] = ()
+    prior: tuple[PriorList, ...] = ()
+
+    def find(self, member_id: str) -> Member | None:
+        """Return the member of that id."""
+        return next((item for item in self.members if item.id == member_id), None)
+
+    def join(self, member: Member) -> MemberList:
+        """Return the list with a member added or replaced by a new incarnation."""
+        if self.find(member.id) == member:
+            return self
+        kept = tuple(item for item in self.members if item.id != member.id)
+        return self._change((*kept, member))
+
+    def remove(self, member_ids: Collection[str]) -> MemberList:
+        """Return the list without some members."""
+        kept = tuple(item for item in self.members if item.id not in member_ids)
+        return self if len(kept) == len(self.members) else self._change(kept)
+
+    def settle(
+        self, confirmed: Mapping[tuple[str, str], int], gone: Collection[str]
+    ) -> MemberList:
+        """Return the list without the prior lists that nobody acts on.
+
+        Parameters
+        ----------
+        confirmed
+            Version that each ``(id, incarnation)`` said it acts on.
+        gone
+            Ids of hosts that the platform reported gone.
+        """
+        kept = tuple(
+            prior
+            for prior in self.prior
+            if not self._is_settled(prior, confirmed, gone)
+        )
+        return self if len(kept) == len(self.prior) else replace(self, prior=kept)
+
+    def _change(self, members: tuple[Member, ...]) -> MemberList:
+        prior = PriorList(self.version, self.members)
+        return replace(
+            self,
+            version=self.version + 1,
+            members=members,
+            prior=(*self.prior, prior) if self.members else self.prior,
+        )
+
+    def _is_settled(
+        self,
+        prior: PriorList,
+        confirmed: Mapping[tuple[str, str], int],
+        gone: Collection[str],
+    ) -> bool:
+        return all(
+            confirmed.get((item.id, item.incarnation), 0) > prior.version
+            or item.id in gone
+            or self._is_replaced(item)
+            for item in prior.members
+        )
+
+    def _is_replaced(self, member: Member) -> bool:
+        current = self.find(member.id)
+        return current is not None and current.incarnation != member.incarnation
+
+
+def members_key(zone: str) -> str:
+    """Return the key of a zone's list in the key-value service."""
+    return f"agreed/members/{zone}"
+
+
+def encode_members(members: MemberList) -> bytes:
+    """Encode a list for the key-value service."""
+    return msgspec.json.encode(members)
+
+
+def decode_members(value: bytes) -> MemberList:
+    """Decode what :func:`encode_members` returned.
+
+    Raises
+    ------
+    PeerError
+        The value is not a member list.
+    """
+    try:
+        return msgspec.json.decode(value, type=MemberList)
+    except msgspec.MsgspecError as exc:
+        raise PeerError(ResultCode.PEER_MESSAGE_MALFORMED, str(exc)) from exc
--- /dev/null
+++ b/waxwingpitch/ports/__init__.py
@@ -0,0 +1,53 @@
+"""Abstract interfaces of the outside systems, and their HTTP implementations."""
+
+from __future__ import annotations
+
+from .common import (
+    CacheEvent,
+    EngineOrder,
+    GenerateRequest,
+    Host,
+    HostList,
+    HostSnapshot,
+    HostState,
+    KeyValueStore,
+    OrderKind,
+    Piece,
+    PlainCall,
+    PlainTarget,
+    PlainAnswer,
+    StoredChange,
+    StoredEntry,
+    ModelTarget,
+    TargetReport,
+    Warmth,
+)
+from .engine_http import HttpModelTarget
+from .hosts_http import HttpHostList
+from .plain_http import HttpPlainTarget
+from .store_http import HttpKeyValueStore
+
+__all__ = [
+    "CacheEvent",
+    "EngineOrder",
+    "GenerateRequest",
+    "Host",
+    "HostList",
+    "HostSnapshot",
+    "HostState",
+    "HttpHostList",
+    "HttpKeyValueStore",
+    "HttpModelTarget",
+    "HttpPlainTarget",
+    "KeyValueStore",
+    "ModelTarget",
+    "OrderKind",
+    "Piece",
+    "PlainAnswer",
+    "PlainCall",
+    "PlainTarget",
+    "StoredChange",
+    "StoredEntry",
+    "TargetReport",
+    "Warmth",
+]
--- /dev/null
+++ b/waxwingpitch/ports/engine_http.py
@@ -0,0 +1,91 @@
+"""HTTP implementation of the model engine's interface."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from urllib.parse import quote, urlencode
+
+import msgspec
+from urllib3.exceptions import HTTPError, ReadTimeoutError
+
+from ..errors import TargetLostError, TargetRefusedError, TargetSilentError
+from .common import CacheEvent, EngineOrder, GenerateRequest, ModelTarget, Piece
+from .common import TargetReport
+from .target_http import HttpTarget
+
+READ_BYTES = 65536
+MAX_PIECE_BYTES = 1024 * 1024
+
+_decode_piece = msgspec.json.Decoder(Piece).decode
+_decode_events = msgspec.json.Decoder(tuple[CacheEvent, ...]).decode
+
+
+class HttpModelTarget(HttpTarget, ModelTarget):
+    """Model engine over HTTP; pieces arrive as lines of JSON."""
+
+    def generate(self, req: GenerateRequest, *, progress_s: float) -> Iterator[Piece]:
+        return self._iter_pieces(
+            "POST", "/v1/generate", progress_s, body=msgspec.json.encode(req)
+        )
+
+    def resume(
+        self, request: str, attempt: int, offset: int, *, progress_s: float
+    ) -> Iterator[Piece]:
+        query = urlencode({"attempt": attempt, "offset": offset})
+        path = f"/v1/streams/{quote(request)}?{query}"
+        return self._iter_pieces("GET", path, progress_s)
+
+    def cancel(self, request: str) -> None:
+        try:
+            self.send("DELETE", f"/v1/streams/{quote(request)}", timeout_s=1.0)
+        except (TargetRefusedError, TargetSilentError, TargetLostError):
+            return
+
+    def order(self, order: EngineOrder, *, timeout_s: float) -> TargetReport:
+        body = msgspec.json.encode(order)
+        resp = self.send("POST", "/v1/orders", timeout_s=timeout_s, body=body)
+        return msgspec.json.decode(resp.data, type=TargetReport)
+
+    def cache_events(self, after: int, *, timeout_s: float) -> Sequence[CacheEvent]:
+        path = f"/v1/cache-events?after={after}"
+        return _decode_events(self.send("GET", path, timeout_s=timeout_s).data)
+
+    def _iter_pieces(
+        self, method: str, path: str, progress_s: float, body: bytes | None = None
+    ) -> Iterator[Piece]:
+        resp = self.send(method, path, timeout_s=progress_s, body=body, stream=True)
+        finished = False
+        try:
+            if resp.status != 200:
+                raise TargetLostError(f"{self.address}: status {resp.status}")
+            for line in _iter_lines(self._iter_chunks(resp)):
+                piece = _decode_piece(line)
+                finished = bool(piece.finish)
+                yield piece
+        except msgspec.MsgspecError as exc:
+            raise TargetLostError(f"{self.address}: bad piece: {exc}") from exc
+        finally:
+            if finished:
+                resp.drain_conn()
+                resp.release_conn()
+            else:
+                resp.close()
+        if not finished:
+            raise TargetLostError(f"{self.address}: stream ended early")
+
+    def _iter_chunks(self, resp) -> Iterator[bytes]:
+        try:
+            yield from resp.stream(READ_BYTES, decode_content=False)
+        except ReadTimeoutError as exc:
+            raise TargetSilentError(f"{self.address}: no progress") from exc
+        except (HTTPError, OSError) as exc:
+            raise TargetLostError(f"{self.address}: {exc}") from exc
+
+
+def _iter_lines(chunks: Iterator[bytes]) -> Iterator[bytes]:
+    rest = b""
+    for chunk in chunks:
+        *lines, rest = (rest + chunk).split(b"\n")
+        yield from lines
+        if len(rest) > MAX_PIECE_BYTES:
+            raise TargetLostError(f"piece longer than {MAX_PIECE_BYTES} bytes")
--- /dev/null
+++ b/waxwingpitch/ports/hosts_http.py
@@ -0,0 +1,39 @@
+"""HTTP implementation of the host list's interface."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..errors import StoreUnavailableError
+from .common import Host, HostList, HostSnapshot
+from .http import BrokenError, HttpClient, NotSentError, SilentError
+
+CALL_TIMEOUT_S = 1.0
+
+
+class HttpHostList(HostList):
+    """Host list over HTTP, with entity tags so that no change costs no body.
+
+    Parameters
+    ----------
+    base
+        Base URL of the list.
+    """
+
+    def __init__(self, base: str):
+        self._client = HttpClient(base, connections=2)
+
+    def fetch(self, known_version: str | None = None) -> HostSnapshot | None:
+        headers = {"If-None-Match": known_version} if known_version else {}
+        try:
+            resp = self._client.send(
+                "GET", "/v1/hosts", timeout_s=CALL_TIMEOUT_S, headers=headers
+            )
+        except (NotSentError, SilentError, BrokenError) as exc:
+            raise StoreUnavailableError(str(exc)) from exc
+        if resp.status == 304:
+            return None
+        if resp.status != 200:
+            raise StoreUnavailableError(f"GET /v1/hosts: status {resp.status}")
+        hosts = msgspec.json.decode(resp.data, type=tuple[Host, ...])
+        return HostSnapshot(resp.headers.get("ETag", ""), hosts)
--- /dev/null
+++ b/waxwingpitch/ports/target_http.py
@@ -0,0 +1,73 @@
+"""What HTTP clients of model engines and plain services share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from ..errors import TargetLostError, TargetRefusedError, TargetSilentError
+from .common import TargetReport
+from .http import (
+    RAN_HEADER,
+    REPORT_HEADER,
+    BrokenError,
+    HttpClient,
+    NotSentError,
+    SilentError,
+)
+
+OnReport = Callable[[TargetReport], None]
+
+
+class HttpTarget:
+    """A target's HTTP address.
+
+    Parameters
+    ----------
+    address
+        ``IP:port``.
+    on_report
+        Called with each report that an answer carries.
+    """
+
+    def __init__(self, address: str, on_report: OnReport = lambda report: None):
+        self.address = address
+        self._client = HttpClient(f"http://{address}")
+        self._on_report = on_report
+
+    def probe(self, *, timeout_s: float) -> TargetReport:
+        resp = self.send("GET", "/v1/status", timeout_s=timeout_s)
+        try:
+            return msgspec.json.decode(resp.data, type=TargetReport)
+        except msgspec.MsgspecError as exc:
+            raise TargetLostError(f"{self.address}: bad report: {exc}") from exc
+
+    def send(self, method: str, path: str, **kwargs):
+        """Send a request; translate failures and note the report."""
+        try:
+            resp = self._client.send(method, path, **kwargs)
+        except NotSentError as exc:
+            raise TargetRefusedError(str(exc)) from exc
+        except SilentError as exc:
+            raise TargetSilentError(str(exc)) from exc
+        except BrokenError as exc:
+            raise TargetLostError(str(exc)) from exc
+        self._note_report(resp)
+        if resp.headers.get(RAN_HEADER) == "no":
+            reason = resp.data.decode("utf-8", "replace")
+            raise TargetRefusedError(f"{self.address}: {reason}")
+        return resp
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._client.close()
+
+    def _note_report(self, resp) -> None:
+        text = resp.headers.get(REPORT_HEADER)
+        if text is None:
+            return
+        try:
+            self._on_report(msgspec.json.decode(text, type=TargetReport))
+        except msgspec.MsgspecError:
+            return
--- /dev/null
+++ b/waxwingpitch/settings/__init__.py
@@ -0,0 +1,23 @@
+"""Settings of the daemon, read once at start."""
+
+from __future__ import annotations
+
+from .entry import (
+    EntrySettings,
+    HttpSettings,
+    LimitSettings,
+    LogLevel,
+    MeshSettings,
+    PortSettings,
+    load_entry_settings,
+)
+
+__all__ = [
+    "EntrySettings",
+    "HttpSettings",
+    "LimitSettings",
+    "LogLevel",
+    "MeshSettings",
+    "PortSettings",
+    "load_entry_settings",
+]
--- /dev/null
+++ b/waxwingpitch/settings/entry.py
@@ -0,0 +1,177 @@
+"""Settings of the entry daemon."""
+
+from __future__ import annotations
+
+import enum
+import ipaddress
+import re
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ..errors import SettingsError
+from ..jsonc import read_file
+
+MIN_MESH_KEY_CHARS = 16
+MAX_PORT = 65535
+_NAME = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
+
+
+class LogLevel(enum.StrEnum):
+    """Lowest level that is logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclass(frozen=True, slots=True)
+class HttpSettings:
+    """Address that callers and operators reach.
+
+    Attributes
+    ----------
+    host
+        IP address to bind.
+    port
+        TCP port; 0 takes a free one.
+    """
+
+    host: str = "127.0.0.1"
+    port: int = 8400
+
+
+@dataclass(frozen=True, slots=True)
+class MeshSettings:
+    """How entry hosts reach each other.
+
+    Attributes
+    ----------
+    key
+        Secret that all entry hosts share.
+    host
+        IP address to bind.
+    port
+        TCP port; 0 takes a free one.
+    seeds
+        ``IP:port`` of other entry hosts, asked while the key-value service is
+        unreachable.
+    """
+
+    key: str
+    host: str = "127.0.0.1"
+    port: int = 0
+    seeds: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PortSettings:
+    """Base URLs of the platform's services.
+
+    Attributes
+    ----------
+    store
+        Key-value service.
+    hosts
+        List of hosts.
+    """
+
+    store: str
+    hosts: str
+
+
+@dataclass(frozen=True, slots=True)
+class LimitSettings:
+    """Size limits.
+
+    Attributes
+    ----------
+    body_bytes
+        Largest request body.
+    frame_bytes
+        Largest mesh message.
+    connections
+        Most caller connections at once.
+    """
+
+    body_bytes: int = 4 * 1024 * 1024
+    frame_bytes: int = 2 * 1024 * 1024
+    connections: int = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of one entry daemon.
+
+    Attributes
+    ----------
+    id
+        Name of the entry host, unique among all.
+    zone
+        Availability zone of the entry host.
+    mesh, platform, http, limits
+        See the classes.
+    log_level
+        Lowest level that is logged.
+    drain_timeout_s
+        Longest wait for requests in progress on a stop, in seconds.
+    """
+
+    id: str
+    zone: str
+    mesh: MeshSettings
+    platform: PortSettings
+    http: HttpSettings = HttpSettings()
+    limits: LimitSettings = field(default_factory=LimitSettings)
+    log_level: LogLevel = LogLevel.INFO
+    drain_timeout_s: float = 600.0
+
+
+def load_entry_settings(path: str | Path) -> EntrySettings:
+    """Read and check the settings of an entry daemon.
+
+    Raises
+    ------
+    SettingsError
+        Names the file, the key, the wrong value and the valid ones.
+    """
+    settings = read_file(path, EntrySettings)
+    for problem in _find_problems(settings):
+        raise SettingsError(f"{path}: {problem}")
+    return settings
+
+
+def _find_problems(settings: EntrySettings):
+    for key in ("id", "zone"):
+        value = getattr(settings, key)
+        if not _NAME.match(value):
+            yield (
+                f"key '{key}': got {value!r}; valid: lower-case letters, digits "
+                "and hyphens, at most 63"
+            )
+    for key, part in (("http", settings.http), ("mesh", settings.mesh)):
+        if not 0 <= part.port <= MAX_PORT:
+            yield f"key '{key}.port': got {part.port}; valid: 0 to {MAX_PORT}"
+        if not _is_ip(part.host):
+            yield f"key '{key}.host': got {part.host!r}; valid: an IP address"
+    if len(settings.mesh.key) < MIN_MESH_KEY_CHARS:
+        yield f"key 'mesh.key': too short; valid: {MIN_MESH_KEY_CHARS} characters or more"
+    for seed in settings.mesh.seeds:
+        host, _, port = seed.rpartition(":")
+        if not _is_ip(host) or not port.isdigit():
+            yield f"key 'mesh.seeds': got {seed!r}; valid: IP:port"
+    for key in ("store", "hosts"):
+        url = getattr(settings.platform, key)
+        if not url.startswith(("http://", "https://")):
+            yield f"key 'platform.{key}': got {url!r}; valid: an http or https URL"
+    for key in ("body_bytes", "frame_bytes", "connections"):
+        if getattr(settings.limits, key) <= 0:
+            yield f"key 'limits.{key}': must be above 0"
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/waxwingpitch/standins/__init__.py
@@ -0,0 +1,20 @@
+"""Small stand-ins of the outside systems, for tests, demos and measurements."""
+
+from __future__ import annotations
+
+from .engine import EngineFleet, EngineModel
+from .hosts import HostListStandIn
+from .plain import PlainStandIn
+from .server import StandInServer
+from .store import StoreStandIn
+from .weights import WeightStoreStandIn
+
+__all__ = [
+    "EngineFleet",
+    "EngineModel",
+    "HostListStandIn",
+    "PlainStandIn",
+    "StandInServer",
+    "StoreStandIn",
+    "WeightStoreStandIn",
+]
--- /dev/null
+++ b/waxwingpitch/standins/engine.py
@@ -0,0 +1,474 @@
+"""Stand-in of model engines whose replicas span several hosts.
+
+One process holds a fleet of hosts, each on a port of its own. The leader of a
+group generates only while every member is up and holds the same group and
+epoch, as collective operations require.
+"""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import bottle
+import gevent
+import msgspec
+from gevent.event import Event
+
+from ..http_server import HttpServer
+from ..ports import (
+    EngineOrder,
+    GenerateRequest,
+    OrderKind,
+    Piece,
+    TargetReport,
+    Warmth,
+)
+from ..ports.http import RAN_HEADER, REPORT_HEADER
+from .answers import answer_token, count_tokens, natural_length
+from .prefix_cache import PrefixCache
+from .server import answer_json
+from .weights import WeightStoreStandIn
+
+MAX_CONNECTIONS = 4096
+POISON = "CRASH-ENGINE"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineModel:
+    """Speeds and limits of the engines of a fleet.
+
+    Attributes
+    ----------
+    step_s
+        Time of one decoding step of a batch, in seconds.
+    prefill_tokens
+        Prompt tokens that one step takes in.
+    batch
+        Requests in a batch.
+    cold_cap
+        Most requests at once that a cold engine bears before it falls over.
+    cold_s
+        Time from the end of loading until the engine is warm, in seconds.
+    restart_s
+        Time from a crash until the engine is up again, in seconds.
+    retain_s
+        Time for which a stream without reader goes on, in seconds.
+    report_lag_s
+        Age of the reported load, in seconds.
+    checks_fencing
+        Whether orders with an old epoch are refused.
+    cache_blocks
+        Prompt blocks that fit in the prefix cache.
+    """
+
+    step_s: float = 0.01
+    prefill_tokens: int = 512
+    batch: int = 32
+    cold_cap: int = 2
+    cold_s: float = 0.5
+    restart_s: float = 0.5
+    retain_s: float = 5.0
+    report_lag_s: float = 0.2
+    checks_fencing: bool = True
+    cache_blocks: int = 512
+
+
+class _Stream:
+    """One generation in progress."""
+
+    def __init__(self, req: GenerateRequest, length: int, prefill_steps: int):
+        self.req = req
+        self.length = length
+        self.prefill_steps = prefill_steps
+        self.cached_tokens = 0
+        self.produced = req.offset
+        self.grown = Event()
+        self.failed = False
+        self.cancelled = False
+        self.readers = 0
+        self.orphaned_at = time.monotonic()
+
+    @property
+    def done(self) -> bool:
+        return self.produced >= self.length
+
+    def advance(self) -> None:
+        if self.prefill_steps > 0:
+            self.prefill_steps -= 1
+            return
+        self.produced += 1
+        self.notify()
+
+    def notify(self) -> None:
+        self.grown.set()
+        self.grown = Event()
+
+
+class EngineHost:
+    """One host of a fleet.
+
+    Parameters
+    ----------
+    host
+        Id of the host.
+    fleet
+        Fleet that the host belongs to.
+    port
+        TCP port; 0 takes a free one.
+    """
+
+    def __init__(self, host: str, fleet: EngineFleet, port: int = 0):
+        self.host = host
+        self.alive = False
+        self.frozen = False
+        self.slowdown = 1.0
+        self.group = ""
+        self.epoch = 0
+        self.members: tuple[str, ...] = ()
+        self.ready = False
+        self.crashes = 0
+        self.peak_running = 0
+        self.streams: dict[str, _Stream] = {}
+        self._fleet = fleet
+        self._model = fleet.model
+        self._loaded = ""
+        self._highest_epoch = 0
+        self._leaving = False
+        self._warm_at = 0.0
+        self._cache = PrefixCache(fleet.model.cache_blocks)
+        self._load = 0
+        self._sampled_at = 0.0
+        self._work = Event()
+        self._port = port
+        self._server: HttpServer | None = None
+        self._greenlets: list[gevent.Greenlet] = []
+        self.incarnation = ""
+
+    @property
+    def address(self) -> str:
+        """``IP:port``."""
+        return f"127.0.0.1:{self._port}"
+
+    def start(self) -> None:
+        """Start the engine's process, without group or weights."""
+        self.incarnation = uuid.uuid4().hex
+        self.alive = True
+        self.group, self.epoch, self.members = "", 0, ()
+        self.ready, self._loaded, self._leaving = False, "", False
+        self._highest_epoch = 0
+        self._cache.clear()
+        self._server = HttpServer(
+            "127.0.0.1", self._port, self._build_app(), connections=MAX_CONNECTIONS
+        )
+        self._server.start()
+        self._port = self._server.address[1]
+        self._greenlets = [gevent.spawn(self._step_forever)]
+
+    def stop(self) -> None:
+        """End the process; all connections break."""
+        self.alive = False
+        self._fail_streams()
+        gevent.killall(self._greenlets, block=False)
+        if self._server is not None:
+            self._server.stop(timeout=0)
+
+    def crash(self) -> None:
+        """End the process and start it again after a while."""
+        if not self.alive:
+            return
+        self.crashes += 1
+        gevent.spawn(self._crash_and_restart)
+
+    def chill(self) -> None:
+        """Turn cold again without warning."""
+        self._warm_at = time.monotonic() + self._model.cold_s
+
+    def leave(self) -> None:
+        """Start to leave; new requests are refused as not run."""
+        self._leaving = True
+
+    def report(self) -> TargetReport:
+        """Return what the engine says about itself."""
+        now = time.monotonic()
+        if now - self._sampled_at >= self._model.report_lag_s:
+            self._load, self._sampled_at = self.running, now
+        return TargetReport(
+            host=self.host,
+            incarnation=self.incarnation,
+            warmth=Warmth.WARM if self.is_warm else Warmth.COLD,
+            leaving=self._leaving,
+            ready=self.ready,
+            load=self._load,
+            group=self.group,
+            epoch=self.epoch,
+        )
+
+    @property
+    def is_warm(self) -> bool:
+        """Whether the engine bears full load."""
+        return self.ready and time.monotonic() >= self._warm_at
+
+    @property
+    def running(self) -> int:
+        """Requests running and waiting."""
+        return len(self.streams)
+
+    def _crash_and_restart(self) -> None:
+        self.stop()
+        self._fleet.fail_groups_of(self)
+        gevent.sleep(self._model.restart_s)
+        self.start()
+
+    def _fail_streams(self) -> None:
+        for stream in list(self.streams.values()):
+            stream.failed = True
+            stream.notify()
+        self.streams.clear()
+
+    def _build_app(self) -> bottle.Bottle:
+        app = bottle.Bottle()
+        app.route("/v1/status", "GET", self._get_status)
+        app.route("/v1/generate", "POST", self._generate)
+        app.route("/v1/streams/<request>", "GET", self._resume)
+        app.route("/v1/streams/<request>", "DELETE", self._cancel)
+        app.route("/v1/orders", "POST", self._order)
+        app.route("/v1/cache-events", "GET", self._get_events)
+        app.route("/admin/<action>", "POST", self._act)
+        return app
+
+    def _get_status(self):
+        self._wait_while_frozen()
+        return answer_json(self.report())
+
+    def _get_events(self):
+        return answer_json(self._cache.events(int(bottle.request.query.after)))
+
+    def _act(self, action: str):
+        match action:
+            case "crash":
+                self.crash()
+            case "kill":
+                gevent.spawn(self._kill)
+            case "chill":
+                self.chill()
+            case "leave":
+                self.leave()
+            case "freeze":
+                self.frozen = True
+            case "thaw":
+                self.frozen = False
+            case _:
+                return bottle.HTTPResponse("unknown action", status=404)
+        return answer_json(self.report())
+
+    def _kill(self) -> None:
+        self.stop()
+        self._fleet.fail_groups_of(self)
+
+    def _wait_while_frozen(self) -> None:
+        while self.frozen:
+            gevent.sleep(0.05)
+
+    def _refuse(self, reason: str, status: int = 503) -> bottle.HTTPResponse:
+        headers = {RAN_HEADER: "no", REPORT_HEADER: self._report_text()}
+        return bottle.HTTPResponse(reason, status=status, headers=headers)
+
+    def _report_text(self) -> str:
+        return msgspec.json.encode(self.report()).decode()
+
+    def _generate(self):
+        self._wait_while_frozen()
+        body = bottle.request.body.read()
+        try:
+            req = msgspec.json.decode(body, type=GenerateRequest)
+        except msgspec.MsgspecError as exc:
+            return self._refuse(f"malformed: {exc}", 400)
+        if self._leaving:
+            return self._refuse("leaving")
+        if (req.group, req.epoch) != (self.group, self.epoch):
+            return self._refuse(f"holds {self.group!r} epoch {self.epoch}", 409)
+        if not self._fleet.is_complete(self):
+            return self._refuse("group is not complete")
+        stream = self._admit(req)
+        return self._answer(stream, req.attempt, req.offset)
+
+    def _admit(self, req: GenerateRequest) -> _Stream:
+        prompt_tokens = count_tokens(req.prompt)
+        cached = self._cache.lookup(req.prompt)
+        fresh = int(prompt_tokens * (1 - cached)) + len(req.delivered)
+        length = req.max_tokens or natural_length(req.prompt)
+        stream = _Stream(req, length, fresh // self._model.prefill_tokens)
+        stream.cached_tokens = int(prompt_tokens * cached)
+        self.streams[req.request] = stream
+        self.peak_running = max(self.peak_running, self.running)
+        if POISON in req.prompt:
+            gevent.spawn_later(self._model.step_s, self.crash)
+        elif not self.is_warm and self.running > self._model.cold_cap:
+            self.crash()
+        self._work.set()
+        return stream
+
+    def _resume(self, request: str):
+        self._wait_while_frozen()
+        stream = self.streams.get(request)
+        if stream is None:
+            return self._refuse("no such stream", 404)
+        query = bottle.request.query
+        return self._answer(stream, int(query.attempt), int(query.offset))
+
+    def _answer(self, stream: _Stream, attempt: int, offset: int):
+        return bottle.HTTPResponse(
+            self._iter_pieces(stream, attempt, offset),
+            headers={
+                "Content-Type": "application/x-ndjson",
+                REPORT_HEADER: self._report_text(),
+            },
+        )
+
+    def _iter_pieces(self, stream: _Stream, attempt: int, at: int) -> Iterator[bytes]:
+        stream.readers += 1
+        try:
+            while True:
+                grown = stream.grown
+                if stream.failed:
+                    raise ConnectionError("engine lost")
+                if stream.cancelled:
+                    return
+                if stream.produced > at or stream.done:
+                    piece = self._build_piece(stream, attempt, at)
+                    at += len(piece.tokens)
+                    yield msgspec.json.encode(piece) + b"\n"
+                    if piece.finish:
+                        self.streams.pop(stream.req.request, None)
+                        return
+                else:
+                    grown.wait()
+                self._wait_while_frozen()
+        finally:
+            stream.readers -= 1
+            stream.orphaned_at = time.monotonic()
+
+    def _build_piece(self, stream: _Stream, attempt: int, at: int) -> Piece:
+        req = stream.req
+        tokens = [answer_token(req.prompt, i) for i in range(at, stream.produced)]
+        return Piece(
+            request=req.request,
+            attempt=attempt,
+            offset=at,
+            tokens=tuple(tokens),
+            finish="stop" if stream.done else "",
+            prompt_tokens=count_tokens(req.prompt) if stream.done else 0,
+            cached_tokens=stream.cached_tokens if stream.done else 0,
+        )
+
+    def _cancel(self, request: str):
+        stream = self.streams.pop(request, None)
+        if stream is not None:
+            stream.cancelled = True
+            stream.notify()
+        return answer_json({"cancelled": stream is not None})
+
+    def _order(self):
+        self._wait_while_frozen()
+        order = msgspec.json.decode(bottle.request.body.read(), type=EngineOrder)
+        if self._model.checks_fencing and order.epoch < self._highest_epoch:
+            return self._refuse(f"epoch {order.epoch} < {self._highest_epoch}", 409)
+        self._highest_epoch = max(self._highest_epoch, order.epoch)
+        match order.kind:
+            case OrderKind.JOIN:
+                self._join(order)
+            case OrderKind.RELEASE if order.group == self.group:
+                self._fail_streams()
+                self.group, self.epoch, self.members = "", 0, ()
+        return answer_json(self.report())
+
+    def _join(self, order: EngineOrder) -> None:
+        if (order.group, order.epoch) == (self.group, self.epoch):
+            return
+        self._fail_streams()
+        self.group, self.epoch = order.group, order.epoch
+        self.members = order.members
+        wanted = f"{order.model}@{order.model_version}"
+        if self._loaded == wanted:
+            self.ready = True
+            return
+        self.ready = False
+        self._greenlets.append(gevent.spawn(self._load_weights, order, wanted))
+
+    def _load_weights(self, order: EngineOrder, wanted: str) -> None:
+        self._fleet.weights.load(order.model, order.model_version)
+        self._loaded = wanted
+        self.ready = True
+        self._warm_at = time.monotonic() + self._model.cold_s
+
+    def _step_forever(self) -> None:
+        while True:
+            if not self.streams:
+                self._work.clear()
+                self._work.wait()
+            gevent.sleep(self._model.step_s * self.slowdown)
+            self._wait_while_frozen()
+            self._drop_orphans()
+            active = [item for item in self.streams.values() if not item.done]
+            active.sort(key=lambda item: item.req.priority)
+            for stream in active[: self._model.batch]:
+                stream.advance()
+
+    def _drop_orphans(self) -> None:
+        oldest = time.monotonic() - self._model.retain_s
+        for request, stream in list(self.streams.items()):
+            if stream.readers == 0 and stream.orphaned_at < oldest:
+                del self.streams[request]
+
+
+class EngineFleet:
+    """Hosts that can form groups with each other.
+
+    Parameters
+    ----------
+    model
+        Speeds and limits of the engines.
+    weights
+        Weight store that the hosts load from.
+    """
+
+    def __init__(self, model: EngineModel, weights: WeightStoreStandIn | None = None):
+        self.model = model
+        self.weights = weights or WeightStoreStandIn()
+        self.hosts: dict[str, EngineHost] = {}
+
+    def add_host(self, host: str, port: int = 0) -> EngineHost:
+        """Start one more host."""
+        engine = EngineHost(host, self, port)
+        engine.start()
+        self.hosts[engine.address] = engine
+        return engine
+
+    def stop(self) -> None:
+        """Stop all hosts."""
+        for engine in self.hosts.values():
+            engine.stop()
+
+    def is_complete(self, leader: EngineHost) -> bool:
+        """Return whether all members of a leader's group can work together."""
+        if not leader.members or leader.members[0] != leader.address:
+            return False
+        return all(self._holds(address, leader) for address in leader.members)
+
+    def fail_groups_of(self, lost: EngineHost) -> None:
+        """Break the streams of every group that had a member at a lost host."""
+        for engine in self.hosts.values():
+            if lost.address in engine.members:
+                engine._fail_streams()
+
+    def _holds(self, address: str, leader: EngineHost) -> bool:
+        member = self.hosts.get(address)
+        return (
+            member is not None
+            and member.alive
+            and member.ready
+            and (member.group, member.epoch) == (leader.group, leader.epoch)
+        )
