--- /dev/null
+++ b/waxwingpitch/admission/budget.py
@@ -0,0 +1,32 @@
+"""Retry budget: retries stay a set share of first tries."""
+
+from __future__ import annotations
+
+RETRY_RATIO = 0.1
+MAX_SAVED = 20.0
+
+
+class RetryBudget:
+    """Earns a part of a retry with each first try and spends one per retry.
+
+    Examples
+    --------
+    >>> budget = RetryBudget(saved=1.0)
+    >>> budget.spend(), budget.spend()
+    (True, False)
+    """
+
+    def __init__(self, *, ratio: float = RETRY_RATIO, saved: float = MAX_SAVED):
+        self._ratio = ratio
+        self._saved = saved
+
+    def earn(self) -> None:
+        """Note a first try."""
+        self._saved = min(MAX_SAVED, self._saved + self._ratio)
+
+    def spend(self) -> bool:
+        """Return whether a retry is allowed, and count it."""
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
--- /dev/null
+++ b/waxwingpitch/cli/application.py
@@ -0,0 +1,56 @@
+"""The command line's application and its exit codes."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from cleo.application import Application
+from cleo.io.inputs.argv_input import ArgvInput
+
+from .. import __version__
+from .call import CallCommand
+from .configuration import (
+    ConfigCheckCommand,
+    ConfigPrintCommand,
+    ConfigShowCommand,
+    ConfigSubmitCommand,
+    ConfigWaitCommand,
+)
+from .demo import DemoCommand
+from .dump import DumpCommand
+from .entry import EntryCommand
+from .standins import (
+    StandInEngineCommand,
+    StandInHostsCommand,
+    StandInServiceCommand,
+    StandInStoreCommand,
+)
+from .zones import ZoneInCommand, ZoneOutCommand, ZoneShowCommand
+
+COMMANDS = (
+    EntryCommand,
+    StandInStoreCommand,
+    StandInEngineCommand,
+    StandInServiceCommand,
+    StandInHostsCommand,
+    ConfigPrintCommand,
+    ConfigCheckCommand,
+    ConfigSubmitCommand,
+    ConfigShowCommand,
+    ConfigWaitCommand,
+    ZoneOutCommand,
+    ZoneInCommand,
+    ZoneShowCommand,
+    DumpCommand,
+    CallCommand,
+    DemoCommand,
+)
+
+
+def run_cli(arguments: Sequence[str]) -> int:
+    """Run a command and return its exit code."""
+    app = Application("waxwingpitch", __version__)
+    app.auto_exits(False)
+    for command in COMMANDS:
+        app.add(command())
+    return app.run(ArgvInput(["waxwingpitch", *arguments]))
--- a/waxwingpitch/configuration/builder.py
+++ b/waxwingpitch/configuration/builder.py
@@ -90,6 +90,8 @@
         routing: RoutingPolicyName | str = RoutingPolicyName.PREFIX_AFFINITY,
         spill: Spill | str = Spill.REGION,
         timeout_s: float = 60.0,
+        max_wait_s: float = 5.0,
+        spare_hosts: int = 0,
     ) -> None:
         """Add a service of model engines; see :class:`Service`."""
         self._services[name] = Service(
@@ -105,6 +107,8 @@
             routing=RoutingPolicyName(routing),
             spill=Spill(spill),
             timeout_s=timeout_s,
+            max_wait_s=max_wait_s,
+            spare_hosts=spare_hosts,
         )
 
     def add_plain_service(
@@ -118,6 +122,7 @@
         routing: RoutingPolicyName | str = RoutingPolicyName.LEAST_OUTSTANDING,
         spill: Spill | str = Spill.REGION,
         timeout_s: float = 10.0,
+        max_wait_s: float = 5.0,
     ) -> None:
         """Add a plain service; see :class:`Service`."""
         self._services[name] = Service(
@@ -130,6 +135,7 @@
             routing=RoutingPolicyName(routing),
             spill=Spill(spill),
             timeout_s=timeout_s,
+            max_wait_s=max_wait_s,
         )
 
     def remove_service(self, name: str) -> None:
--- a/waxwingpitch/configuration/model.py
+++ b/waxwingpitch/configuration/model.py
@@ -112,6 +112,11 @@
         HTTP methods of a plain service that are idempotent.
     timeout_s
         Default time for a whole answer, in seconds.
+    max_wait_s
+        Longest wait for a target, in seconds; beyond it a request is refused.
+    spare_hosts
+        Hosts of each fabric domain that are kept out of groups, with the
+        weights loaded.
     """
 
     name: str
@@ -127,6 +132,8 @@
     spill: Spill = Spill.REGION
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
     timeout_s: float = 60.0
+    max_wait_s: float = 5.0
+    spare_hosts: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,8 +226,12 @@
         value = getattr(service, key)
         if value < 1:
             yield f"{where}: {key} {value}; valid: 1 or more"
-    if not 0 < service.timeout_s < float("inf"):
-        yield f"{where}: timeout_s {service.timeout_s}; valid: a number above 0"
+    if service.spare_hosts < 0:
+        yield f"{where}: spare_hosts {service.spare_hosts}; valid: 0 or more"
+    for key in ("timeout_s", "max_wait_s"):
+        value = getattr(service, key)
+        if not 0 < value < float("inf"):
+            yield f"{where}: {key} {value}; valid: a number above 0"
     if service.kind is ServiceKind.MODEL and not service.model:
         yield f"{where}: model ''; valid: the name of weights in the weight store"
     if service.kind is ServiceKind.PLAIN and service.hosts_per_replica != 1:
--- /dev/null
+++ b/waxwingpitch/entry/bound_runs.py
@@ -0,0 +1,141 @@
+"""Runs of requests whose key this process issued; no agreement is needed."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gevent.event import AsyncResult
+
+from ..errors import Ran, RequestError, ResultCode
+from ..ports import PlainAnswer
+from ..requests import KeyAge, issue_bound_key
+from ..requests.keys import KEPT_S, is_genuine
+from .kept_answers import keep_plain_answer, rebuild_answer
+from .view import EntryView
+
+if TYPE_CHECKING:
+    from .plain_path import ServiceCall
+
+MAX_RUNS = 20000
+SECRET_BYTES = 32
+
+
+@dataclass(frozen=True, slots=True)
+class _BoundRun:
+    """A run that was started, and its future KeptAnswer."""
+
+    fingerprint: str
+    forget_at: float
+    fut: AsyncResult
+
+
+class BoundRuns:
+    """Remembers each run for as long as its key may be repeated.
+
+    Parameters
+    ----------
+    view
+        What the process knows.
+    """
+
+    def __init__(self, view: EntryView):
+        self._view = view
+        self._secret = secrets.token_bytes(SECRET_BYTES)
+        self._runs: OrderedDict[str, _BoundRun] = OrderedDict()
+
+    def issue(self) -> str:
+        """Issue a key that only this process will run."""
+        me = self._view.me
+        return issue_bound_key(me.id, me.incarnation, self._secret)
+
+    def run(
+        self, call: ServiceCall, run_once: Callable[[ServiceCall], PlainAnswer]
+    ) -> PlainAnswer:
+        """Run a call once; a repeat gets the first answer.
+
+        Raises
+        ------
+        RequestError
+            See :class:`~waxwingpitch.errors.ResultCode`.
+        """
+        try:
+            return self._run_checked(call, run_once)
+        except RequestError as exc:
+            exc.settled = True
+            raise
+
+    def _run_checked(
+        self, call: ServiceCall, run_once: Callable[[ServiceCall], PlainAnswer]
+    ) -> PlainAnswer:
+        self._check_key(call)
+        self._forget_old()
+        held = self._runs.get(call.scoped_key)
+        if held is not None:
+            return self._await(call, held)
+        if len(self._runs) >= MAX_RUNS:
+            raise RequestError(ResultCode.QUEUE_FULL, "too many bound keys in use")
+        return self._start(call, run_once)
+
+    def _start(
+        self, call: ServiceCall, run_once: Callable[[ServiceCall], PlainAnswer]
+    ) -> PlainAnswer:
+        fut = AsyncResult()
+        forget_at = time.monotonic() + KEPT_S
+        self._runs[call.scoped_key] = _BoundRun(call.fingerprint, forget_at, fut)
+        try:
+            answer = run_once(call)
+        except RequestError as exc:
+            if exc.ran is Ran.NO:
+                del self._runs[call.scoped_key]
+            fut.set_exception(exc)
+            raise
+        except BaseException:
+            fut.set_exception(
+                RequestError(ResultCode.OUTCOME_UNKNOWN, "the first run was cut off")
+            )
+            raise
+        fut.set(keep_plain_answer(answer))
+        return answer
+
+    def _await(self, call: ServiceCall, held: _BoundRun) -> PlainAnswer:
+        if held.fingerprint != call.fingerprint:
+            raise RequestError(
+                ResultCode.IDEMPOTENCY_KEY_REUSED, "the key belongs to another request"
+            )
+        left_s = call.deadline - time.monotonic()
+        if not held.fut.wait(max(0.0, left_s)) and not held.fut.ready():
+            raise RequestError(
+                ResultCode.IN_PROGRESS_ELSEWHERE, "still running", retry_after_s=1.0
+            )
+        return rebuild_answer(held.fut.get())
+
+    def _check_key(self, call: ServiceCall) -> None:
+        key, me = call.key, self._view.me
+        if (key.owner, key.incarnation) != (me.id, me.incarnation):
+            raise RequestError(
+                ResultCode.OUTCOME_UNKNOWN,
+                f"entry host {key.owner!r} issued the key and can't be asked",
+            )
+        if not is_genuine(key, self._secret):
+            raise RequestError(
+                ResultCode.IDEMPOTENCY_KEY_MALFORMED, "no entry host issued this key"
+            )
+        age = key.age(time.time())
+        if age is not KeyAge.ACCEPTED and call.scoped_key not in self._runs:
+            ran = Ran.UNKNOWN if age is KeyAge.FORGOTTEN else Ran.NO
+            raise RequestError(
+                ResultCode.IDEMPOTENCY_KEY_OUTSIDE_WINDOW, "the key is too old", ran=ran
+            )
+
+    def _forget_old(self) -> None:
+        now = time.monotonic()
+        while self._runs:
+            key, run = next(iter(self._runs.items()))
+            if run.forget_at > now:
+                return
+            del self._runs[key]
--- /dev/null
+++ b/waxwingpitch/entry/daemon.py
@@ -0,0 +1,213 @@
+"""One entry daemon: builds its tasks from the settings and runs them."""
+
+from __future__ import annotations
+
+import logging
+import random
+import signal
+import time
+import uuid
+
+import gevent
+from gevent.event import Event
+
+from ..admission import RetryBudget
+from ..http_server import HttpServer
+from ..membership import Member
+from ..mesh import Identity, MeshNode
+from ..ports import HttpHostList, HttpKeyValueStore, TargetReport
+from ..requests.claim_writer import ClaimWriter
+from ..routing import PrefixIndex, Router
+from ..settings import EntrySettings
+from ..targets import Health
+from ..telemetry import EntryMetrics
+from .bound_runs import BoundRuns
+from .clients import TargetClients
+from .controller import Controller
+from .coordination import Coordination, Observed, StoppingStarted
+from .dispatch import Dispatcher, Wake
+from .dump import render_state
+from .model_path import ModelPath
+from .observer import Observer
+from .plain_path import PlainPath
+from .platform_tasks import DocumentWatcher, HostFollower
+from .registrar import Registrar
+from .view import EntryView
+from .web import EntryWeb
+
+DRAIN_POLL_S = 0.05
+STOP_NOTICE_S = 0.2
+
+logger = logging.getLogger(__name__)
+
+
+class EntryDaemon:
+    """An entry host's process.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+    """
+
+    def __init__(self, settings: EntrySettings):
+        self.settings = settings
+        self.metrics = EntryMetrics()
+        self.started_at = time.time()
+        self._dispatchers: dict[str, Dispatcher] = {}
+        self._stop_wanted = Event()
+        self._incarnation = uuid.uuid4().hex[:16]
+        self.web = EntryWeb(self)
+        self.http = HttpServer(
+            settings.http.host,
+            settings.http.port,
+            self.web.app,
+            connections=settings.limits.connections,
+        )
+        self.http.init_socket()
+        self._mesh_events = []
+        self.mesh = MeshNode(
+            Identity(settings.id, self._incarnation, settings.zone),
+            settings.mesh.key,
+            host=settings.mesh.host,
+            port=settings.mesh.port,
+            frame_bytes=settings.limits.frame_bytes,
+            deliver=lambda event: self.coordination.post(event),
+        )
+        self.view = EntryView(self._build_member())
+        self._build_tasks()
+
+    def _build_member(self) -> Member:
+        http, mesh = self.settings.http, self.settings.mesh
+        port = self.http.socket.getsockname()[1]
+        return Member(
+            id=self.settings.id,
+            incarnation=self._incarnation,
+            zone=self.settings.zone,
+            http=http.advertise or f"{http.host}:{port}",
+            mesh=mesh.advertise or self.mesh.address,
+        )
+
+    def _build_tasks(self) -> None:
+        view, platform = self.view, self.settings.platform
+        self.store = HttpKeyValueStore(platform.store)
+        self.coordination = Coordination(view, self._wake, self.settings.mesh.seeds)
+        self.coordination.attach(self.mesh)
+        self.clients = TargetClients(self._note_report)
+        self.budget = RetryBudget()
+        self.prefixes = PrefixIndex()
+        self.router = Router(self.prefixes, random.Random())
+        self.claims = ClaimWriter(self.store)
+        self.bound_runs = BoundRuns(view)
+        self.registrar = Registrar(view, self.store, self.coordination)
+        self.watcher = DocumentWatcher(view, self.store, self.coordination)
+        self.host_follower = HostFollower(
+            view, HttpHostList(platform.hosts), self.coordination
+        )
+        self.observer = Observer(view, self.clients, self.coordination)
+        self.controller = Controller(
+            view, self.store, self.registrar, self.clients, self.coordination
+        )
+        self.model_path = ModelPath(
+            view,
+            self.clients,
+            self.coordination,
+            self.prefixes,
+            self.budget,
+            self.metrics,
+            self.find_dispatcher,
+        )
+        self.plain_path = PlainPath(
+            view,
+            self.clients,
+            self.claims,
+            self.bound_runs,
+            self.budget,
+            self.find_dispatcher,
+        )
+        self._tasks = (
+            self.coordination,
+            self.watcher,
+            self.registrar,
+            self.host_follower,
+            self.observer,
+            self.controller,
+        )
+
+    def start(self) -> None:
+        """Accept callers and peers."""
+        self.mesh.start()
+        for task in self._tasks:
+            task.start()
+        self.http.start()
+        logger.info(
+            "entry daemon started",
+            extra={
+                "id": self.view.me.id,
+                "http": self.view.me.http,
+                "mesh": self.view.me.mesh,
+            },
+        )
+
+    def run_until_stopped(self) -> None:
+        """Run until SIGTERM or SIGINT, then stop without cutting off requests."""
+        self.start()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self._stop_wanted.set)
+        self._stop_wanted.wait()
+        self.stop()
+
+    def stop(self) -> None:
+        """Refuse new work, let requests in progress finish, and end."""
+        deadline = time.monotonic() + self.settings.drain_timeout_s
+        self.view.stopping = True
+        self.coordination.post(StoppingStarted())
+        logger.info("stopping", extra={"in_progress": self.web.in_progress})
+        gevent.sleep(STOP_NOTICE_S)
+        while self.web.in_progress and time.monotonic() < deadline:
+            gevent.sleep(DRAIN_POLL_S)
+        self.claims.flush(deadline)
+        self.registrar.leave()
+        self.kill()
+        logger.info("stopped", extra={"cut_off": self.web.in_progress})
+
+    def kill(self) -> None:
+        """End at once."""
+        for task in (*self._tasks, *self._dispatchers.values()):
+            task.stop()
+        self.mesh.stop()
+        self.http.stop(timeout=1.0)
+
+    def find_dispatcher(self, service: str) -> Dispatcher:
+        """Return the dispatcher of a service, started at first use."""
+        dispatcher = self._dispatchers.get(service)
+        if dispatcher is None:
+            dispatcher = Dispatcher(service, self.view, self.router)
+            self._dispatchers[service] = dispatcher
+            dispatcher.start()
+        return dispatcher
+
+    def find_unready(self) -> str | None:
+        """Return why callers should not be sent here, or None."""
+        if self.view.stopping:
+            return "stopping"
+        if self.view.cfg.revision == 0:
+            return "no configuration is known yet"
+        return None
+
+    def dump(self) -> bytes:
+        """Return the state of the process as JSON."""
+        return render_state(self)
+
+    @property
+    def dispatchers(self) -> dict[str, Dispatcher]:
+        """Dispatchers by service."""
+        return self._dispatchers
+
+    def _wake(self) -> None:
+        for dispatcher in self._dispatchers.values():
+            dispatcher.post(Wake())
+
+    def _note_report(self, report: TargetReport) -> None:
+        event = Observed(report.host, Health.UP, time.monotonic(), report)
+        self.coordination.post(event)
--- /dev/null
+++ b/waxwingpitch/entry/dispatch.py
@@ -0,0 +1,331 @@
+"""Dispatcher task of one service: queues requests and assigns targets."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from gevent.event import AsyncResult
+
+from ..admission import FairQueue, Ticket
+from ..configuration import Service, Spill
+from ..errors import RequestError, ResultCode
+from ..membership import MemberList, split_cap
+from ..routing import Candidate, Router, RoutingRequest, build_policy
+from ..targets import ConcurrencyWindow, Target
+from ..task import Task
+from .view import EntryView
+
+IDLE_S = 0.1
+NO_TARGET_WAIT_S = 2.0
+SERVICE_TIME_WEIGHT = 0.1
+FIRST_SERVICE_TIME_S = 0.5
+RETRY_AFTER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a request needs of a target.
+
+    Attributes
+    ----------
+    routing
+        What routing policies work from.
+    avoid
+        Ids of targets that failed the request already.
+    suspect
+        Whether a like request was in flight at a crash.
+    arrived_at
+        Monotonic time of arrival.
+    """
+
+    routing: RoutingRequest = RoutingRequest()
+    avoid: frozenset[str] = frozenset()
+    suspect: bool = False
+    arrived_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """A target that a request may be sent to, until it is released."""
+
+    target: Target
+    request: str
+    suspect: bool
+    started_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Acquire:
+    """Asks for a target; the future gets an Assignment or a RequestError."""
+
+    ticket: Ticket
+    fut: AsyncResult
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Gives an assignment back."""
+
+    assignment: Assignment
+    completed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Takes back the ticket of a caller that left."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Something changed that may give room."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Payload:
+    wanted: Wanted
+    fut: AsyncResult = field(compare=False)
+
+
+DispatchMessage = Acquire | Release | Withdraw | Wake
+
+
+class Dispatcher(Task[DispatchMessage]):
+    """Owns the queue and the outstanding requests of one service.
+
+    Parameters
+    ----------
+    service
+        Name of the service.
+    view
+        What the process knows.
+    router
+        Chooses among the targets with room.
+    """
+
+    def __init__(self, service: str, view: EntryView, router: Router):
+        super().__init__()
+        self.queue = FairQueue()
+        self.outstanding: Counter[str] = Counter()
+        self._service = service
+        self._view = view
+        self._router = router
+        self._windows: dict[str, ConcurrencyWindow] = {}
+        self._suspects: dict[str, str] = {}
+        self._service_time_s = FIRST_SERVICE_TIME_S
+
+    def acquire(self, ticket: Ticket, wanted: Wanted) -> Assignment:
+        """Wait for a target.
+
+        Raises
+        ------
+        RequestError
+            The request is refused as not run.
+        """
+        fut = AsyncResult()
+        self.post(Acquire(_attach(ticket, _Payload(wanted, fut)), fut))
+        try:
+            return fut.get()
+        except BaseException:
+            if not fut.ready():
+                self.post(Withdraw(ticket.request))
+                fut.rawlink(self._give_back)
+            raise
+
+    def _give_back(self, fut: AsyncResult) -> None:
+        if fut.successful():
+            self.post(Release(fut.value, completed=False))
+
+    def idle_s(self) -> float | None:
+        return IDLE_S if len(self.queue) else None
+
+    def on_idle(self) -> None:
+        self._dispatch()
+
+    def handle(self, message: DispatchMessage) -> None:
+        match message:
+            case Acquire(ticket=ticket, fut=fut):
+                self._enqueue(ticket, fut)
+            case Release():
+                self._release(message)
+            case Withdraw(request=request):
+                self.queue.drop(request)
+            case Wake():
+                pass
+        if len(self.queue):
+            self._dispatch()
+
+    def _enqueue(self, ticket: Ticket, fut: AsyncResult) -> None:
+        service = self._find_service()
+        if service is None:
+            fut.set_exception(_refuse(ResultCode.UNKNOWN_SERVICE, self._service))
+            return
+        wait_s = self._estimate_wait_s(service, ticket)
+        left_s = ticket.deadline - time.monotonic()
+        if wait_s > min(service.max_wait_s, left_s):
+            text = f"expected wait {wait_s:.1f} s"
+            fut.set_exception(
+                _refuse(ResultCode.DEADLINE_UNREACHABLE, text, retry_after_s=wait_s)
+            )
+        elif not self.queue.push(ticket):
+            text = f"queue of priority {ticket.priority} is full"
+            fut.set_exception(
+                _refuse(ResultCode.QUEUE_FULL, text, retry_after_s=max(1.0, wait_s))
+            )
+
+    def _estimate_wait_s(self, service: Service, ticket: Ticket) -> float:
+        ahead = self.queue.count_ahead(ticket.priority)
+        if not ahead:
+            return 0.0
+        slots = sum(
+            self._limit(service, target) for target in self._find_usable(service)
+        )
+        return ahead * self._service_time_s / slots if slots else 0.0
+
+    def _release(self, message: Release) -> None:
+        assignment = message.assignment
+        target = assignment.target
+        self.outstanding[target.id] -= 1
+        if self.outstanding[target.id] <= 0:
+            del self.outstanding[target.id]
+        if self._suspects.get(target.id) == assignment.request:
+            del self._suspects[target.id]
+        now = time.monotonic()
+        if message.completed:
+            took_s = now - assignment.started_at
+            self._service_time_s += SERVICE_TIME_WEIGHT * (
+                took_s - self._service_time_s
+            )
+        report = self._view.evidence.fresh_report(target.hosts[0], now)
+        if report is not None:
+            self._window(target).note_load(report.load, now)
+
+    def _dispatch(self) -> None:
+        now = time.monotonic()
+        self._refuse_expired(now)
+        service = self._find_service()
+        while (ticket := self.queue.peek()) is not None:
+            payload: _Payload = ticket.payload
+            if service is None:
+                self.queue.pop()
+                payload.fut.set_exception(
+                    _refuse(ResultCode.UNKNOWN_SERVICE, self._service)
+                )
+                continue
+            candidate = self._choose(service, payload.wanted)
+            if candidate is None:
+                return
+            self.queue.pop()
+            payload.fut.set(self._assign(ticket, candidate.target, now))
+
+    def _refuse_expired(self, now: float) -> None:
+        service = self._find_service()
+        max_wait_s = service.max_wait_s if service is not None else 0.0
+        usable = service is not None and any(True for _ in self._find_usable(service))
+        limit_s = max_wait_s if usable else min(NO_TARGET_WAIT_S, max_wait_s)
+        code = ResultCode.DEADLINE_UNREACHABLE if usable else ResultCode.NO_TARGET
+        for ticket in self.queue.drop_waiting(now, now - limit_s, _arrival):
+            text = f"no target had room after {limit_s:.1f} s"
+            ticket.payload.fut.set_exception(
+                _refuse(code, text, retry_after_s=RETRY_AFTER_S)
+            )
+
+    def _choose(self, service: Service, wanted: Wanted) -> Candidate | None:
+        usable = list(self._find_usable(service))
+        fresh = [item for item in usable if item.id not in wanted.avoid]
+        for targets in self._tiers(service, fresh or usable):
+            candidates = [
+                candidate
+                for target in targets
+                if (candidate := self._consider(service, target, wanted)) is not None
+            ]
+            if candidates:
+                policy = build_policy(service)
+                return self._router.choose(policy, wanted.routing, candidates)
+        return None
+
+    def _tiers(self, service: Service, usable: list[Target]) -> Iterator[list[Target]]:
+        """Yield the targets of the own zone, then those that spill may use."""
+        zone = self._view.me.zone
+        yield [target for target in usable if target.zone == zone]
+        region = self._region_of(zone)
+        match service.spill:
+            case Spill.NEVER:
+                return
+            case Spill.REGION:
+                yield [
+                    target
+                    for target in usable
+                    if target.zone != zone and self._region_of(target.zone) == region
+                ]
+            case Spill.ANYWHERE:
+                yield [target for target in usable if target.zone != zone]
+
+    def _region_of(self, zone_name: str) -> str:
+        zone = self._view.cfg.find_zone(zone_name)
+        return zone.region if zone is not None else ""
+
+    def _consider(
+        self, service: Service, target: Target, wanted: Wanted
+    ) -> Candidate | None:
+        if wanted.suspect and target.id in self._suspects:
+            return None
+        outstanding = self.outstanding[target.id]
+        limit = self._limit(service, target)
+        if outstanding >= limit:
+            return None
+        pressure = max(outstanding / limit, target.load / service.warm_cap)
+        return Candidate(target, outstanding, pressure)
+
+    def _limit(self, service: Service, target: Target) -> int:
+        if not target.cold:
+            return self._window(target).size
+        members = self._view.agreed.lists.get(target.zone, MemberList(target.zone))
+        return split_cap(members, self._view.me, target.id, service.cold_cap)
+
+    def _window(self, target: Target) -> ConcurrencyWindow:
+        window = self._windows.get(target.id)
+        if window is None:
+            service = self._find_service()
+            limit = service.warm_cap if service is not None else 1
+            members = max(1, len(self._view.own_list.members))
+            window = ConcurrencyWindow(limit, max(1, limit // members))
+            self._windows[target.id] = window
+        return window
+
+    def _assign(self, ticket: Ticket, target: Target, now: float) -> Assignment:
+        wanted = ticket.payload.wanted
+        self.outstanding[target.id] += 1
+        if wanted.suspect:
+            self._suspects[target.id] = ticket.request
+        return Assignment(target, ticket.request, wanted.suspect, now)
+
+    def _find_usable(self, service: Service) -> Iterator[Target]:
+        return self._view.directory.find_usable(service, time.monotonic())
+
+    def _find_service(self) -> Service | None:
+        return self._view.cfg.find_service(self._service)
+
+
+def _attach(ticket: Ticket, payload: _Payload) -> Ticket:
+    return Ticket(
+        ticket.request,
+        ticket.workspace,
+        ticket.priority,
+        ticket.share,
+        ticket.cost,
+        ticket.deadline,
+        payload,
+    )
+
+
+def _arrival(ticket: Ticket) -> float:
+    return ticket.payload.wanted.arrived_at
+
+
+def _refuse(code: ResultCode, text: str, **kwargs) -> RequestError:
+    return RequestError(code, text, **kwargs)
--- /dev/null
+++ b/waxwingpitch/entry/kept_answers.py
@@ -0,0 +1,34 @@
+"""Answers that are kept for repeats of a non-idempotent call."""
+
+from __future__ import annotations
+
+from ..errors import Ran, RequestError, ResultCode
+from ..ports import PlainAnswer
+from ..requests.claims import KeptAnswer, keep_answer
+
+REPLAYED_HEADER = "Idempotent-Replayed"
+
+
+def keep_plain_answer(answer: PlainAnswer) -> KeptAnswer:
+    """Return what is kept of an answer."""
+    headers = {key.lower(): value for key, value in answer.headers}
+    content_type = headers.get("content-type", "application/octet-stream")
+    return keep_answer(answer.status, content_type, answer.body)
+
+
+def rebuild_answer(kept: KeptAnswer | None) -> PlainAnswer:
+    """Return the first answer to a repeat.
+
+    Raises
+    ------
+    RequestError
+        The answer was too large to keep; the request ran.
+    """
+    if kept is None or not kept.whole:
+        raise RequestError(
+            ResultCode.OUTCOME_UNKNOWN,
+            "the request ran; its answer was too large to keep",
+            ran=Ran.YES,
+        )
+    headers = (("Content-Type", kept.content_type), (REPLAYED_HEADER, "true"))
+    return PlainAnswer(kept.status, headers, kept.body)
--- /dev/null
+++ b/waxwingpitch/entry/model_path.py
@@ -0,0 +1,275 @@
+"""Path of a model request: from admission to the last token."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import gevent
+
+from ..admission import RetryBudget, Ticket
+from ..configuration import Service, Workspace
+from ..errors import (
+    RequestError,
+    ResultCode,
+    TargetError,
+    TargetLostError,
+    TargetRefusedError,
+)
+from ..ports import GenerateRequest, HttpModelTarget, Piece
+from ..requests import AnswerAssembly, Verdict, fingerprint_request
+from ..requests.retry import AttemptState, Elsewhere, GiveUp, Resume, decide
+from ..routing import PrefixIndex, RoutingRequest, iter_prefix_blocks
+from ..telemetry import EntryMetrics
+from .clients import TargetClients
+from .coordination import Coordination, CrashSeen
+from .dispatch import Assignment, Dispatcher, Release, Wanted
+from .view import EntryView
+
+PROGRESS_TIMEOUT_S = 2.0
+DEFAULT_COST_TOKENS = 64
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class ModelCall:
+    """A checked model request.
+
+    Attributes
+    ----------
+    deadline
+        Monotonic deadline for the whole answer.
+    """
+
+    request: str
+    service: Service
+    workspace: Workspace
+    prompt: str
+    max_tokens: int
+    deadline: float
+    arrived_at: float
+
+    @property
+    def fingerprint(self) -> str:
+        """Fingerprint by which the request is recognised after a crash."""
+        return fingerprint_request(self.service.name, self.prompt.encode())
+
+
+class ModelPath:
+    """Runs model requests; each call of :meth:`stream` is one pipeline."""
+
+    def __init__(
+        self,
+        view: EntryView,
+        clients: TargetClients,
+        coordination: Coordination,
+        prefixes: PrefixIndex,
+        budget: RetryBudget,
+        metrics: EntryMetrics,
+        find_dispatcher: Callable[[str], Dispatcher],
+    ):
+        self._view = view
+        self._clients = clients
+        self._coordination = coordination
+        self._prefixes = prefixes
+        self._budget = budget
+        self._metrics = metrics
+        self._find_dispatcher = find_dispatcher
+
+    def stream(
+        self, call: ModelCall, assembly: AnswerAssembly
+    ) -> Iterator[tuple[str, ...]]:
+        """Yield the answer's tokens in order, each once.
+
+        Parameters
+        ----------
+        assembly
+            Filled as the answer arrives; its ``finish`` is set at the end.
+
+        Raises
+        ------
+        RequestError
+            The answer can't be completed; after tokens were yielded its code
+            is ``ANSWER_INCOMPLETE``.
+        """
+        run = _Run(self, call, assembly)
+        self._budget.earn()
+        yield from run.iter_tokens()
+        self._view.suspects.clear(call.fingerprint)
+
+
+class _Run:
+    """The attempts of one request."""
+
+    def __init__(self, path: ModelPath, call: ModelCall, assembly: AnswerAssembly):
+        self.path = path
+        self.call = call
+        self.assembly = assembly
+        self.avoid: frozenset[str] = frozenset()
+        self.resumes = 0
+        self.started = False
+        self.lost = False
+        self.blocks = tuple(iter_prefix_blocks(call.prompt))
+
+    def iter_tokens(self) -> Iterator[tuple[str, ...]]:
+        while not self.assembly.finish:
+            assignment = self._acquire()
+            yield from self._use(assignment)
+
+    def _acquire(self) -> Assignment:
+        path, call = self.path, self.call
+        verdict = path._view.suspects.judge(call.fingerprint, time.monotonic())
+        if verdict is Verdict.BLOCKED:
+            raise self._fail(
+                ResultCode.SUSPECT_BLOCKED, "like requests crashed targets"
+            )
+        if self.assembly.attempt and not path._budget.spend():
+            raise self._fail(ResultCode.RETRY_BUDGET_EXHAUSTED, "too many retries")
+        dispatcher = path._find_dispatcher(call.service.name)
+        ticket = Ticket(
+            request=call.request,
+            workspace=call.workspace.name,
+            priority=call.workspace.priority,
+            share=call.workspace.share,
+            cost=call.max_tokens or DEFAULT_COST_TOKENS,
+            deadline=call.deadline,
+        )
+        wanted = Wanted(
+            RoutingRequest(self.blocks),
+            self.avoid,
+            verdict is Verdict.SUSPECT,
+            time.monotonic(),
+        )
+        try:
+            return dispatcher.acquire(ticket, wanted)
+        except RequestError as exc:
+            if not self.assembly.tokens:
+                raise
+            raise self._fail(ResultCode.ANSWER_INCOMPLETE, exc.message) from exc
+
+    def _use(self, assignment: Assignment) -> Iterator[tuple[str, ...]]:
+        self.resumes, self.started, self.lost = 0, False, False
+        self.assembly.start_attempt()
+        if self.assembly.attempt > 1:
+            self.path._metrics.retries.add(1, {"service": self.call.service.name})
+        completed = False
+        try:
+            yield from self._iter_until_elsewhere(assignment)
+            completed = bool(self.assembly.finish)
+        finally:
+            dispatcher = self.path._find_dispatcher(self.call.service.name)
+            dispatcher.post(Release(assignment, completed))
+            if self.started and not completed:
+                self._cancel(assignment)
+
+    def _iter_until_elsewhere(
+        self, assignment: Assignment
+    ) -> Iterator[tuple[str, ...]]:
+        """Yield tokens of one target until the answer ends or it is given up."""
+        client = self.path._clients.model(assignment.target.address)
+        resume = False
+        while True:
+            try:
+                yield from self._iter_pieces(client, assignment, resume)
+                return
+            except TargetError as exc:
+                self.lost = self.lost or isinstance(exc, TargetLostError)
+                decision = decide(exc, self._state())
+                self._log_failure(assignment, exc, decision)
+            match decision:
+                case Resume() if self.started:
+                    self.resumes += 1
+                    resume = True
+                case Resume() | Elsewhere(suspect=False):
+                    self.avoid |= {assignment.target.id}
+                    return
+                case Elsewhere(suspect=True):
+                    self._note_crash(assignment)
+                    self.avoid |= {assignment.target.id}
+                    return
+                case GiveUp(code=code):
+                    raise self._fail(code, "too many attempts")
+
+    def _iter_pieces(
+        self, client: HttpModelTarget, assignment: Assignment, resume: bool
+    ) -> Iterator[tuple[str, ...]]:
+        self._check_deadline()
+        for piece in self._open(client, assignment, resume):
+            self.started = True
+            tokens = self.assembly.accept(piece)
+            if tokens:
+                yield tokens
+            if self.assembly.finish:
+                return
+            self._check_deadline()
+        raise TargetLostError("pieces are missing at the end of the stream")
+
+    def _open(
+        self, client: HttpModelTarget, assignment: Assignment, resume: bool
+    ) -> Iterator[Piece]:
+        assembly, call, target = self.assembly, self.call, assignment.target
+        if resume:
+            return client.resume(
+                call.request,
+                assembly.attempt,
+                assembly.next_offset,
+                progress_s=PROGRESS_TIMEOUT_S,
+            )
+        self.path._prefixes.note_sent(target.id, self.blocks)
+        req = GenerateRequest(
+            request=call.request,
+            attempt=assembly.attempt,
+            group=target.group,
+            epoch=target.epoch,
+            model=call.service.model,
+            prompt=call.prompt,
+            max_tokens=call.max_tokens,
+            priority=call.workspace.priority,
+            offset=assembly.next_offset,
+            delivered=tuple(assembly.tokens),
+        )
+        return client.generate(req, progress_s=PROGRESS_TIMEOUT_S)
+
+    def _state(self) -> AttemptState:
+        return AttemptState(
+            self.assembly.attempt, self.resumes, self.started, self.lost
+        )
+
+    def _check_deadline(self) -> None:
+        if time.monotonic() >= self.call.deadline:
+            raise self._fail(ResultCode.DEADLINE_UNREACHABLE, "deadline passed")
+
+    def _fail(self, code: ResultCode, text: str) -> RequestError:
+        if self.assembly.tokens:
+            done = len(self.assembly.tokens)
+            text = f"{code.name}: {text}; {done} tokens were sent"
+            return RequestError(ResultCode.ANSWER_INCOMPLETE, text)
+        return RequestError(code, text, retry_after_s=1.0)
+
+    def _note_crash(self, assignment: Assignment) -> None:
+        event = CrashSeen(self.call.fingerprint, assignment.target.incarnation)
+        self.path._view.suspects.note_crash(
+            event.fingerprint, event.incarnation, time.monotonic()
+        )
+        self.path._coordination.post(event)
+
+    def _cancel(self, assignment: Assignment) -> None:
+        client = self.path._clients.model(assignment.target.address)
+        gevent.spawn(client.cancel, self.call.request)
+
+    def _log_failure(self, assignment: Assignment, exc, decision) -> None:
+        refused = isinstance(exc, TargetRefusedError)
+        logger.log(
+            logging.INFO if refused else logging.WARNING,
+            "attempt failed",
+            extra={
+                "request": self.call.request,
+                "workspace": self.call.workspace.name,
+                "target": assignment.target.id,
+                "why": exc.message,
+                "decision": type(decision).__name__,
+            },
+        )
--- /dev/null
+++ b/waxwingpitch/entry/plain_path.py
@@ -0,0 +1,294 @@
+"""Path of a call to a plain service, which runs at most once unless repeatable."""
+
+from __future__ import annotations
+
+import logging
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gevent.event import Event
+
+from ..admission import RetryBudget, Ticket
+from ..configuration import Service, Workspace
+from ..errors import (
+    Ran,
+    RequestError,
+    ResultCode,
+    StoreError,
+    TargetError,
+    TargetRefusedError,
+)
+from ..ports import PlainAnswer, PlainCall
+from ..requests import Claim, ClaimState, IdempotencyKey, KeyAge, fingerprint_request
+from ..requests.claim_writer import ClaimWriter
+from ..requests.claims import (
+    AbandonClaim,
+    FinishClaim,
+    KeptAnswer,
+    TryClaim,
+    locate_document,
+)
+from .bound_runs import BoundRuns
+from .clients import TargetClients
+from .dispatch import Assignment, Dispatcher, Release, Wanted
+from .kept_answers import keep_plain_answer, rebuild_answer
+from .view import EntryView
+
+CLAIM_TIMEOUT_S = 0.6
+FINISH_TIMEOUT_S = 600.0
+MAX_ATTEMPTS = 4
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """A checked call to a plain service."""
+
+    call: PlainCall
+    service: Service
+    workspace: Workspace
+    deadline: float
+    key: IdempotencyKey | None
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the call may run more than once."""
+        return self.call.method in self.service.repeatable_methods
+
+    @property
+    def fingerprint(self) -> str:
+        """Hash by which a reused key is noticed."""
+        call = self.call
+        text = "\0".join((call.method, call.path, call.query)).encode()
+        return fingerprint_request(self.service.name, text + b"\0" + call.body)
+
+    @property
+    def scoped_key(self) -> str:
+        """Idempotency key within its workspace."""
+        return f"{self.workspace.name}/{self.key.text}"
+
+
+class PlainPath:
+    """Runs calls to plain services."""
+
+    def __init__(
+        self,
+        view: EntryView,
+        clients: TargetClients,
+        claims: ClaimWriter,
+        bound_runs: BoundRuns,
+        budget: RetryBudget,
+        find_dispatcher: Callable[[str], Dispatcher],
+    ):
+        self._view = view
+        self._clients = clients
+        self._claims = claims
+        self._bound_runs = bound_runs
+        self._budget = budget
+        self._find_dispatcher = find_dispatcher
+        self._running: dict[str, Event] = {}
+
+    def run(self, call: ServiceCall) -> PlainAnswer:
+        """Run a call and return its whole answer.
+
+        Raises
+        ------
+        RequestError
+            Its ``settled`` says whether ``ran`` holds for all tries under the
+            call's key, or for this try only.
+        """
+        if call.is_repeatable:
+            return self._run_repeatable(call)
+        if call.key is None:
+            raise RequestError(
+                ResultCode.IDEMPOTENCY_KEY_MISSING,
+                f"{call.call.method} on {call.service.name!r} is not repeatable",
+            )
+        if call.key.is_bound:
+            return self._bound_runs.run(call, self._run_once)
+        return self._run_claimed(call)
+
+    def _run_repeatable(self, call: ServiceCall) -> PlainAnswer:
+        self._budget.earn()
+        avoid: frozenset[str] = frozenset()
+        for attempt in range(MAX_ATTEMPTS):
+            if attempt and not self._budget.spend():
+                break
+            assignment = self._acquire(call, avoid)
+            try:
+                return self._send(call, assignment)
+            except TargetError as exc:
+                avoid |= {assignment.target.id}
+                last = exc
+        raise RequestError(
+            ResultCode.TARGET_REJECTED, last.message, ran=Ran.UNKNOWN, retry_after_s=1.0
+        )
+
+    def _run_claimed(self, call: ServiceCall) -> PlainAnswer:
+        document = locate_document(call.key, call.scoped_key)
+        wanted = self._build_claim(call)
+        standing = self._claim(call, document, wanted)
+        try:
+            return self._run_or_replay(call, document, wanted, standing)
+        except RequestError as exc:
+            exc.settled = True
+            raise
+
+    def _run_or_replay(
+        self, call: ServiceCall, document: str, wanted: Claim, standing: Claim
+    ) -> PlainAnswer:
+        if standing.id != wanted.id:
+            return self._replay(call, document, standing)
+        if standing.state is ClaimState.REFUSED:
+            raise _refuse_old(document)
+        if call.key.age(time.time()) is not KeyAge.ACCEPTED:
+            self._finish(document, standing, ClaimState.NOT_RUN)
+            raise _refuse_old(document)
+        return self._run_won(call, document, standing)
+
+    def _build_claim(self, call: ServiceCall) -> Claim:
+        match call.key.age(time.time()):
+            case KeyAge.FUTURE:
+                raise RequestError(
+                    ResultCode.IDEMPOTENCY_KEY_OUTSIDE_WINDOW,
+                    "the key's time of issue is in the future",
+                )
+            case KeyAge.FORGOTTEN:
+                raise RequestError(
+                    ResultCode.IDEMPOTENCY_KEY_OUTSIDE_WINDOW,
+                    "the key is older than the retention period",
+                    ran=Ran.UNKNOWN,
+                )
+            case KeyAge.KEPT:
+                state = ClaimState.REFUSED
+            case KeyAge.ACCEPTED:
+                state = ClaimState.CLAIMED
+        return Claim(
+            key=call.scoped_key,
+            id=uuid.uuid4().hex,
+            owner=self._view.me.id,
+            incarnation=self._view.me.incarnation,
+            fingerprint=call.fingerprint,
+            state=state,
+        )
+
+    def _claim(self, call: ServiceCall, document: str, wanted: Claim) -> Claim:
+        """Return the claim that stands after an attempt to claim the call."""
+        until = min(call.deadline, time.monotonic() + CLAIM_TIMEOUT_S)
+        try:
+            return self._claims.submit(document, TryClaim(wanted), until)
+        except StoreError as exc:
+            deadline = time.monotonic() + FINISH_TIMEOUT_S
+            self._claims.enqueue(document, AbandonClaim(wanted), deadline)
+            raise RequestError(
+                ResultCode.CLAIM_UNAVAILABLE,
+                exc.message,
+                retry_after_s=1.0,
+            ) from exc
+
+    def _run_won(self, call: ServiceCall, document: str, claim: Claim) -> PlainAnswer:
+        done = self._running[call.scoped_key] = Event()
+        try:
+            answer = self._run_once(call)
+        except RequestError as exc:
+            self._finish(document, claim, _state_after(exc))
+            raise
+        except BaseException:
+            self._finish(document, claim, ClaimState.UNKNOWN)
+            raise
+        finally:
+            del self._running[call.scoped_key]
+            done.set()
+        self._finish(document, claim, ClaimState.RAN, keep_plain_answer(answer))
+        return answer
+
+    def _replay(self, call: ServiceCall, document: str, standing: Claim) -> PlainAnswer:
+        """Answer a repeat from the claim that stands."""
+        if standing.fingerprint != call.fingerprint:
+            raise RequestError(
+                ResultCode.IDEMPOTENCY_KEY_REUSED, "the key belongs to another request"
+            )
+        match standing.state:
+            case ClaimState.RAN:
+                return rebuild_answer(standing.answer)
+            case ClaimState.REFUSED:
+                raise _refuse_old(document)
+            case ClaimState.CLAIMED if call.scoped_key in self._running:
+                self._running[call.scoped_key].wait(call.deadline - time.monotonic())
+                return self._run_claimed(call)
+            case ClaimState.CLAIMED:
+                raise RequestError(
+                    ResultCode.IN_PROGRESS_ELSEWHERE,
+                    f"claimed by entry host {standing.owner!r}",
+                    retry_after_s=1.0,
+                )
+            case _:
+                raise RequestError(
+                    ResultCode.OUTCOME_UNKNOWN, "the first run's outcome is unknown"
+                )
+
+    def _run_once(self, call: ServiceCall) -> PlainAnswer:
+        """Send the call to targets until one may have run it."""
+        avoid: frozenset[str] = frozenset()
+        for _ in range(MAX_ATTEMPTS):
+            assignment = self._acquire(call, avoid)
+            try:
+                return self._send(call, assignment)
+            except TargetRefusedError as exc:
+                avoid |= {assignment.target.id}
+                last = exc
+            except TargetError as exc:
+                raise RequestError(ResultCode.OUTCOME_UNKNOWN, exc.message) from exc
+        raise RequestError(ResultCode.TARGET_REJECTED, last.message, retry_after_s=1.0)
+
+    def _acquire(self, call: ServiceCall, avoid: frozenset[str]) -> Assignment:
+        ticket = Ticket(
+            request=call.call.request,
+            workspace=call.workspace.name,
+            priority=call.workspace.priority,
+            share=call.workspace.share,
+            cost=1.0,
+            deadline=call.deadline,
+        )
+        wanted = Wanted(avoid=avoid, arrived_at=time.monotonic())
+        return self._find_dispatcher(call.service.name).acquire(ticket, wanted)
+
+    def _send(self, call: ServiceCall, assignment: Assignment) -> PlainAnswer:
+        left_s = call.deadline - time.monotonic()
+        dispatcher = self._find_dispatcher(call.service.name)
+        if left_s <= 0:
+            dispatcher.post(Release(assignment, completed=False))
+            raise RequestError(ResultCode.DEADLINE_UNREACHABLE, "deadline passed")
+        completed = False
+        try:
+            client = self._clients.plain(assignment.target.address)
+            answer = client.call(call.call, timeout_s=left_s)
+            completed = True
+            return answer
+        finally:
+            dispatcher.post(Release(assignment, completed))
+
+    def _finish(
+        self,
+        document: str,
+        claim: Claim,
+        state: ClaimState,
+        answer: KeptAnswer | None = None,
+    ) -> None:
+        operation = FinishClaim(claim.key, claim.id, state, answer)
+        deadline = time.monotonic() + FINISH_TIMEOUT_S
+        self._claims.enqueue(document, operation, deadline)
+
+
+def _state_after(exc: RequestError) -> ClaimState:
+    return ClaimState.NOT_RUN if exc.ran is Ran.NO else ClaimState.UNKNOWN
+
+
+def _refuse_old(document: str) -> RequestError:
+    return RequestError(
+        ResultCode.IDEMPOTENCY_KEY_OUTSIDE_WINDOW,
+        f"the key is older than the accepted window ({document})",
+    )
--- /dev/null
+++ b/waxwingpitch/entry/suspect_wire.py
@@ -0,0 +1,29 @@
+"""Translation of suspect records between deadlines and time left on the wire."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from ..mesh import SuspectItem
+from ..requests.suspects import SUSPECT_S, SuspectRecord
+
+
+def encode_suspects(
+    records: Iterable[SuspectRecord], now: float
+) -> tuple[SuspectItem, ...]:
+    """Return records as they are sent."""
+    return tuple(
+        SuspectItem(
+            record.fingerprint,
+            tuple(sorted(record.crashes)),
+            int((record.until - now) * 1000),
+        )
+        for record in records
+    )
+
+
+def decode_suspects(items: Iterable[SuspectItem], at: float) -> Iterator[SuspectRecord]:
+    """Yield records with deadlines on this process's clock."""
+    for item in items:
+        left_s = min(SUSPECT_S, item.left_ms / 1000.0)
+        yield SuspectRecord(item.fingerprint, frozenset(item.crashes), at + left_s)
--- a/waxwingpitch/errors.py
+++ b/waxwingpitch/errors.py
@@ -157,9 +157,7 @@
     ResultCode.NOT_CONFIRMED: ResultInfo(
         504, Ran.YES, "Wait longer, or look at the entry hosts that are listed."
     ),
-    ResultCode.PEER_VERSION: ResultInfo(
-        400, Ran.NO, "Upgrade the older entry host."
-    ),
+    ResultCode.PEER_VERSION: ResultInfo(400, Ran.NO, "Upgrade the older entry host."),
     ResultCode.PEER_UNAUTHENTICATED: ResultInfo(
         401, Ran.NO, "Give all entry hosts the same mesh key."
     ),
@@ -211,10 +209,18 @@
 
 
 class RequestError(WaxwingpitchError):
-    """A request that ends without its answer; ``code`` is set per instance."""
+    """A request that ends without its answer; ``code`` is set per instance.
+
+    Attributes
+    ----------
+    settled
+        Whether ``ran`` holds for all tries under the request's idempotency key,
+        rather than for this try only.
+    """
 
     def __init__(self, code: ResultCode, message: str, **kwargs):
         self.code = code
+        self.settled = False
         super().__init__(message, **kwargs)
 
 
--- a/waxwingpitch/http_server.py
+++ b/waxwingpitch/http_server.py
@@ -9,6 +9,7 @@
 from gevent.pool import Pool
 
 MAX_REQUEST_LINE_BYTES = 8192
+SOCKET_KEY = "waxwingpitch.socket"
 
 logger = logging.getLogger(__name__)
 
@@ -22,6 +23,11 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().__init__(sock, address, server)
 
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
     def log_request(self):
         """Requests are logged by the application."""
 
--- a/waxwingpitch/jsonc/reader.py
+++ b/waxwingpitch/jsonc/reader.py
@@ -112,7 +112,8 @@
     line = jsoncfg.node_location(node).line
     shown = f"{value!r:.80}" if path else "the top level"
     valid = _describe_valid(kind, problem)
-    return f"{source}: line {line}, key '{path.lstrip('.')}': {problem}; got {shown}{valid}"
+    where = f"{source}: line {line}, key '{path.lstrip('.')}'"
+    return f"{where}: {problem}; got {shown}{valid}"
 
 
 def _iter_steps(path: str):
--- a/waxwingpitch/membership/members.py
+++ b/waxwingpitch/membership/members.py
@@ -54,12 +54,15 @@
         Grows by one with each change of members.
     prior
         Earlier lists that are not yet settled.
+    ended
+        Incarnations of members that ended by their own word.
     """
 
     zone: str
     version: int = 0
     members: tuple[Member, ...] = ()
     prior: tuple[PriorList, ...] = ()
+    ended: tuple[str, ...] = ()
 
     def find(self, member_id: str) -> Member | None:
         """Return the member of that id."""
@@ -77,6 +80,14 @@
         kept = tuple(item for item in self.members if item.id not in member_ids)
         return self if len(kept) == len(self.members) else self._change(kept)
 
+    def leave(self, member: Member) -> MemberList:
+        """Return the list without a member that says it has ended."""
+        if member not in self.members:
+            return self
+        kept = tuple(item for item in self.members if item != member)
+        changed = self._change(kept)
+        return replace(changed, ended=(*changed.ended, member.incarnation))
+
     def settle(
         self, confirmed: Mapping[tuple[str, str], int], gone: Collection[str]
     ) -> MemberList:
@@ -94,7 +105,9 @@
             for prior in self.prior
             if not self._is_settled(prior, confirmed, gone)
         )
-        return self if len(kept) == len(self.prior) else replace(self, prior=kept)
+        if len(kept) == len(self.prior):
+            return self
+        return replace(self, prior=kept, ended=self.ended if kept else ())
 
     def _change(self, members: tuple[Member, ...]) -> MemberList:
         prior = PriorList(self.version, self.members)
@@ -114,6 +127,7 @@
         return all(
             confirmed.get((item.id, item.incarnation), 0) > prior.version
             or item.id in gone
+            or item.incarnation in self.ended
             or self._is_replaced(item)
             for item in prior.members
         )
--- /dev/null
+++ b/waxwingpitch/mesh/__init__.py
@@ -0,0 +1,39 @@
+"""Connections between entry hosts: websockets with CBOR, authenticated."""
+
+from __future__ import annotations
+
+from .codec import decode_message, encode_message
+from .handshake import Identity
+from .messages import (
+    MESH_VERSION,
+    Digest,
+    DocumentItem,
+    Documents,
+    Evidence,
+    EvidenceItem,
+    Heartbeat,
+    Message,
+    SuspectItem,
+    Suspects,
+)
+from .node import LinkDown, LinkUp, MeshNode, Received
+
+__all__ = [
+    "MESH_VERSION",
+    "Digest",
+    "DocumentItem",
+    "Documents",
+    "Evidence",
+    "EvidenceItem",
+    "Heartbeat",
+    "Identity",
+    "LinkDown",
+    "LinkUp",
+    "MeshNode",
+    "Message",
+    "Received",
+    "SuspectItem",
+    "Suspects",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/waxwingpitch/mesh/messages.py
@@ -0,0 +1,174 @@
+"""Messages between entry hosts.
+
+They are msgspec structures rather than data classes because those are written
+as CBOR arrays without field names. Fields are only ever appended, with a
+default, so that an older peer understands a newer one and the other way round.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+MESH_VERSION = 1
+OLDEST_MESH_VERSION = 1
+
+
+class _Message(msgspec.Struct, frozen=True, array_like=True):
+    """Base of all messages."""
+
+
+class Hello(_Message, tag=1):
+    """First message of the side that connects.
+
+    Attributes
+    ----------
+    version, oldest
+        Newest and oldest message version that the sender understands.
+    nonce
+        Random bytes for the other side's proof.
+    """
+
+    version: int
+    oldest: int
+    id: str
+    incarnation: str
+    zone: str
+    nonce: bytes
+
+
+class Challenge(_Message, tag=2):
+    """Answer to :class:`Hello`, with the acceptor's proof of the mesh key."""
+
+    version: int
+    id: str
+    incarnation: str
+    zone: str
+    nonce: bytes
+    proof: bytes
+
+
+class Proof(_Message, tag=3):
+    """The connecting side's proof of the mesh key."""
+
+    proof: bytes
+
+
+class Refusal(_Message, tag=4):
+    """A refused connection; ``code`` is a result code."""
+
+    code: int
+    reason: str
+
+
+class Heartbeat(_Message, tag=5):
+    """Says that the sender is alive and what it acts on.
+
+    Attributes
+    ----------
+    documents
+        Hash of the sender's digest of agreed documents.
+    list_version
+        Version of its own zone's member list that the sender acts on.
+    revision
+        Configuration revision that the sender acts on.
+    stopping
+        Whether the sender refuses new work.
+    """
+
+    documents: int
+    list_version: int
+    revision: int
+    stopping: bool = False
+
+
+class Digest(_Message, tag=6):
+    """Known version of each agreed document; asks for those that are newer."""
+
+    versions: dict[str, int]
+
+
+class DocumentItem(msgspec.Struct, frozen=True, array_like=True):
+    """One agreed document."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+class Documents(_Message, tag=7):
+    """Agreed documents that the receiver may lack."""
+
+    items: tuple[DocumentItem, ...]
+
+
+class EvidenceItem(msgspec.Struct, frozen=True, array_like=True):
+    """What an observer learnt about one host.
+
+    Attributes
+    ----------
+    age_ms
+        Time since the observation began, when the message was sent.
+    health
+        Value of :class:`~waxwingpitch.targets.Health`.
+    flags
+        Bits of the report: 1 warm, 2 leaving, 4 ready.
+    """
+
+    host: str
+    age_ms: int
+    health: int
+    incarnation: str
+    flags: int
+    load: int
+    group: str
+    epoch: int
+    loaded: str = ""
+
+
+class Evidence(_Message, tag=8):
+    """Evidence about hosts.
+
+    Attributes
+    ----------
+    sent_ms
+        The sender's monotonic clock, by which the receiver notices delay.
+    relayed
+        Whether the sender heard it from a peer in another zone.
+    """
+
+    sent_ms: int
+    items: tuple[EvidenceItem, ...]
+    relayed: bool = False
+
+
+class SuspectItem(msgspec.Struct, frozen=True, array_like=True):
+    """Crashes that a request's fingerprint was in flight at.
+
+    Attributes
+    ----------
+    left_ms
+        Time for which the record still counts.
+    """
+
+    fingerprint: str
+    crashes: tuple[str, ...]
+    left_ms: int
+
+
+class Suspects(_Message, tag=9):
+    """Requests that were in flight when a target crashed."""
+
+    items: tuple[SuspectItem, ...]
+
+
+Message = (
+    Hello
+    | Challenge
+    | Proof
+    | Refusal
+    | Heartbeat
+    | Digest
+    | Documents
+    | Evidence
+    | Suspects
+)
--- /dev/null
+++ b/waxwingpitch/mesh/node.py
@@ -0,0 +1,282 @@
+"""Mesh node: keeps a connection to each neighbour and passes messages on.
+
+Each link has a sender and a receiver greenlet and a bounded queue. A link whose
+queue is full is closed: what it missed is state that the next digest brings.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import gevent
+from gevent.queue import Full, Queue
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import connect
+from websockets.sync.connection import Connection
+from websockets.sync.server import serve
+
+from ..errors import PeerError
+from .codec import decode_message, encode_message
+from .handshake import Identity, accept_handshake, connect_handshake, refuse
+from .messages import Message
+
+QUEUE_MESSAGES = 256
+SILENCE_S = 5.0
+HANDSHAKE_S = 2.0
+REDIAL_MIN_S = 0.2
+REDIAL_MAX_S = 3.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """A message that a peer sent."""
+
+    peer: Identity
+    message: Message
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class LinkUp:
+    """A link to a peer is ready."""
+
+    peer: Identity
+
+
+@dataclass(frozen=True, slots=True)
+class LinkDown:
+    """A link to a peer is lost."""
+
+    peer: Identity
+
+
+MeshEvent = Received | LinkUp | LinkDown
+
+
+class _Link:
+    """An authenticated connection to one peer."""
+
+    def __init__(self, conn: Connection, peer: Identity):
+        self.conn = conn
+        self.peer = peer
+        self.queue: Queue = Queue(QUEUE_MESSAGES)
+        self.sent_bytes = 0
+        self.sent_messages = 0
+
+    def send_forever(self) -> None:
+        while True:
+            data = self.queue.get()
+            self.conn.send(data)
+            self.sent_bytes += len(data)
+            self.sent_messages += 1
+
+    def close(self) -> None:
+        self.conn.socket.close()
+        self.conn.close_socket()
+
+
+class MeshNode:
+    """Owns the listening socket and the links of one entry host.
+
+    Parameters
+    ----------
+    me
+        Who this process is.
+    key
+        The shared mesh key.
+    host, port
+        Address to bind; port 0 takes a free one.
+    frame_bytes
+        Largest message.
+    deliver
+        Called with each event, in the receiver's greenlet.
+    """
+
+    def __init__(
+        self,
+        me: Identity,
+        key: str,
+        *,
+        host: str,
+        port: int,
+        frame_bytes: int,
+        deliver: Callable[[MeshEvent], None],
+    ):
+        self._me = me
+        self._key = key
+        self._frame_bytes = frame_bytes
+        self._deliver = deliver
+        self._links: dict[str, _Link] = {}
+        self._dialers: dict[str, gevent.Greenlet] = {}
+        self._closed_sent = [0, 0]
+        self._server = serve(
+            self._accept,
+            host,
+            port,
+            max_size=frame_bytes,
+            compression=None,
+            ping_interval=None,
+            open_timeout=HANDSHAKE_S,
+            logger=logging.getLogger("waxwingpitch.websockets"),
+        )
+        self._host = host
+        self._acceptor: gevent.Greenlet | None = None
+
+    @property
+    def address(self) -> str:
+        """``IP:port`` of the listening socket."""
+        return f"{self._host}:{self._server.socket.getsockname()[1]}"
+
+    @property
+    def peers(self) -> frozenset[str]:
+        """Ids of the peers that a link is up to."""
+        return frozenset(self._links)
+
+    @property
+    def sent(self) -> tuple[int, int]:
+        """Messages and bytes sent so far."""
+        links = self._links.values()
+        return (
+            self._closed_sent[0] + sum(link.sent_messages for link in links),
+            self._closed_sent[1] + sum(link.sent_bytes for link in links),
+        )
+
+    def start(self) -> None:
+        """Accept links."""
+        self._acceptor = gevent.spawn(self._server.serve_forever)
+
+    def stop(self) -> None:
+        """Close all links and the listening socket."""
+        gevent.killall(list(self._dialers.values()), block=False)
+        for link in list(self._links.values()):
+            link.close()
+        self._server.shutdown()
+
+    def dial(self, addresses: Iterable[str]) -> None:
+        """Keep links to these addresses and stop dialling all others.
+
+        Parameters
+        ----------
+        addresses
+            ``IP:port`` of each peer that this side connects to.
+        """
+        wanted = set(addresses) - {self.address}
+        for address in self._dialers.keys() - wanted:
+            self._dialers.pop(address).kill(block=False)
+        for address in wanted - self._dialers.keys():
+            self._dialers[address] = gevent.spawn(self._dial_forever, address)
+
+    def broadcast(self, message: Message, *, skip: str | None = None) -> None:
+        """Send a message over every link but that to ``skip``."""
+        data = encode_message(message)
+        for link in list(self._links.values()):
+            if link.peer.id != skip:
+                self._enqueue(link, data)
+
+    def send(self, peer_id: str, message: Message) -> None:
+        """Send a message to one peer, if a link to it is up."""
+        link = self._links.get(peer_id)
+        if link is not None:
+            self._enqueue(link, encode_message(message))
+
+    def _enqueue(self, link: _Link, data: bytes) -> None:
+        try:
+            link.queue.put_nowait(data)
+        except Full:
+            logger.warning("mesh queue is full", extra={"peer": link.peer.id})
+            link.close()
+
+    def _accept(self, conn: Connection) -> None:
+        try:
+            peer = accept_handshake(
+                conn.send, lambda: conn.recv(HANDSHAKE_S), self._me, self._key
+            )
+        except PeerError as exc:
+            logger.warning("mesh peer refused", extra={"reason": exc.message})
+            refuse(conn.send, exc)
+            return
+        except (WebSocketException, TimeoutError, OSError):
+            return
+        self._run_link(conn, peer)
+
+    def _dial_forever(self, address: str) -> None:
+        pause_s = REDIAL_MIN_S
+        while True:
+            started_at = time.monotonic()
+            try:
+                self._dial_once(address)
+            except PeerError as exc:
+                logger.warning(
+                    "mesh peer refused us",
+                    extra={"address": address, "reason": exc.message},
+                )
+            except (WebSocketException, TimeoutError, OSError) as exc:
+                logger.debug("mesh dial: %s", exc, extra={"address": address})
+            if time.monotonic() - started_at > SILENCE_S:
+                pause_s = REDIAL_MIN_S
+            gevent.sleep(pause_s * random.uniform(0.5, 1.0))
+            pause_s = min(REDIAL_MAX_S, pause_s * 2)
+
+    def _dial_once(self, address: str) -> None:
+        with connect(
+            f"ws://{address}",
+            max_size=self._frame_bytes,
+            compression=None,
+            ping_interval=None,
+            open_timeout=HANDSHAKE_S,
+            close_timeout=0.1,
+            proxy=None,
+        ) as conn:
+            peer = connect_handshake(
+                conn.send, lambda: conn.recv(HANDSHAKE_S), self._me, self._key
+            )
+            self._run_link(conn, peer)
+
+    def _run_link(self, conn: Connection, peer: Identity) -> None:
+        if peer.id == self._me.id:
+            return
+        link = _Link(conn, peer)
+        previous = self._links.pop(peer.id, None)
+        if previous is not None:
+            previous.close()
+        self._links[peer.id] = link
+        sender = gevent.spawn(self._send_until_closed, link)
+        self._deliver(LinkUp(peer))
+        try:
+            self._receive_until_closed(link)
+        finally:
+            sender.kill(block=False)
+            self._forget(link)
+
+    def _send_until_closed(self, link: _Link) -> None:
+        try:
+            link.send_forever()
+        except (WebSocketException, OSError):
+            link.close()
+
+    def _receive_until_closed(self, link: _Link) -> None:
+        try:
+            while True:
+                data = link.conn.recv(SILENCE_S)
+                message = decode_message(data)
+                self._deliver(Received(link.peer, message, time.monotonic()))
+        except PeerError as exc:
+            logger.warning(
+                "mesh message refused",
+                extra={"peer": link.peer.id, "reason": exc.message},
+            )
+        except (WebSocketException, TimeoutError, OSError):
+            return
+
+    def _forget(self, link: _Link) -> None:
+        self._closed_sent[0] += link.sent_messages
+        self._closed_sent[1] += link.sent_bytes
+        if self._links.get(link.peer.id) is link:
+            del self._links[link.peer.id]
+            self._deliver(LinkDown(link.peer))
--- a/waxwingpitch/ports/common.py
+++ b/waxwingpitch/ports/common.py
@@ -164,6 +164,8 @@
         Whether the weights are loaded and the member can serve.
     load
         Requests running and waiting, as last sampled by the target.
+    loaded
+        Weights in memory as ``model@version``; empty if there are none.
     """
 
     host: str
@@ -174,6 +176,7 @@
     load: int = 0
     group: str = ""
     epoch: int = 0
+    loaded: str = ""
 
 
 class OrderKind(enum.StrEnum):
@@ -181,6 +184,7 @@
 
     JOIN = "join"
     RELEASE = "release"
+    LOAD = "load"
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/ports/engine_http.py
+++ b/waxwingpitch/ports/engine_http.py
@@ -9,8 +9,14 @@
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from ..errors import TargetLostError, TargetRefusedError, TargetSilentError
-from .common import CacheEvent, EngineOrder, GenerateRequest, ModelTarget, Piece
-from .common import TargetReport
+from .common import (
+    CacheEvent,
+    EngineOrder,
+    GenerateRequest,
+    ModelTarget,
+    Piece,
+    TargetReport,
+)
 from .target_http import HttpTarget
 
 READ_BYTES = 65536
@@ -44,7 +50,7 @@
     def order(self, order: EngineOrder, *, timeout_s: float) -> TargetReport:
         body = msgspec.json.encode(order)
         resp = self.send("POST", "/v1/orders", timeout_s=timeout_s, body=body)
-        return msgspec.json.decode(resp.data, type=TargetReport)
+        return self.parse_report(resp)
 
     def cache_events(self, after: int, *, timeout_s: float) -> Sequence[CacheEvent]:
         path = f"/v1/cache-events?after={after}"
--- a/waxwingpitch/ports/store_http.py
+++ b/waxwingpitch/ports/store_http.py
@@ -66,7 +66,9 @@
 
     def _read(self, path: str, timeout_s: float | None = None):
         try:
-            resp = self._client.send("GET", path, timeout_s=timeout_s or self._timeout_s)
+            resp = self._client.send(
+                "GET", path, timeout_s=timeout_s or self._timeout_s
+            )
         except (NotSentError, SilentError, BrokenError) as exc:
             raise StoreUnavailableError(str(exc)) from exc
         if resp.status not in (200, 404):
--- a/waxwingpitch/ports/target_http.py
+++ b/waxwingpitch/ports/target_http.py
@@ -37,7 +37,10 @@
         self._on_report = on_report
 
     def probe(self, *, timeout_s: float) -> TargetReport:
-        resp = self.send("GET", "/v1/status", timeout_s=timeout_s)
+        return self.parse_report(self.send("GET", "/v1/status", timeout_s=timeout_s))
+
+    def parse_report(self, resp) -> TargetReport:
+        """Return the report that is the body of an answer."""
         try:
             return msgspec.json.decode(resp.data, type=TargetReport)
         except msgspec.MsgspecError as exc:
--- /dev/null
+++ b/waxwingpitch/requests/claims.py
@@ -0,0 +1,201 @@
+"""Claims of non-idempotent requests, agreed as documents.
+
+A document holds all claims of one hash shard whose keys were issued in one time
+bucket. It is changed by compare-and-swap, so that two entry hosts can't both
+win a claim, whoever they think should.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field, replace
+
+import msgspec
+import xxhash
+
+from ..errors import StoreAnswerLostError
+from .keys import IdempotencyKey
+
+BUCKET_S = 10
+SHARDS = 16
+MAX_KEPT_ANSWER_BYTES = 1024
+CLAIM_PREFIX = "claims/"
+
+
+class ClaimState(enum.StrEnum):
+    """How far a claimed request has come."""
+
+    CLAIMED = "claimed"
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """The answer of a request that ran.
+
+    Attributes
+    ----------
+    whole
+        False if the body was too large to keep.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    whole: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """One claimed request.
+
+    Attributes
+    ----------
+    key
+        Workspace and idempotency key.
+    id
+        Unique id of this claim; a claim whose answer was lost is recognised
+        by it.
+    owner, incarnation
+        Process that may run the request.
+    fingerprint
+        Hash of the request, by which a reused key is noticed.
+    """
+
+    key: str
+    id: str
+    owner: str
+    incarnation: str
+    fingerprint: str
+    state: ClaimState = ClaimState.CLAIMED
+    answer: KeptAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimDocument:
+    """The claims of one shard and time bucket.
+
+    Attributes
+    ----------
+    lease
+        Lease with which the document ends, after the retention period.
+    """
+
+    lease: str = ""
+    claims: dict[str, Claim] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class TryClaim:
+    """Asks for a claim."""
+
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class FinishClaim:
+    """Records the outcome of a claim that was won."""
+
+    key: str
+    id: str
+    state: ClaimState
+    answer: KeptAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonClaim:
+    """Records that a claim of unknown outcome will never be run by its owner.
+
+    It is written even if the claim is not in the document, so that a delayed
+    write of the claim can no longer take effect.
+    """
+
+    claim: Claim
+
+
+Operation = TryClaim | FinishClaim | AbandonClaim
+
+
+def locate_document(key: IdempotencyKey, scoped: str) -> str:
+    """Return the key, in the key-value service, of the document for a claim.
+
+    Parameters
+    ----------
+    scoped
+        Workspace and idempotency key.
+    """
+    bucket = int(key.issued_at) // BUCKET_S
+    shard = xxhash.xxh64_intdigest(scoped.encode()) % SHARDS
+    return f"{CLAIM_PREFIX}{bucket}/{shard}"
+
+
+def apply_operations(
+    doc: ClaimDocument, operations: Iterable[Operation]
+) -> ClaimDocument:
+    """Return the document after operations; each is idempotent.
+
+    A claim is won if its id is in the returned document.
+    """
+    claims = dict(doc.claims)
+    for operation in operations:
+        match operation:
+            case TryClaim(claim=claim):
+                held = claims.get(claim.key)
+                if held is None or _may_be_reclaimed(held, claim):
+                    claims[claim.key] = claim
+            case FinishClaim(key=key, id=claim_id, state=state, answer=answer):
+                held = claims.get(key)
+                if held is not None and held.id == claim_id:
+                    claims[key] = replace(held, state=state, answer=answer)
+            case AbandonClaim(claim=claim):
+                held = claims.get(claim.key)
+                if held is None or held.id == claim.id:
+                    claims[claim.key] = replace(claim, state=ClaimState.NOT_RUN)
+    return doc if claims == doc.claims else replace(doc, claims=claims)
+
+
+def _may_be_reclaimed(held: Claim, claim: Claim) -> bool:
+    return (
+        held.state is ClaimState.NOT_RUN
+        and held.id != claim.id
+        and held.fingerprint == claim.fingerprint
+    )
+
+
+def collect_results(
+    doc: ClaimDocument, operations: Sequence[Operation]
+) -> tuple[Claim | None, ...]:
+    """Return the claim that stands in the document for each operation."""
+    return tuple(doc.claims.get(_key_of(item)) for item in operations)
+
+
+def _key_of(operation: Operation) -> str:
+    match operation:
+        case FinishClaim(key=key):
+            return key
+        case TryClaim(claim=claim) | AbandonClaim(claim=claim):
+            return claim.key
+
+
+def keep_answer(status: int, content_type: str, body: bytes) -> KeptAnswer:
+    """Return what is kept of an answer."""
+    if len(body) > MAX_KEPT_ANSWER_BYTES:
+        return KeptAnswer(status, content_type, b"", whole=False)
+    return KeptAnswer(status, content_type, body)
+
+
+def encode_claims(doc: ClaimDocument) -> bytes:
+    """Encode a document for the key-value service."""
+    return msgspec.json.encode(doc)
+
+
+def decode_claims(value: bytes) -> ClaimDocument:
+    """Decode what :func:`encode_claims` returned."""
+    try:
+        return msgspec.json.decode(value, type=ClaimDocument)
+    except msgspec.MsgspecError as exc:
+        raise StoreAnswerLostError(f"stored claims: {exc}") from exc
--- /dev/null
+++ b/waxwingpitch/requests/retry.py
@@ -0,0 +1,79 @@
+"""Decision what to do after an attempt of an idempotent request failed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..errors import (
+    ResultCode,
+    TargetError,
+    TargetLostError,
+    TargetRefusedError,
+    TargetSilentError,
+)
+
+MAX_ATTEMPTS = 6
+MAX_RESUMES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Resume:
+    """Attach again to the same target over a new connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """Continue at another target.
+
+    Attributes
+    ----------
+    suspect
+        Whether the target may have crashed because of the request.
+    """
+
+    suspect: bool
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """End the request with a result code."""
+
+    code: ResultCode
+
+
+Decision = Resume | Elsewhere | GiveUp
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptState:
+    """What is known about a request's attempts.
+
+    Attributes
+    ----------
+    attempts
+        Attempts so far.
+    resumes
+        Resumptions at the current target.
+    started
+        Whether the current target accepted the request.
+    lost
+        Whether a connection to the current target broke, now or before.
+    """
+
+    attempts: int
+    resumes: int
+    started: bool
+    lost: bool
+
+
+def decide(failure: TargetError, state: AttemptState) -> Decision:
+    """Decide what follows a failure of an idempotent request."""
+    if state.attempts >= MAX_ATTEMPTS:
+        return GiveUp(ResultCode.ANSWER_INCOMPLETE)
+    match failure:
+        case TargetRefusedError():
+            return Elsewhere(suspect=state.started and state.lost)
+        case TargetSilentError() | TargetLostError() if state.resumes < MAX_RESUMES:
+            return Resume()
+        case _:
+            return Elsewhere(suspect=state.lost)
--- a/waxwingpitch/settings/entry.py
+++ b/waxwingpitch/settings/entry.py
@@ -12,6 +12,7 @@
 from ..jsonc import read_file
 
 MIN_MESH_KEY_CHARS = 16
+MIN_TOKEN_CHARS = 8
 MAX_PORT = 65535
 _NAME = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
 
@@ -35,10 +36,13 @@
         IP address to bind.
     port
         TCP port; 0 takes a free one.
+    advertise
+        ``IP:port`` at which others reach it, if that is another address.
     """
 
     host: str = "127.0.0.1"
     port: int = 8400
+    advertise: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +57,8 @@
         IP address to bind.
     port
         TCP port; 0 takes a free one.
+    advertise
+        ``IP:port`` at which peers reach it, if that is another address.
     seeds
         ``IP:port`` of other entry hosts, asked while the key-value service is
         unreachable.
@@ -61,6 +67,7 @@
     key: str
     host: str = "127.0.0.1"
     port: int = 0
+    advertise: str = ""
     seeds: tuple[str, ...] = ()
 
 
@@ -111,6 +118,8 @@
         Availability zone of the entry host.
     mesh, platform, http, limits
         See the classes.
+    operator_token
+        Token that operators send to read the state.
     log_level
         Lowest level that is logged.
     drain_timeout_s
@@ -121,6 +130,7 @@
     zone: str
     mesh: MeshSettings
     platform: PortSettings
+    operator_token: str
     http: HttpSettings = HttpSettings()
     limits: LimitSettings = field(default_factory=LimitSettings)
     log_level: LogLevel = LogLevel.INFO
@@ -155,11 +165,15 @@
         if not _is_ip(part.host):
             yield f"key '{key}.host': got {part.host!r}; valid: an IP address"
     if len(settings.mesh.key) < MIN_MESH_KEY_CHARS:
-        yield f"key 'mesh.key': too short; valid: {MIN_MESH_KEY_CHARS} characters or more"
+        yield f"key 'mesh.key': too short; valid: {MIN_MESH_KEY_CHARS} characters"
+    if len(settings.operator_token) < MIN_TOKEN_CHARS:
+        yield f"key 'operator_token': too short; valid: {MIN_TOKEN_CHARS} characters"
     for seed in settings.mesh.seeds:
-        host, _, port = seed.rpartition(":")
-        if not _is_ip(host) or not port.isdigit():
+        if not _is_address(seed):
             yield f"key 'mesh.seeds': got {seed!r}; valid: IP:port"
+    for key, part in (("http", settings.http), ("mesh", settings.mesh)):
+        if part.advertise and not _is_address(part.advertise):
+            yield f"key '{key}.advertise': got {part.advertise!r}; valid: IP:port"
     for key in ("store", "hosts"):
         url = getattr(settings.platform, key)
         if not url.startswith(("http://", "https://")):
@@ -169,6 +183,11 @@
             yield f"key 'limits.{key}': must be above 0"
 
 
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return _is_ip(host) and port.isdigit()
+
+
 def _is_ip(text: str) -> bool:
     try:
         ipaddress.ip_address(text)
--- a/waxwingpitch/standins/engine.py
+++ b/waxwingpitch/standins/engine.py
@@ -135,6 +135,7 @@
         self._fleet = fleet
         self._model = fleet.model
         self._loaded = ""
+        self._loading = ""
         self._highest_epoch = 0
         self._leaving = False
         self._warm_at = 0.0
@@ -157,7 +158,8 @@
         self.incarnation = uuid.uuid4().hex
         self.alive = True
         self.group, self.epoch, self.members = "", 0, ()
-        self.ready, self._loaded, self._leaving = False, "", False
+        self.ready, self._loaded, self._loading = False, "", ""
+        self._leaving = False
         self._highest_epoch = 0
         self._cache.clear()
         self._server = HttpServer(
@@ -204,6 +206,7 @@
             load=self._load,
             group=self.group,
             epoch=self.epoch,
+            loaded=self._loaded,
         )
 
     @property
@@ -380,6 +383,8 @@
         match order.kind:
             case OrderKind.JOIN:
                 self._join(order)
+            case OrderKind.LOAD if not self.group:
+                self._start_loading(order)
             case OrderKind.RELEASE if order.group == self.group:
                 self._fail_streams()
                 self.group, self.epoch, self.members = "", 0, ()
@@ -391,16 +396,21 @@
         self._fail_streams()
         self.group, self.epoch = order.group, order.epoch
         self.members = order.members
+        self._warm_at = time.monotonic() + self._model.cold_s
+        self._start_loading(order)
+
+    def _start_loading(self, order: EngineOrder) -> None:
         wanted = f"{order.model}@{order.model_version}"
-        if self._loaded == wanted:
-            self.ready = True
-            return
-        self.ready = False
-        self._greenlets.append(gevent.spawn(self._load_weights, order, wanted))
+        self.ready = self._loaded == wanted
+        if not self.ready and self._loading != wanted:
+            self._loading = wanted
+            self._greenlets.append(gevent.spawn(self._load_weights, order, wanted))
 
     def _load_weights(self, order: EngineOrder, wanted: str) -> None:
         self._fleet.weights.load(order.model, order.model_version)
-        self._loaded = wanted
+        if self._loading != wanted:
+            return
+        self._loaded, self._loading = wanted, ""
         self.ready = True
         self._warm_at = time.monotonic() + self._model.cold_s
 
--- /dev/null
+++ b/waxwingpitch/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package."""
--- /dev/null
+++ b/waxwingpitch/tests/test_errors.py
@@ -0,0 +1,15 @@
+from __future__ import annotations
+
+from pathlib import Path
+
+from ..errors import RESULTS, ResultCode, render_result_table
+
+DOCS = Path(__file__).parents[2] / "docs"
+
+
+def test_every_code_has_a_result():
+    assert set(RESULTS) == set(ResultCode)
+
+
+def test_table_in_docs_is_current():
+    assert render_result_table() in (DOCS / "ERRORS.md").read_text()
