--- a/waxwingpitch/entry/coordination.py
+++ b/waxwingpitch/entry/coordination.py
@@ -15,7 +15,7 @@
 from ..errors import WaxwingpitchError
 from ..groups import decode_table
 from ..groups.table import TABLE_PREFIX
-from ..membership import decode_members, select_neighbours
+from ..membership import MemberList, decode_members, select_neighbours
 from ..mesh import (
     Digest,
     DocumentItem,
@@ -102,19 +102,28 @@
         What the process knows.
     wake
         Called after a change that may let queued requests go on.
+    may_confirm
+        Returns whether the requests in progress fit a member list's shares.
     seeds
         Mesh addresses to dial besides the members'.
     """
 
     def __init__(
-        self, view: EntryView, wake: Callable[[], None], seeds: tuple[str, ...] = ()
+        self,
+        view: EntryView,
+        *,
+        wake: Callable[[], None],
+        may_confirm: Callable[[MemberList], bool],
+        seeds: tuple[str, ...] = (),
     ):
         super().__init__()
         self.view = view
         self.mesh: MeshNode | None = None
         self.confirmed: dict[tuple[str, str], int] = {}
         self.revisions: dict[str, int] = {}
+        self.confirmed_version = 0
         self._wake = wake
+        self._may_confirm = may_confirm
         self._seeds = seeds
         self._observed_hosts: set[str] = set()
         self._offsets = ClockOffsets()
@@ -344,10 +353,17 @@
         if self.mesh is not None:
             self.mesh.broadcast(self._build_heartbeat())
 
+    def _confirm_list(self) -> None:
+        """Confirm the own zone's list once the requests in progress fit it."""
+        own = self.view.own_list
+        if own.version > self.confirmed_version and self._may_confirm(own):
+            self.confirmed_version = own.version
+
     def _build_heartbeat(self) -> Heartbeat:
+        self._confirm_list()
         return Heartbeat(
             documents=self._digest_hash,
-            list_version=self.view.own_list.version,
+            list_version=self.confirmed_version,
             revision=self.view.cfg.revision,
             stopping=self.view.stopping,
         )
--- a/waxwingpitch/entry/daemon.py
+++ b/waxwingpitch/entry/daemon.py
@@ -13,7 +13,7 @@
 
 from ..admission import RetryBudget
 from ..http_server import HttpServer
-from ..membership import Member
+from ..membership import Member, MemberList
 from ..mesh import Identity, MeshNode
 from ..ports import HttpHostList, HttpKeyValueStore, TargetReport
 from ..requests.claim_writer import ClaimWriter
@@ -91,7 +91,12 @@
     def _build_tasks(self) -> None:
         view, platform = self.view, self.settings.platform
         self.store = HttpKeyValueStore(platform.store)
-        self.coordination = Coordination(view, self._wake, self.settings.mesh.seeds)
+        self.coordination = Coordination(
+            view,
+            wake=self._wake,
+            may_confirm=self._fits_shares,
+            seeds=self.settings.mesh.seeds,
+        )
         self.coordination.attach(self.mesh)
         self.clients = TargetClients(self._note_report)
         self.budget = RetryBudget()
@@ -208,6 +213,9 @@
         for dispatcher in self._dispatchers.values():
             dispatcher.post(Wake())
 
+    def _fits_shares(self, members: MemberList) -> bool:
+        return all(item.fits_shares(members) for item in self._dispatchers.values())
+
     def _note_report(self, report: TargetReport) -> None:
         event = Observed(report.host, Health.UP, time.monotonic(), report)
         self.coordination.post(event)
--- a/waxwingpitch/entry/dispatch.py
+++ b/waxwingpitch/entry/dispatch.py
@@ -12,7 +12,7 @@
 from ..admission import FairQueue, Ticket
 from ..configuration import Service, Spill
 from ..errors import RequestError, ResultCode
-from ..membership import MemberList, split_cap
+from ..membership import MemberList, is_within_share, split_cap
 from ..routing import Candidate, Router, RoutingRequest, build_policy
 from ..targets import ConcurrencyWindow, Target
 from ..task import Task
@@ -136,6 +136,23 @@
                 fut.rawlink(self._give_back)
             raise
 
+    def fits_shares(self, members: MemberList) -> bool:
+        """Return whether the requests at cold targets fit a list's shares."""
+        service = self._find_service()
+        if service is None:
+            return True
+        return all(
+            is_within_share(
+                members,
+                self._view.me,
+                target.id,
+                service.cold_cap,
+                self.outstanding[target.id],
+            )
+            for target in self._find_usable(service)
+            if target.cold and target.zone == members.zone
+        )
+
     def _give_back(self, fut: AsyncResult) -> None:
         if fut.successful():
             self.post(Release(fut.value, completed=False))
--- a/waxwingpitch/entry/registrar.py
+++ b/waxwingpitch/entry/registrar.py
@@ -105,8 +105,8 @@
         removed = self._find_absent(present)
         gone = self._find_gone()
         confirmed = dict(self._coordination.confirmed)
-        own = self._view.own_list.version
-        confirmed[(self._view.me.id, self._view.me.incarnation)] = own
+        me = self._view.me
+        confirmed[(me.id, me.incarnation)] = self._coordination.confirmed_version
         change = self._view.own_list.remove(removed).settle(confirmed, gone)
         if change != self._view.own_list:
             self._change_list(
--- a/waxwingpitch/membership/__init__.py
+++ b/waxwingpitch/membership/__init__.py
@@ -4,7 +4,7 @@
 
 from .members import Member, MemberList, PriorList, decode_members, encode_members
 from .rendezvous import rank_by_rendezvous
-from .shares import split_cap
+from .shares import is_within_share, split_cap
 from .topology import select_neighbours
 
 __all__ = [
@@ -13,6 +13,7 @@
     "PriorList",
     "decode_members",
     "encode_members",
+    "is_within_share",
     "rank_by_rendezvous",
     "select_neighbours",
     "split_cap",
--- a/waxwingpitch/membership/shares.py
+++ b/waxwingpitch/membership/shares.py
@@ -32,6 +32,17 @@
     return min(_share(listed, me, target, cap) for listed in lists)
 
 
+def is_within_share(
+    members: MemberList, me: Member, target: str, cap: int, outstanding: int
+) -> bool:
+    """Return whether a member may confirm a list.
+
+    A member confirms only once its requests in progress fit the share that the
+    list gives it, because others start to use theirs after that.
+    """
+    return outstanding <= _share(members.members, me, target, cap)
+
+
 def _share(listed: Sequence[Member], me: Member, target: str, cap: int) -> int:
     if me not in listed:
         return 0
