--- a/waxwingpitch/entry/daemon.py
+++ b/waxwingpitch/entry/daemon.py
@@ -150,7 +150,7 @@
             extra={
                 "id": self.view.me.id,
                 "http": self.view.me.http,
-                "mesh": self.view.me.mesh,
+                "mesh": self.mesh.address,
             },
         )
 
--- a/waxwingpitch/tests/fault_proxy.py
+++ b/waxwingpitch/tests/fault_proxy.py
@@ -76,7 +76,7 @@
         self.break_connections()
 
     def _handle(self, down: socket.socket, address) -> None:
-        if self._fault is Fault.REFUSE:
+        if self._fault is Fault.REFUSE or not self.upstream:
             _reset(down)
             return
         self._open.add(down)
