Count a broken connection as a crash unless the target answers again

Cause: a request that crashed its target before the first piece was not counted as a suspect: of six sends over two entry hosts, three took a target down. And a network cut was counted although the target lived. Change: any loss after sending leads to an attempt to resume; it counts as a crash unless the same incarnation answers. A refusal after a try that may have run now says ran: unknown. Not covered: entry hosts that can't reach each other each allow two crashes.

--- a/waxwingpitch/entry/model_path.py
+++ b/waxwingpitch/entry/model_path.py
@@ -12,6 +12,7 @@
 from ..admission import RetryBudget, Ticket
 from ..configuration import Service, Workspace
 from ..errors import (
+    Ran,
     RequestError,
     ResultCode,
     TargetError,
@@ -110,8 +111,8 @@
         self.assembly = assembly
         self.avoid: frozenset[str] = frozenset()
         self.resumes = 0
-        self.started = False
         self.lost = False
+        self.maybe_ran = False
         self.blocks = tuple(iter_prefix_blocks(call.prompt))
 
     def iter_tokens(self) -> Iterator[tuple[str, ...]]:
@@ -146,12 +147,10 @@
         try:
             return dispatcher.acquire(ticket, wanted)
         except RequestError as exc:
-            if not self.assembly.tokens:
-                raise
-            raise self._fail(ResultCode.ANSWER_INCOMPLETE, exc.message) from exc
+            raise self._fail(exc.code, exc.message, exc.retry_after_s) from exc
 
     def _use(self, assignment: Assignment) -> Iterator[tuple[str, ...]]:
-        self.resumes, self.started, self.lost = 0, False, False
+        self.resumes, self.lost = 0, False
         self.assembly.start_attempt()
         if self.assembly.attempt > 1:
             self.path._metrics.retries.add(1, {"service": self.call.service.name})
@@ -162,7 +161,7 @@
         finally:
             dispatcher = self.path._find_dispatcher(self.call.service.name)
             dispatcher.post(Release(assignment, completed))
-            if self.started and not completed:
+            if self.maybe_ran and not completed:
                 self._cancel(assignment)
 
     def _iter_until_elsewhere(
@@ -177,17 +176,17 @@
                 return
             except TargetError as exc:
                 self.lost = self.lost or isinstance(exc, TargetLostError)
-                decision = decide(exc, self._state())
+                refused = isinstance(exc, TargetRefusedError)
+                self.maybe_ran = self.maybe_ran or not refused
+                decision = decide(exc, self._state(assignment))
                 self._log_failure(assignment, exc, decision)
             match decision:
-                case Resume() if self.started:
+                case Resume():
                     self.resumes += 1
                     resume = True
-                case Resume() | Elsewhere(suspect=False):
-                    self.avoid |= {assignment.target.id}
-                    return
-                case Elsewhere(suspect=True):
-                    self._note_crash(assignment)
+                case Elsewhere(suspect=suspect):
+                    if suspect:
+                        self._note_crash(assignment)
                     self.avoid |= {assignment.target.id}
                     return
                 case GiveUp(code=code):
@@ -198,7 +197,7 @@
     ) -> Iterator[tuple[str, ...]]:
         self._check_deadline()
         for piece in self._open(client, assignment, resume):
-            self.started = True
+            self.maybe_ran = True
             tokens = self.assembly.accept(piece)
             if tokens:
                 yield tokens
@@ -233,21 +232,27 @@
         )
         return client.generate(req, progress_s=PROGRESS_TIMEOUT_S)
 
-    def _state(self) -> AttemptState:
+    def _state(self, assignment: Assignment) -> AttemptState:
         return AttemptState(
-            self.assembly.attempt, self.resumes, self.started, self.lost
+            self.assembly.attempt,
+            self.resumes,
+            self.lost,
+            assignment.target.incarnation,
         )
 
     def _check_deadline(self) -> None:
         if time.monotonic() >= self.call.deadline:
             raise self._fail(ResultCode.DEADLINE_UNREACHABLE, "deadline passed")
 
-    def _fail(self, code: ResultCode, text: str) -> RequestError:
+    def _fail(
+        self, code: ResultCode, text: str, retry_after_s: float | None = 1.0
+    ) -> RequestError:
         if self.assembly.tokens:
             done = len(self.assembly.tokens)
             text = f"{code.name}: {text}; {done} tokens were sent"
             return RequestError(ResultCode.ANSWER_INCOMPLETE, text)
-        return RequestError(code, text, retry_after_s=1.0)
+        ran = Ran.UNKNOWN if self.maybe_ran else None
+        return RequestError(code, text, ran=ran, retry_after_s=retry_after_s)
 
     def _note_crash(self, assignment: Assignment) -> None:
         event = CrashSeen(self.call.fingerprint, assignment.target.incarnation)
--- a/waxwingpitch/errors.py
+++ b/waxwingpitch/errors.py
@@ -269,10 +269,20 @@
 
 
 class TargetError(WaxwingpitchError):
-    """Base of errors of a call to a target."""
+    """Base of errors of a call to a target.
+
+    Attributes
+    ----------
+    incarnation
+        Incarnation of the target that answered; empty if none did.
+    """
 
     code = ResultCode.TARGET_REJECTED
 
+    def __init__(self, message: str, *, incarnation: str = ""):
+        super().__init__(message)
+        self.incarnation = incarnation
+
 
 class TargetRefusedError(TargetError):
     """Proof that the target did not run the request."""
--- a/waxwingpitch/ports/target_http.py
+++ b/waxwingpitch/ports/target_http.py
@@ -56,21 +56,26 @@
             raise TargetSilentError(str(exc)) from exc
         except BrokenError as exc:
             raise TargetLostError(str(exc)) from exc
-        self._note_report(resp)
+        report = self._note_report(resp)
         if resp.headers.get(RAN_HEADER) == "no":
             reason = resp.data.decode("utf-8", "replace")
-            raise TargetRefusedError(f"{self.address}: {reason}")
+            raise TargetRefusedError(
+                f"{self.address}: {reason}",
+                incarnation=report.incarnation if report else "",
+            )
         return resp
 
     def close(self) -> None:
         """Close idle connections."""
         self._client.close()
 
-    def _note_report(self, resp) -> None:
+    def _note_report(self, resp) -> TargetReport | None:
         text = resp.headers.get(REPORT_HEADER)
         if text is None:
-            return
+            return None
         try:
-            self._on_report(msgspec.json.decode(text, type=TargetReport))
+            report = msgspec.json.decode(text, type=TargetReport)
         except msgspec.MsgspecError:
-            return
+            return None
+        self._on_report(report)
+        return report
--- a/waxwingpitch/requests/retry.py
+++ b/waxwingpitch/requests/retry.py
@@ -54,25 +54,29 @@
         Attempts so far.
     resumes
         Resumptions at the current target.
-    started
-        Whether the current target accepted the request.
     lost
         Whether a connection to the current target broke, now or before.
+    incarnation
+        Incarnation of the target when the request was sent.
     """
 
     attempts: int
     resumes: int
-    started: bool
     lost: bool
+    incarnation: str
 
 
 def decide(failure: TargetError, state: AttemptState) -> Decision:
-    """Decide what follows a failure of an idempotent request."""
+    """Decide what follows a failure of an idempotent request.
+
+    A broken connection counts as a crash unless the same incarnation of the
+    target answers afterwards.
+    """
     if state.attempts >= MAX_ATTEMPTS:
         return GiveUp(ResultCode.ANSWER_INCOMPLETE)
     match failure:
-        case TargetRefusedError():
-            return Elsewhere(suspect=state.started and state.lost)
+        case TargetRefusedError(incarnation=incarnation):
+            return Elsewhere(suspect=state.lost and incarnation != state.incarnation)
         case TargetSilentError() | TargetLostError() if state.resumes < MAX_RESUMES:
             return Resume()
         case _:
--- /dev/null
+++ b/waxwingpitch/tests/test_process_streams.py
@@ -0,0 +1,144 @@
+"""Each caller gets its own whole answer, with real entry processes."""
+
+from __future__ import annotations
+
+import json
+import signal
+
+import gevent
+import pytest
+
+from ..standins import EngineModel
+from ..standins.answers import whole_answer
+from ..standins.engine import POISON
+from .cluster import Cluster, wait_until
+
+pytestmark = pytest.mark.processes
+
+STEP_S = 0.02
+TOKENS = 60
+
+
+def read_stream(resp) -> tuple[str, bool, dict | None]:
+    """Return the text, whether it says that it is whole, and its error."""
+    text, whole, error = "", False, None
+    for event in resp.data.decode().split("\n\n"):
+        data = event.removeprefix("data: ")
+        if data == "[DONE]":
+            whole = True
+        elif data:
+            body = json.loads(data)
+            error = body.get("error", error)
+            for choice in body.get("choices", ()):
+                text += choice["delta"].get("content", "")
+    return text, whole, error
+
+
+def stream(entry, prompt: str, tokens: int = TOKENS):
+    return read_stream(entry.chat(prompt, stream=True, max_tokens=tokens))
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    model = EngineModel(step_s=STEP_S, cold_s=0.1, restart_s=0.3)
+    with Cluster(engines=4, entries=2, replica=1, model=model) as running:
+        running.wait_usable(4)
+        wait_until(
+            lambda: not any(t["cold"] for e in running.entries for t in e.usable())
+        )
+        yield running
+
+
+def busy_engine(cluster):
+    return wait_until(
+        lambda: next(
+            (
+                engine
+                for engine in cluster.engines("dar-a")
+                if any(s.produced > 3 for s in engine.streams.values())
+            ),
+            None,
+        ),
+        5.0,
+    )
+
+
+def test_each_caller_gets_its_own_answer(cluster):
+    prompts = [f"swali {i}" for i in range(40)]
+    jobs = [
+        gevent.spawn(stream, cluster.entries[i % 2], prompt, 20)
+        for i, prompt in enumerate(prompts)
+    ]
+    gevent.joinall(jobs, raise_error=True)
+    for prompt, job in zip(prompts, jobs):
+        assert job.value == (whole_answer(f"user: {prompt}", 20), True, None)
+
+
+def test_target_lost_in_the_middle_is_continued_elsewhere(cluster):
+    job = gevent.spawn(stream, cluster.entries[0], "kupotea")
+    busy_engine(cluster).crash()
+    assert job.get() == (whole_answer("user: kupotea", TOKENS), True, None)
+    cluster.wait_usable(4)
+
+
+def test_silent_target_is_continued(cluster):
+    job = gevent.spawn(stream, cluster.entries[0], "kimya")
+    engine = busy_engine(cluster)
+    engine.frozen = True
+    try:
+        assert job.get() == (whole_answer("user: kimya", TOKENS), True, None)
+    finally:
+        engine.frozen = False
+    cluster.wait_usable(4)
+
+
+def test_caller_that_leaves_frees_the_engine(cluster):
+    entry = cluster.entries[0]
+    resp = entry.chat("anaondoka", stream=True, max_tokens=2000, preload_content=False)
+    resp.read(10)
+    engine = busy_engine(cluster)
+    resp.close()
+    wait_until(lambda: not engine.streams, 3.0)
+
+
+def test_request_that_crashes_targets_is_blocked(cluster):
+    engines = cluster.engines("dar-a")
+    before = sum(engine.crashes for engine in engines)
+    bystanders = [
+        gevent.spawn(stream, cluster.entries[i % 2], f"jirani {i}") for i in range(8)
+    ]
+    statuses = []
+    for turn in range(6):
+        resp = cluster.entries[turn % 2].chat(POISON, max_tokens=20)
+        statuses.append(resp.status)
+        gevent.sleep(0.2)
+    gevent.joinall(bystanders, raise_error=True)
+    assert sum(engine.crashes for engine in engines) - before <= 2
+    assert 200 not in statuses
+    assert statuses[-1] == 422
+    for i, job in enumerate(bystanders):
+        assert job.value == (whole_answer(f"user: jirani {i}", TOKENS), True, None)
+    cluster.wait_usable(4)
+
+
+def test_stop_cuts_off_no_stream():
+    model = EngineModel(step_s=0.03, cold_s=0.1, batch=64)
+    with Cluster(engines=4, entries=2, model=model) as cluster:
+        cluster.wait_usable(4)
+        wait_until(
+            lambda: not any(t["cold"] for e in cluster.entries for t in e.usable())
+        )
+        entry = cluster.entries[0]
+        jobs = [gevent.spawn(stream, entry, f"kuzima {i}", 80) for i in range(100)]
+        wait_until(lambda: entry.dump()["in_progress"] >= 100)
+        entry.send_signal(signal.SIGTERM)
+        wait_until(lambda: entry.find_log("stopping"))
+        gevent.sleep(0.1)
+        refused = entry.chat("mpya", max_tokens=2)
+        assert refused.status == 503
+        assert refused.json()["error"]["code"] == 2004
+        gevent.joinall(jobs, raise_error=True)
+        for i, job in enumerate(jobs):
+            assert job.value == (whole_answer(f"user: kuzima {i}", 80), True, None)
+        assert entry.wait() == 0
+        assert entry.find_log("stopped")["cut_off"] == 0
