--- /dev/null
+++ b/waxwingpitch/tests/test_process_zones.py
@@ -0,0 +1,182 @@
+"""Zones, leaving targets, groups and cold targets, with real entry processes."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+import pytest
+
+from ..configuration import ConfigurationBuilder
+from ..configuration.document import decode_stored
+from ..configuration.submission import CONFIGURATION_KEY
+from ..ports import HostState
+from ..standins import EngineModel
+from ..standins.answers import whole_answer
+from .cluster import Cluster, wait_until
+from .test_process_streams import stream
+
+pytestmark = pytest.mark.processes
+
+LIMIT_S = 2.0
+STEP_S = 0.02
+ZONES = ("dar-a", "dar-b")
+
+
+def set_zone(cluster: Cluster, zone: str, in_service: bool) -> int:
+    entry = cluster.client.get(CONFIGURATION_KEY)
+    builder = ConfigurationBuilder(decode_stored(entry.value))
+    builder.set_zone_in_service(zone, in_service)
+    return cluster.submit(builder.build()).revision
+
+
+def wait_warm(cluster: Cluster, count: int) -> None:
+    cluster.wait_usable(count)
+    for entry in cluster.entries:
+        wait_until(lambda: not any(target["cold"] for target in entry.usable()))
+
+
+def zones_of(entry) -> set[str]:
+    return {target["zone"] for target in entry.usable()}
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    model = EngineModel(step_s=STEP_S, cold_s=0.2, restart_s=0.3)
+    with Cluster(zones=ZONES, engines=4, entries=1, replica=1, model=model) as running:
+        wait_warm(running, 8)
+        yield running
+
+
+def start_streams(cluster: Cluster, count: int, tokens: int) -> dict:
+    return {
+        f"swali {i}": gevent.spawn(
+            stream, cluster.entries[i % len(cluster.entries)], f"swali {i}", tokens
+        )
+        for i in range(count)
+    }
+
+
+def assert_whole(jobs: dict, tokens: int) -> None:
+    gevent.joinall(jobs.values(), raise_error=True)
+    for prompt, job in jobs.items():
+        assert job.value == (whole_answer(f"user: {prompt}", tokens), True, None)
+
+
+def test_zone_out_gets_no_new_work_and_cuts_nothing(cluster):
+    jobs = start_streams(cluster, 12, 100)
+    gevent.sleep(0.5)
+    engines = cluster.engines("dar-a")
+    in_progress = {r for engine in engines for r in engine.streams}
+    assert in_progress
+    started = time.monotonic()
+    revision = set_zone(cluster, "dar-a", False)
+    for entry in cluster.entries:
+        wait_until(lambda: zones_of(entry) == {"dar-b"}, LIMIT_S)
+    assert time.monotonic() - started < LIMIT_S
+    more = start_streams(cluster, 12, 20)
+    gevent.sleep(0.2)
+    assert {r for engine in engines for r in engine.streams} <= in_progress
+    assert_whole(jobs, 100)
+    assert_whole(more, 20)
+    assert set_zone(cluster, "dar-a", True) == revision + 1
+    for entry in cluster.entries:
+        wait_until(lambda: zones_of(entry) == set(ZONES), LIMIT_S)
+
+
+@pytest.mark.parametrize("how", ["host list", "own word"])
+def test_leaving_target_gets_no_new_work(cluster, how):
+    engine = cluster.engines("dar-a")[0]
+    jobs = start_streams(cluster, 24, 100)
+    wait_until(lambda: engine.streams, 3.0)
+    if how == "host list":
+        cluster.hosts.set_state(engine.host, HostState.LEAVING)
+    else:
+        engine.leave()
+    gevent.sleep(LIMIT_S)
+    in_progress = set(engine.streams)
+    for entry in cluster.entries:
+        assert all(engine.host not in t["hosts"] for t in entry.usable())
+    more = start_streams(cluster, 12, 10)
+    gevent.sleep(0.2)
+    assert set(engine.streams) <= in_progress
+    assert_whole(jobs, 100)
+    assert_whole(more, 10)
+    cluster.hosts.set_state(engine.host, HostState.LIVE)
+    if how == "own word":
+        engine.crash()
+    wait_warm(cluster, 8)
+
+
+def test_operators_that_race_lose_no_accepted_change(cluster):
+    client = cluster.client
+    base = decode_stored(client.get(CONFIGURATION_KEY).value)
+    accepted = []
+
+    def _submit(number: int) -> None:
+        for _ in range(20):
+            current = decode_stored(client.get(CONFIGURATION_KEY).value)
+            builder = ConfigurationBuilder(current)
+            builder.add_workspace(f"race-{number}", priority=1)
+            try:
+                accepted.append(cluster.submit(builder.build()).revision)
+                return
+            except Exception as exc:
+                assert exc.code == 4001
+                gevent.sleep(0)
+
+    jobs = [gevent.spawn(_submit, number) for number in range(5)]
+    gevent.joinall(jobs, raise_error=True)
+    assert len(set(accepted)) == 5
+    final = decode_stored(client.get(CONFIGURATION_KEY).value)
+    assert final.revision == base.revision + 5
+    names = {workspace.name for workspace in final.workspaces}
+    assert {f"race-{number}" for number in range(5)} <= names
+    for entry in cluster.entries:
+        wait_until(
+            lambda: entry.dump()["configuration"]["revision"] == final.revision, 1.0
+        )
+
+
+def test_group_with_a_missing_member_serves_nothing_and_is_repaired():
+    model = EngineModel(step_s=STEP_S, cold_s=0.2, restart_s=60.0)
+    with Cluster(engines=5, entries=2, replica=2, model=model) as cluster:
+        wait_warm(cluster, 2)
+        engines = {engine.host: engine for engine in cluster.engines("dar-a")}
+        group = cluster.entries[0].usable()[0]
+        leader, member = (engines[host] for host in group["hosts"])
+        jobs = start_streams(cluster, 8, 60)
+        gevent.sleep(0.3)
+        member.crash()
+        gevent.sleep(0.05)
+        assert not cluster.fleets["dar-a"].is_complete(leader)
+        started = time.monotonic()
+        for entry in cluster.entries:
+            wait_until(
+                lambda: not any(member.host in t["hosts"] for t in entry.usable()),
+                LIMIT_S,
+            )
+        wait_warm(cluster, 2)
+        downtime_s = time.monotonic() - started
+        assert downtime_s < 10.0
+        for target in cluster.entries[0].usable():
+            assert member.host not in target["hosts"]
+        assert_whole(jobs, 60)
+
+
+def test_cold_targets_bear_what_all_entries_send():
+    model = EngineModel(step_s=STEP_S, cold_s=4.0, cold_cap=3)
+    with Cluster(engines=2, entries=3, replica=1, model=model, cold_cap=3) as cluster:
+        cluster.wait_usable(2)
+        for entry in cluster.entries:
+            members = wait_until(
+                lambda: (d := entry.dump()["members"].get("dar-a"))
+                and len(d["members"]) == 3
+                and d
+            )
+            assert len(members["members"]) == 3
+        jobs = start_streams(cluster, 30, 10)
+        gevent.joinall(jobs.values(), raise_error=True)
+        engines = cluster.engines("dar-a")
+        assert sum(engine.crashes for engine in engines) == 0
+        assert max(engine.peak_running for engine in engines) <= 3
