Test configuration, settings, mesh, admission, retries and routing

Change: property tests of the texts and messages, handshake and version tests, fairness, retry budget, assembly, retry decisions, suspects, policies, windows; a slow peer's bounded queue; leaving plain services. With the host list's word ignored, the test of leaving engines still passed, because the planner drains the group as well; the new test of a plain service covers the list alone.

--- /dev/null
+++ b/waxwingpitch/tests/test_admission.py
@@ -0,0 +1,250 @@
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given
+
+from ..admission import FairQueue, RetryBudget, Ticket
+from ..errors import (
+    ResultCode,
+    TargetLostError,
+    TargetRefusedError,
+    TargetSilentError,
+)
+from ..ports import Piece
+from ..requests import AnswerAssembly, SuspectBook, Verdict
+from ..requests.retry import (
+    MAX_ATTEMPTS,
+    AttemptState,
+    Elsewhere,
+    GiveUp,
+    Resume,
+    decide,
+)
+from ..routing import (
+    Candidate,
+    LeastOutstanding,
+    PrefixAffinity,
+    PrefixIndex,
+    RandomChoice,
+    RoundRobin,
+    Router,
+    RoutingRequest,
+    TwoChoices,
+    iter_prefix_blocks,
+)
+from ..targets import ConcurrencyWindow, Target
+
+
+def ticket(workspace: str, priority: int = 0, share: float = 1.0, cost: float = 1.0):
+    return Ticket("r", workspace, priority, share, cost, deadline=100.0)
+
+
+def test_higher_priority_goes_first():
+    queue = FairQueue()
+    queue.push(ticket("low", 5))
+    queue.push(ticket("high", 0))
+    assert [queue.pop().workspace for _ in range(2)] == ["high", "low"]
+
+
+@given(
+    shares=st.lists(st.floats(0.5, 8.0), min_size=2, max_size=5),
+    cost=st.floats(0.1, 50.0),
+)
+def test_served_in_proportion_to_shares(shares, cost):
+    queue = FairQueue(bound=100000)
+    turns = 400
+    for index, share in enumerate(shares):
+        for _ in range(turns):
+            queue.push(ticket(f"w{index}", share=share, cost=cost))
+    served = Counter(queue.pop().workspace for _ in range(turns))
+    for index, share in enumerate(shares):
+        expected = turns * share / sum(shares)
+        assert abs(served[f"w{index}"] - expected) <= len(shares) + 1
+
+
+def test_idle_workspace_saves_up_nothing():
+    queue = FairQueue()
+    for _ in range(50):
+        queue.push(ticket("busy"))
+    for _ in range(40):
+        queue.pop()
+    for _ in range(10):
+        queue.push(ticket("late"))
+    served = Counter(queue.pop().workspace for _ in range(10))
+    assert served["late"] <= 6
+
+
+def test_queue_is_bounded_by_priority():
+    queue = FairQueue(bound=2)
+    assert queue.push(ticket("a")) and queue.push(ticket("a"))
+    assert not queue.push(ticket("a"))
+    assert queue.push(ticket("a", priority=1))
+
+
+def test_waiting_too_long_or_past_the_deadline_is_dropped():
+    queue = FairQueue()
+    queue.push(ticket("a"))
+    assert list(queue.drop_waiting(50.0, 10.0, lambda item: 20.0)) == []
+    assert len(list(queue.drop_waiting(50.0, 30.0, lambda item: 20.0))) == 1
+    queue.push(ticket("a"))
+    assert len(list(queue.drop_waiting(100.0, 0.0, lambda item: 20.0))) == 1
+    assert len(queue) == 0
+
+
+@given(st.lists(st.booleans(), max_size=500))
+def test_retries_stay_a_tenth_of_first_tries(tries):
+    budget = RetryBudget(saved=0.0)
+    first = retries = 0
+    for is_first in tries:
+        if is_first:
+            budget.earn()
+            first += 1
+        else:
+            retries += budget.spend()
+    assert retries <= first * 0.1
+
+
+@given(
+    total=st.integers(1, 30),
+    cuts=st.lists(st.integers(0, 30), max_size=6),
+    seed=st.integers(0, 1000),
+)
+def test_answer_is_whole_whatever_order_pieces_come_in(total, cuts, seed):
+    tokens = [f"t{i}" for i in range(total)]
+    edges = sorted({0, total, *(cut for cut in cuts if cut < total)})
+    pieces = [
+        Piece("r", 1, a, tuple(tokens[a:b]), "stop" if b == total else "")
+        for a, b in zip(edges, edges[1:])
+    ]
+    strays = [Piece("other", 1, 0, ("x",)), Piece("r", 0, 0, ("y",), "stop")]
+    arriving = pieces + pieces + strays
+    random.Random(seed).shuffle(arriving)
+    assembly = AnswerAssembly("r")
+    assembly.start_attempt()
+    received = []
+    for piece in arriving:
+        received += assembly.accept(piece)
+    assert received == tokens
+    assert assembly.finish == "stop"
+
+
+@given(st.integers(1, 20), st.integers(0, 19))
+def test_shortened_answer_never_looks_whole(total, missing):
+    assembly = AnswerAssembly("r")
+    assembly.start_attempt()
+    for index in range(total):
+        if index != missing % total:
+            finish = "stop" if index == total - 1 else ""
+            assembly.accept(Piece("r", 1, index, (f"t{index}",), finish))
+    assert not assembly.finish
+
+
+def state(**kwargs) -> AttemptState:
+    return AttemptState(
+        **{"attempts": 1, "resumes": 0, "lost": False, "incarnation": "i", **kwargs}
+    )
+
+
+@pytest.mark.parametrize(
+    ("failure", "before", "expected"),
+    [
+        (TargetRefusedError("x"), state(), Elsewhere(False)),
+        (TargetLostError("x"), state(lost=True), Resume()),
+        (TargetSilentError("x"), state(), Resume()),
+        (TargetSilentError("x"), state(resumes=2), Elsewhere(False)),
+        (TargetRefusedError("x"), state(lost=True), Elsewhere(True)),
+        (
+            TargetRefusedError("x", incarnation="i"),
+            state(lost=True),
+            Elsewhere(False),
+        ),
+        (
+            TargetRefusedError("x", incarnation="j"),
+            state(lost=True),
+            Elsewhere(True),
+        ),
+        (
+            TargetLostError("x"),
+            state(attempts=MAX_ATTEMPTS),
+            GiveUp(ResultCode.ANSWER_INCOMPLETE),
+        ),
+    ],
+)
+def test_retry_decision(failure, before, expected):
+    assert decide(failure, before) == expected
+
+
+def test_suspect_is_blocked_after_two_crashes_and_cleared_by_completing():
+    book = SuspectBook()
+    book.note_crash("f", "i1", 0.0)
+    book.note_crash("f", "i1", 0.0)
+    assert book.judge("f", 1.0) is Verdict.SUSPECT
+    book.clear("f")
+    assert book.judge("f", 1.0) is Verdict.CLEAR
+    book.note_crash("f", "i1", 0.0)
+    book.note_crash("f", "i2", 0.0)
+    book.clear("f")
+    assert book.judge("f", 1.0) is Verdict.BLOCKED
+    assert book.judge("f", 10000.0) is Verdict.CLEAR
+
+
+def candidates(outstanding: list[int]) -> list[Candidate]:
+    return [
+        Candidate(
+            Target(f"t{i}", "s", "z", "a", (f"t{i}",), "", 0, False, 0, "i"), n, n / 10
+        )
+        for i, n in enumerate(outstanding)
+    ]
+
+
+def test_policies_choose_as_they_say():
+    router = Router(PrefixIndex(), random.Random(1))
+    options = candidates([3, 0, 7])
+    req = RoutingRequest()
+    assert router.choose(LeastOutstanding(), req, options).target.id == "t1"
+    turns = [router.choose(RoundRobin(), req, options).target.id for _ in range(6)]
+    assert Counter(turns) == {"t0": 2, "t1": 2, "t2": 2}
+    picks = Counter(
+        router.choose(RandomChoice(), req, options).target.id for _ in range(300)
+    )
+    assert min(picks.values()) > 50
+    pairs = Counter(
+        router.choose(TwoChoices(), req, options).target.id for _ in range(300)
+    )
+    assert pairs["t2"] == 0 < pairs["t0"] < pairs["t1"]
+
+
+def test_prefix_affinity_is_given_up_under_pressure():
+    prefixes = PrefixIndex()
+    router = Router(prefixes, random.Random(1))
+    req = RoutingRequest(tuple(iter_prefix_blocks("x" * 640)))
+    prefixes.note_sent("t0", req.blocks)
+    relaxed = candidates([1, 0, 0])
+    pressed = candidates([9, 0, 0])
+    assert router.choose(PrefixAffinity(), req, relaxed).target.id == "t0"
+    assert router.choose(PrefixAffinity(), req, pressed).target.id != "t0"
+
+
+def test_new_prefix_has_the_same_home_at_every_entry_host():
+    req = RoutingRequest(tuple(iter_prefix_blocks("y" * 640)))
+    homes = {
+        Router(PrefixIndex(), random.Random(seed))
+        .choose(PrefixAffinity(), req, candidates([0, 0, 0, 0]))
+        .target.id
+        for seed in range(10)
+    }
+    assert len(homes) == 1
+
+
+def test_window_follows_the_reported_load():
+    window = ConcurrencyWindow(limit=32, start=8)
+    for step in range(1000):
+        window.note_load(20, float(step))
+    assert window.size == 32
+    for step in range(1000, 1020):
+        window.note_load(40, float(step))
+    assert window.size == 1
--- /dev/null
+++ b/waxwingpitch/tests/test_mesh.py
@@ -0,0 +1,189 @@
+from __future__ import annotations
+
+import gevent
+import hypothesis.strategies as st
+import pytest
+from gevent.queue import Queue
+from hypothesis import given
+
+from ..entry.evidence_sets import OWN_SET, IncomingSets, OutgoingSets
+from ..entry.evidence_wire import ClockOffsets
+from ..errors import PeerError, ResultCode
+from ..mesh import Identity, LinkUp, MeshNode, Received, decode_message, encode_message
+from ..mesh.handshake import accept_handshake, connect_handshake
+from ..mesh.messages import (
+    MESH_VERSION,
+    Digest,
+    DocumentItem,
+    Documents,
+    Heartbeat,
+    Hello,
+    Message,
+    SetState,
+    SuspectItem,
+    Suspects,
+)
+from ..ports import TargetReport
+from ..targets import EvidenceBook, Health
+from .cluster import wait_until
+
+TEXT = st.text(max_size=12)
+NUMBERS = st.integers(0, 2**63 - 1)
+MESSAGES = st.one_of(
+    st.builds(Digest, st.dictionaries(TEXT, NUMBERS, max_size=4)),
+    st.builds(
+        Documents,
+        st.lists(st.builds(DocumentItem, TEXT, NUMBERS, st.binary()), max_size=3).map(
+            tuple
+        ),
+    ),
+    st.builds(
+        Heartbeat,
+        NUMBERS,
+        NUMBERS,
+        NUMBERS,
+        st.booleans(),
+        NUMBERS,
+        st.lists(st.builds(SetState, TEXT, NUMBERS, NUMBERS), max_size=3).map(tuple),
+    ),
+    st.builds(
+        Suspects,
+        st.lists(
+            st.builds(
+                SuspectItem, TEXT, st.lists(TEXT, max_size=2).map(tuple), NUMBERS
+            ),
+            max_size=3,
+        ).map(tuple),
+    ),
+)
+ALICE = Identity("alice", "i1", "dar-a")
+BOB = Identity("bob", "i2", "dar-b")
+
+
+@given(MESSAGES)
+def test_message_round_trip(message: Message):
+    assert decode_message(encode_message(message)) == message
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_decoded_or_refused(data):
+    try:
+        decode_message(data)
+    except PeerError as exc:
+        assert exc.code is ResultCode.PEER_MESSAGE_MALFORMED
+
+
+def test_older_peer_is_understood():
+    import cbor2
+
+    newer = cbor2.dumps([5, 1, 2, 3, False, 4, [], "a field of a later version"])
+    older = cbor2.dumps([5, 1, 2, 3])
+    assert decode_message(newer).revision == 3
+    assert decode_message(older).sets == ()
+
+
+def shake(connect_key: str, accept_key: str, hello: Hello | None = None):
+    """Run both sides of a handshake; return what each ended with."""
+    up, down = Queue(), Queue()
+
+    def _connect():
+        if hello is not None:
+            up.put(encode_message(hello))
+            return down.get(timeout=0.5)
+        return connect_handshake(
+            up.put, lambda: down.get(timeout=0.5), ALICE, connect_key
+        )
+
+    def _accept():
+        return accept_handshake(down.put, lambda: up.get(timeout=0.5), BOB, accept_key)
+
+    jobs = [gevent.spawn(_connect), gevent.spawn(_accept)]
+    gevent.joinall(jobs)
+    return [job.value if job.successful() else job.exception for job in jobs]
+
+
+def test_handshake_authenticates_both_sides():
+    assert shake("k" * 16, "k" * 16) == [BOB, ALICE]
+
+
+def test_wrong_key_is_refused():
+    connected, _ = shake("k" * 16, "x" * 16)
+    assert connected.code is ResultCode.PEER_UNAUTHENTICATED
+
+
+@pytest.mark.parametrize(("version", "oldest"), [(0, 0), (9, MESH_VERSION + 1)])
+def test_other_version_is_refused_with_a_code(version, oldest):
+    hello = Hello(version, oldest, "old", "i", "dar-a", b"n")
+    _, accepted = shake("k" * 16, "k" * 16, hello)
+    assert accepted.code is ResultCode.PEER_VERSION
+
+
+def build_node(identity: Identity, events: list, **kwargs) -> MeshNode:
+    node = MeshNode(
+        identity,
+        "k" * 16,
+        host="127.0.0.1",
+        port=0,
+        frame_bytes=1 << 16,
+        deliver=events.append,
+        **kwargs,
+    )
+    node.start()
+    return node
+
+
+def test_slow_peer_costs_bounded_memory():
+    events = []
+    alice, bob = build_node(ALICE, []), build_node(BOB, events)
+    alice.dial([bob.address])
+    wait_until(lambda: any(isinstance(event, LinkUp) for event in events), 5.0)
+    wait_until(lambda: "bob" in alice.peers, 5.0)
+    link = alice._links["bob"]
+    message = Documents((DocumentItem("agreed/x", 1, b"x" * 1000),))
+    for _ in range(2000):
+        alice.send("bob", message)
+    assert link.queue.qsize() <= 256
+    wait_until(lambda: alice._links.get("bob") not in (None, link), 10.0)
+    alice.send("bob", Digest({}))
+    wait_until(
+        lambda: any(
+            isinstance(e, Received) and e.message == Digest({}) for e in events
+        ),
+        5.0,
+    )
+    alice.stop()
+    bob.stop()
+
+
+def build_book(now: float) -> EvidenceBook:
+    book = EvidenceBook()
+    for host in ("h0", "h1"):
+        book.note_report(TargetReport(host, "i"), now)
+    return book
+
+
+def test_set_is_refreshed_by_number_and_asked_for_when_it_changed():
+    book, hosts = build_book(100.0), ["h0", "h1"]
+    out, incoming = OutgoingSets(book), IncomingSets()
+    state = out.describe(OWN_SET, hosts, 100.5)
+    assert incoming.refresh("p", state, 200.0) is None
+    incoming.store("p", out.build(OWN_SET, hosts, 100.5), 200.0)
+    refreshed = incoming.refresh("p", out.describe(OWN_SET, hosts, 101.5), 201.0)
+    assert {item.host for item in refreshed} == {"h0", "h1"}
+    assert all(item.observed_at == pytest.approx(199.5) for item in refreshed)
+    book.note_failure("h1", Health.REFUSED, 102.0)
+    assert incoming.refresh("p", out.describe(OWN_SET, hosts, 102.0), 202.0) is None
+
+
+def test_expired_evidence_is_not_vouched_for():
+    out = OutgoingSets(build_book(100.0))
+    fresh = out.describe(OWN_SET, ["h0", "h1"], 101.0)
+    stale = out.describe(OWN_SET, ["h0", "h1"], 120.0)
+    assert stale.number == fresh.number + 1
+
+
+def test_delay_in_a_buffer_makes_evidence_older():
+    offsets = ClockOffsets()
+    assert offsets.delay_s("p", 1000, 50.0) == 0.0
+    assert offsets.delay_s("p", 2000, 51.0) == 0.0
+    assert offsets.delay_s("p", 3000, 58.0) == pytest.approx(6.0)
--- a/waxwingpitch/tests/test_process_zones.py
+++ b/waxwingpitch/tests/test_process_zones.py
@@ -108,6 +108,16 @@
     wait_warm(cluster, 8)
 
 
+def test_plain_service_that_the_list_calls_leaving_gets_no_new_work(cluster):
+    host = cluster.services[0].host
+    cluster.wait_usable(1, service="attendance")
+    cluster.hosts.set_state(host, HostState.LEAVING)
+    for entry in cluster.entries:
+        wait_until(lambda: not entry.usable("attendance"), LIMIT_S)
+    cluster.hosts.set_state(host, HostState.LIVE)
+    cluster.wait_usable(1, service="attendance")
+
+
 def test_operators_that_race_lose_no_accepted_change(cluster):
     client = cluster.client
     base = decode_stored(client.get(CONFIGURATION_KEY).value)
