--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,71 @@
+"""Calls to the key-value service for each non-idempotent call.
+
+Command: python -m benchmarks.claims
+"""
+
+from __future__ import annotations
+
+import time
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import gevent  # noqa: E402
+
+from waxwingpitch.tests.cluster import Cluster  # noqa: E402
+
+RATES = (1, 10, 100)
+SECONDS = 8.0
+ENTRIES = 4
+
+
+def measure(cluster: Cluster, rate: int) -> None:
+    """Send calls at a rate and print the store's calls for each."""
+    before, started = dict(cluster.store.calls), time.monotonic()
+    jobs = []
+    count = int(rate * SECONDS)
+    for number in range(count):
+        due_at = started + number / rate
+        gevent.sleep(max(0.0, due_at - time.monotonic()))
+        entry = cluster.entries[number % ENTRIES]
+        jobs.append(gevent.spawn(entry.mark, f"m{rate}-{number}"))
+    gevent.joinall(jobs)
+    gevent.sleep(0.5)
+    took_s = time.monotonic() - started
+    served = sum(job.successful() and job.value.status == 200 for job in jobs)
+    calls = {
+        kind: cluster.store.calls[kind] - before.get(kind, 0)
+        for kind in ("read", "write", "limited")
+    }
+    idle = {
+        "read": cluster.idle["read"] * took_s,
+        "write": cluster.idle["write"] * took_s,
+    }
+    print(
+        f"{rate:7} {served:6}/{count:<6} "
+        f"{(calls['write'] - idle['write']) / count:12.2f} "
+        f"{(calls['read'] - idle['read']) / count:11.2f} "
+        f"{calls['write'] / took_s:9.1f} {calls['limited']:8}"
+    )
+
+
+def main() -> None:
+    """Print a table."""
+    print("python -m benchmarks.claims")
+    print("calls/s served        writes/call  reads/call  writes/s  limited")
+    with Cluster(engines=1, entries=ENTRIES) as cluster:
+        cluster.wait_usable(1, service="attendance")
+        before, started = dict(cluster.store.calls), time.monotonic()
+        gevent.sleep(4.0)
+        took_s = time.monotonic() - started
+        cluster.idle = {
+            kind: (cluster.store.calls[kind] - before.get(kind, 0)) / took_s
+            for kind in ("read", "write")
+        }
+        for rate in RATES:
+            measure(cluster, rate)
+
+
+if __name__ == "__main__":
+    main()
