--- a/waxwingpitch/requests/assembly.py
+++ b/waxwingpitch/requests/assembly.py
@@ -57,6 +57,8 @@
         """Take in a piece and return the tokens that are now in order."""
         if self.finish or not self._is_mine(piece):
             return ()
+        if piece.offset == len(self.tokens) and not self._held and self._end is None:
+            return self._append(piece)
         if len(self._held) < MAX_HELD_PIECES:
             self._held[piece.offset] = piece
         if piece.finish:
@@ -66,6 +68,14 @@
         self._note_finish()
         return tuple(self.tokens[start:])
 
+    def _append(self, piece: Piece) -> tuple[str, ...]:
+        """Take in a piece whose turn it is, which is the ordinary case."""
+        self.tokens.extend(piece.tokens)
+        if piece.finish:
+            self._end = piece
+            self._note_finish()
+        return piece.tokens
+
     def _is_mine(self, piece: Piece) -> bool:
         return piece.request == self.request and piece.attempt == self.attempt
 
