--- a/waxwingpitch/cli/application.py
+++ b/waxwingpitch/cli/application.py
@@ -19,6 +19,7 @@
 from .demo import DemoCommand
 from .dump import DumpCommand
 from .entry import EntryCommand
+from .load import LoadCommand
 from .standins import (
     StandInEngineCommand,
     StandInHostsCommand,
@@ -43,6 +44,7 @@
     ZoneShowCommand,
     DumpCommand,
     CallCommand,
+    LoadCommand,
     DemoCommand,
 )
 
