Answer claims on time while an older write can't end

An abandoned claim may wait 600 s for the service; the writer kept its batch to itself until then, so a later claim in the same document was neither tried nor refused. Seen only when the later call came more than 2 ms after the first was refused. (test_process_calls, service down, hung) Ruled out: the service stand-in, and the caller's connection; the operation sat in the document's queue. Change: each try takes in what is queued behind it, and a claim's caller waits no longer than the claim's deadline, even while a call to the service hangs. The planner's choice among hosts without weights goes to who is up longest. Figures: the test, now with a pause, failed before (60 s without an answer) and passes after, with an answer in under a second.

--- a/waxwingpitch/groups/planner.py
+++ b/waxwingpitch/groups/planner.py
@@ -119,6 +119,11 @@
     return tuple(plan.iter_steps())
 
 
+def _up_since(host: HostView) -> tuple[float, str]:
+    """Rank hosts without weights: who is up longest has loaded most of them."""
+    return host.since, host.host
+
+
 class _Plan:
     """One run of the planner; tracks the spares that earlier steps took."""
 
@@ -252,7 +257,8 @@
         wanted = f"{group.model}@{group.model_version}"
         spares = self._spares_of(self.services[group.service])
         loaded = next((host for host in spares if host.loaded == wanted), None)
-        chosen = loaded or restarted or next(iter(spares), None)
+        options = [*spares, *([restarted] if restarted is not None else [])]
+        chosen = loaded or min(options, key=_up_since, default=None)
         if chosen in self.spares:
             self.spares.remove(chosen)
         return chosen
--- a/waxwingpitch/requests/claim_writer.py
+++ b/waxwingpitch/requests/claim_writer.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import gevent
@@ -75,13 +76,12 @@
         batch = [self.inbox.get(timeout=IDLE_S)]
         self._writing = True
         gevent.sleep(BATCH_WAIT_S)
-        while not self.inbox.empty():
-            batch.append(self.inbox.get())
         return batch
 
     def _write_batch(self, batch: list[_Pending]) -> None:
+        """Write a batch, with whatever is queued behind it at each try."""
         pause_s = RETRY_PAUSE_S
-        while batch := self._fail_expired(batch):
+        while batch := self._fail_expired([*batch, *self._drain_inbox()]):
             try:
                 self._write_once([item.operation for item in batch])
             except StoreConflictError:
@@ -95,10 +95,14 @@
             self._resolve(batch)
             return
 
+    def _drain_inbox(self) -> Iterator[_Pending]:
+        while not self.inbox.empty():
+            yield self.inbox.get()
+
     def _fail_expired(self, batch: list[_Pending]) -> list[_Pending]:
         now = time.monotonic()
         for item in batch:
-            if item.deadline <= now:
+            if item.deadline <= now and not item.fut.ready():
                 item.fut.set_exception(StoreUnavailableError("claim deadline passed"))
         return [item for item in batch if item.deadline > now]
 
@@ -153,7 +157,11 @@
             The service did not answer before the deadline; the operation may
             have taken effect, and may still.
         """
-        claim = self.enqueue(document, operation, deadline).get()
+        fut = self.enqueue(document, operation, deadline)
+        try:
+            claim = fut.get(timeout=max(0.0, deadline - time.monotonic()))
+        except gevent.Timeout as exc:
+            raise StoreUnavailableError("claim deadline passed") from exc
         if claim is None:
             raise StoreError(f"{document}: the claim is gone")
         return claim
--- a/waxwingpitch/tests/cluster.py
+++ b/waxwingpitch/tests/cluster.py
@@ -36,6 +36,7 @@
 MESH_KEY = "test-mesh-key-0123456789"
 READY_S = 30.0
 POLL_S = 0.05
+CALL_TIMEOUT_S = 60.0
 
 
 def wait_until(check: Callable[[], object], timeout_s: float = READY_S):
@@ -126,6 +127,7 @@
     def request(self, method: str, path: str, *, token: str = TOKEN, **kwargs):
         """Send an HTTP request without retries."""
         headers = {"Authorization": f"Bearer {token}", **kwargs.pop("headers", {})}
+        kwargs.setdefault("timeout", CALL_TIMEOUT_S)
         return self._http.request(
             method, self.url + path, headers=headers, retries=False, **kwargs
         )
--- a/waxwingpitch/tests/test_process_calls.py
+++ b/waxwingpitch/tests/test_process_calls.py
@@ -130,7 +130,8 @@
         assert resp.status == 503
         assert error_of(resp)["ran"] == "unknown"
         assert error_of(resp)["attempt_ran"] == "no"
-        assert took_s < 2.0
+        assert took_s < 1.0
+        gevent.sleep(0.1)
         declared = entry.mark("down", key, headers={"Idempotency-Attempt": "1"})
         assert error_of(declared)["ran"] == "no"
         before = cluster.effects["bound"]
