Split the engine stand-in and the coordination task

Change: stream, model and fleet of the stand-in, and events and decoded documents of the coordination task, in modules of their own; the key prefix of member lists stands once.

--- a/benchmarks/control_slopes.py
+++ b/benchmarks/control_slopes.py
@@ -20,13 +20,8 @@
 
 import gevent  # noqa: E402
 
-from waxwingpitch.entry.coordination import (  # noqa: E402
-    HEARTBEAT_S,
-    Coordination,
-    DocumentsSeen,
-    HostsSeen,
-    Observed,
-)
+from waxwingpitch.entry.coordination import HEARTBEAT_S, Coordination  # noqa: E402
+from waxwingpitch.entry.events import DocumentsSeen, HostsSeen, Observed  # noqa: E402
 from waxwingpitch.entry.evidence_sets import OWN_SET  # noqa: E402
 from waxwingpitch.entry.observer import (  # noqa: E402
     OBSERVERS_PER_HOST,
--- a/waxwingpitch/configuration/confirmation.py
+++ b/waxwingpitch/configuration/confirmation.py
@@ -9,12 +9,12 @@
 import msgspec
 
 from ..membership import Member, decode_members
+from ..membership.members import MEMBERS_PREFIX
 from ..ports import KeyValueStore
 from ..ports.http import BrokenError, HttpClient, NotSentError, SilentError
 
 CALL_TIMEOUT_S = 1.0
 POLL_S = 0.1
-MEMBERS_PREFIX = "agreed/members/"
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/entry/controller.py
+++ b/waxwingpitch/entry/controller.py
@@ -37,7 +37,8 @@
 from ..targets import Health
 from ..task import PeriodicTask
 from .clients import TargetClients
-from .coordination import Coordination, DocumentsSeen, Observed
+from .coordination import Coordination
+from .events import DocumentsSeen, Observed
 from .registrar import Registrar
 from .view import EntryView
 
--- a/waxwingpitch/entry/coordination.py
+++ b/waxwingpitch/entry/coordination.py
@@ -5,17 +5,12 @@
 import logging
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
 
 import xxhash
 
 from ..agreed import Document
-from ..configuration.document import decode_stored
-from ..configuration.submission import CONFIGURATION_KEY
 from ..errors import WaxwingpitchError
-from ..groups import decode_table
-from ..groups.table import TABLE_PREFIX
-from ..membership import MemberList, decode_members, select_neighbours
+from ..membership import MemberList, select_neighbours
 from ..mesh import (
     Digest,
     DocumentItem,
@@ -31,70 +26,29 @@
     SetRequest,
     Suspects,
 )
-from ..ports import HostSnapshot, TargetReport
+from ..ports import HostSnapshot
 from ..requests.suspects import SuspectRecord
-from ..targets import Health, HostEvidence
+from ..targets import HostEvidence
 from ..task import Task
+from .agreed_view import apply_document
+from .events import (
+    CrashSeen,
+    DocumentsSeen,
+    Event,
+    HostsSeen,
+    Observed,
+    StoppingStarted,
+)
 from .evidence_sets import OWN_SET, IncomingSets, OutgoingSets
 from .evidence_wire import ClockOffsets, decode_evidence, encode_evidence
 from .suspect_wire import decode_suspects, encode_suspects
 from .view import EntryView
 
 HEARTBEAT_S = 1.0
-MEMBERS_PREFIX = "agreed/members/"
 
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentsSeen:
-    """Documents read from the key-value service."""
-
-    docs: tuple[Document, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class HostsSeen:
-    """A newer list of hosts."""
-
-    snapshot: HostSnapshot
-
-
-@dataclass(frozen=True, slots=True)
-class Observed:
-    """An observation of this process's own; ``report`` is None on failure."""
-
-    host: str
-    health: Health
-    at: float
-    report: TargetReport | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class CrashSeen:
-    """A request was in flight when a target crashed."""
-
-    fingerprint: str
-    incarnation: str
-
-
-@dataclass(frozen=True, slots=True)
-class StoppingStarted:
-    """This process takes no new work any more."""
-
-
-Event = (
-    DocumentsSeen
-    | HostsSeen
-    | Observed
-    | CrashSeen
-    | StoppingStarted
-    | Received
-    | LinkUp
-    | LinkDown
-)
-
-
 class Coordination(Task[Event]):
     """Owns the view of one process.
 
@@ -270,29 +224,10 @@
 
     def _apply(self, doc: Document) -> None:
         try:
-            self._decode(doc)
+            self.view.agreed = apply_document(self.view.agreed, doc)
         except WaxwingpitchError as exc:
             logger.error("document refused", extra={"key": doc.key, "why": exc.message})
 
-    def _decode(self, doc: Document) -> None:
-        agreed = self.view.agreed
-        if doc.key == CONFIGURATION_KEY:
-            cfg = decode_stored(doc.value)
-            if cfg.revision <= agreed.cfg.revision:
-                raise WaxwingpitchError(
-                    f"revision {cfg.revision} is not above {agreed.cfg.revision}"
-                )
-            self.view.agreed = replace(agreed, cfg=cfg)
-            logger.info("configuration in force", extra={"revision": cfg.revision})
-        elif doc.key.startswith(MEMBERS_PREFIX):
-            members = decode_members(doc.value)
-            lists = {**agreed.lists, members.zone: members}
-            self.view.agreed = replace(agreed, lists=lists)
-        elif doc.key.startswith(TABLE_PREFIX):
-            table = decode_table(doc.value)
-            tables = {**agreed.tables, table.domain: table}
-            self.view.agreed = replace(agreed, tables=tables)
-
     def _take_hosts(self, snapshot: HostSnapshot) -> None:
         self.view.hosts = snapshot.hosts
         self.view.hosts_version = snapshot.version
--- a/waxwingpitch/entry/daemon.py
+++ b/waxwingpitch/entry/daemon.py
@@ -24,9 +24,10 @@
 from .bound_runs import BoundRuns
 from .clients import TargetClients
 from .controller import Controller
-from .coordination import Coordination, Observed, StoppingStarted
+from .coordination import Coordination
 from .dispatch import Dispatcher, Wake
 from .dump import render_state
+from .events import Observed, StoppingStarted
 from .model_path import ModelPath
 from .observer import Observer
 from .plain_path import PlainPath
--- a/waxwingpitch/entry/model_path.py
+++ b/waxwingpitch/entry/model_path.py
@@ -25,8 +25,9 @@
 from ..routing import PrefixIndex, RoutingRequest, iter_prefix_blocks
 from ..telemetry import EntryMetrics
 from .clients import TargetClients
-from .coordination import Coordination, CrashSeen
+from .coordination import Coordination
 from .dispatch import Assignment, Dispatcher, Release, Wanted
+from .events import CrashSeen
 from .view import EntryView
 
 PROGRESS_TIMEOUT_S = 2.0
--- a/waxwingpitch/entry/observer.py
+++ b/waxwingpitch/entry/observer.py
@@ -15,7 +15,8 @@
 from ..targets import Health
 from ..task import PeriodicTask
 from .clients import TargetClients
-from .coordination import Coordination, Observed
+from .coordination import Coordination
+from .events import Observed
 from .view import EntryView
 
 OBSERVERS_PER_HOST = 2
--- a/waxwingpitch/entry/platform_tasks.py
+++ b/waxwingpitch/entry/platform_tasks.py
@@ -13,7 +13,8 @@
 from ..membership import rank_by_rendezvous
 from ..ports import HostList, KeyValueStore, StoredChange
 from ..task import PeriodicTask
-from .coordination import Coordination, DocumentsSeen, HostsSeen
+from .coordination import Coordination
+from .events import DocumentsSeen, HostsSeen
 from .view import EntryView
 
 WATCHERS_PER_ZONE = 3
--- a/waxwingpitch/entry/view.py
+++ b/waxwingpitch/entry/view.py
@@ -2,24 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from ..agreed import AgreedDocuments
 from ..configuration import Configuration
-from ..groups import GroupTable
 from ..membership import Member, MemberList
 from ..ports import Host
 from ..requests import SuspectBook
 from ..targets import EvidenceBook, TargetDirectory
-
-
-@dataclass(frozen=True, slots=True)
-class Agreed:
-    """Decoded agreed documents, replaced as a whole at each change."""
-
-    cfg: Configuration
-    lists: dict[str, MemberList]
-    tables: dict[str, GroupTable]
+from .agreed_view import Agreed
 
 
 class EntryView:
--- a/waxwingpitch/membership/members.py
+++ b/waxwingpitch/membership/members.py
@@ -14,6 +14,8 @@
 
 from ..errors import PeerError, ResultCode
 
+MEMBERS_PREFIX = "agreed/members/"
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
@@ -139,7 +141,7 @@
 
 def members_key(zone: str) -> str:
     """Return the key of a zone's list in the key-value service."""
-    return f"agreed/members/{zone}"
+    return MEMBERS_PREFIX + zone
 
 
 def encode_members(members: MemberList) -> bytes:
--- a/waxwingpitch/standins/__init__.py
+++ b/waxwingpitch/standins/__init__.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from .engine import EngineFleet, EngineModel
+from .engine_model import EngineModel
+from .fleet import EngineFleet
 from .hosts import HostListStandIn
 from .plain import PlainStandIn
 from .server import StandInServer
--- a/waxwingpitch/standins/engine.py
+++ b/waxwingpitch/standins/engine.py
@@ -1,8 +1,7 @@
-"""Stand-in of model engines whose replicas span several hosts.
+"""Stand-in of a model engine on one host of a replica group.
 
-One process holds a fleet of hosts, each on a port of its own. The leader of a
-group generates only while every member is up and holds the same group and
-epoch, as collective operations require.
+The leader of a group generates only while every member is up and holds the same
+group and epoch, as collective operations require.
 """
 
 from __future__ import annotations
@@ -10,7 +9,7 @@
 import time
 import uuid
 from collections.abc import Iterator
-from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import bottle
 import gevent
@@ -30,83 +29,15 @@
 from .answers import answer_token, count_tokens, natural_length
 from .prefix_cache import PrefixCache
 from .server import answer_json
-from .weights import WeightStoreStandIn
+from .stream import Stream
+
+if TYPE_CHECKING:
+    from .fleet import EngineFleet
 
 MAX_CONNECTIONS = 4096
 POISON = "CRASH-ENGINE"
 
 
-@dataclass(frozen=True, slots=True)
-class EngineModel:
-    """Speeds and limits of the engines of a fleet.
-
-    Attributes
-    ----------
-    step_s
-        Time of one decoding step of a batch, in seconds.
-    prefill_tokens
-        Prompt tokens that one step takes in.
-    batch
-        Requests in a batch.
-    cold_cap
-        Most requests at once that a cold engine bears before it falls over.
-    cold_s
-        Time from the end of loading until the engine is warm, in seconds.
-    restart_s
-        Time from a crash until the engine is up again, in seconds.
-    retain_s
-        Time for which a stream without reader goes on, in seconds.
-    report_lag_s
-        Age of the reported load, in seconds.
-    checks_fencing
-        Whether orders with an old epoch are refused.
-    cache_blocks
-        Prompt blocks that fit in the prefix cache.
-    """
-
-    step_s: float = 0.01
-    prefill_tokens: int = 512
-    batch: int = 32
-    cold_cap: int = 2
-    cold_s: float = 0.5
-    restart_s: float = 0.5
-    retain_s: float = 5.0
-    report_lag_s: float = 0.2
-    checks_fencing: bool = True
-    cache_blocks: int = 512
-
-
-class _Stream:
-    """One generation in progress."""
-
-    def __init__(self, req: GenerateRequest, length: int, prefill_steps: int):
-        self.req = req
-        self.length = length
-        self.prefill_steps = prefill_steps
-        self.cached_tokens = 0
-        self.produced = req.offset
-        self.grown = Event()
-        self.failed = False
-        self.cancelled = False
-        self.readers = 0
-        self.orphaned_at = time.monotonic()
-
-    @property
-    def done(self) -> bool:
-        return self.produced >= self.length
-
-    def advance(self) -> None:
-        if self.prefill_steps > 0:
-            self.prefill_steps -= 1
-            return
-        self.produced += 1
-        self.notify()
-
-    def notify(self) -> None:
-        self.grown.set()
-        self.grown = Event()
-
-
 class EngineHost:
     """One host of a fleet.
 
@@ -131,7 +62,7 @@
         self.ready = False
         self.crashes = 0
         self.peak_running = 0
-        self.streams: dict[str, _Stream] = {}
+        self.streams: dict[str, Stream] = {}
         self._fleet = fleet
         self._model = fleet.model
         self._loaded = ""
@@ -172,7 +103,7 @@
     def stop(self) -> None:
         """End the process; all connections break."""
         self.alive = False
-        self._fail_streams()
+        self.fail_streams()
         gevent.killall(self._greenlets, block=False)
         if self._server is not None:
             self._server.stop(timeout=0)
@@ -225,7 +156,8 @@
         gevent.sleep(self._model.restart_s)
         self.start()
 
-    def _fail_streams(self) -> None:
+    def fail_streams(self) -> None:
+        """Break all generations in progress."""
         for stream in list(self.streams.values()):
             stream.failed = True
             stream.notify()
@@ -298,12 +230,12 @@
         stream = self._admit(req)
         return self._answer(stream, req.attempt, req.offset)
 
-    def _admit(self, req: GenerateRequest) -> _Stream:
+    def _admit(self, req: GenerateRequest) -> Stream:
         prompt_tokens = count_tokens(req.prompt)
         cached = self._cache.lookup(req.prompt)
         fresh = int(prompt_tokens * (1 - cached)) + len(req.delivered)
         length = req.max_tokens or natural_length(req.prompt)
-        stream = _Stream(req, length, fresh // self._model.prefill_tokens)
+        stream = Stream(req, length, fresh // self._model.prefill_tokens)
         stream.cached_tokens = int(prompt_tokens * cached)
         self.streams[req.request] = stream
         self.peak_running = max(self.peak_running, self.running)
@@ -322,7 +254,7 @@
         query = bottle.request.query
         return self._answer(stream, int(query.attempt), int(query.offset))
 
-    def _answer(self, stream: _Stream, attempt: int, offset: int):
+    def _answer(self, stream: Stream, attempt: int, offset: int):
         return bottle.HTTPResponse(
             self._iter_pieces(stream, attempt, offset),
             headers={
@@ -331,7 +263,7 @@
             },
         )
 
-    def _iter_pieces(self, stream: _Stream, attempt: int, at: int) -> Iterator[bytes]:
+    def _iter_pieces(self, stream: Stream, attempt: int, at: int) -> Iterator[bytes]:
         stream.readers += 1
         try:
             while True:
@@ -354,7 +286,7 @@
             stream.readers -= 1
             stream.orphaned_at = time.monotonic()
 
-    def _build_piece(self, stream: _Stream, attempt: int, at: int) -> Piece:
+    def _build_piece(self, stream: Stream, attempt: int, at: int) -> Piece:
         req = stream.req
         tokens = [answer_token(req.prompt, i) for i in range(at, stream.produced)]
         return Piece(
@@ -386,14 +318,14 @@
             case OrderKind.LOAD if not self.group:
                 self._start_loading(order)
             case OrderKind.RELEASE if order.group == self.group:
-                self._fail_streams()
+                self.fail_streams()
                 self.group, self.epoch, self.members = "", 0, ()
         return answer_json(self.report())
 
     def _join(self, order: EngineOrder) -> None:
         if (order.group, order.epoch) == (self.group, self.epoch):
             return
-        self._fail_streams()
+        self.fail_streams()
         self.group, self.epoch = order.group, order.epoch
         self.members = order.members
         self._warm_at = time.monotonic() + self._model.cold_s
@@ -432,53 +364,3 @@
         for request, stream in list(self.streams.items()):
             if stream.readers == 0 and stream.orphaned_at < oldest:
                 del self.streams[request]
-
-
-class EngineFleet:
-    """Hosts that can form groups with each other.
-
-    Parameters
-    ----------
-    model
-        Speeds and limits of the engines.
-    weights
-        Weight store that the hosts load from.
-    """
-
-    def __init__(self, model: EngineModel, weights: WeightStoreStandIn | None = None):
-        self.model = model
-        self.weights = weights or WeightStoreStandIn()
-        self.hosts: dict[str, EngineHost] = {}
-
-    def add_host(self, host: str, port: int = 0) -> EngineHost:
-        """Start one more host."""
-        engine = EngineHost(host, self, port)
-        engine.start()
-        self.hosts[engine.address] = engine
-        return engine
-
-    def stop(self) -> None:
-        """Stop all hosts."""
-        for engine in self.hosts.values():
-            engine.stop()
-
-    def is_complete(self, leader: EngineHost) -> bool:
-        """Return whether all members of a leader's group can work together."""
-        if not leader.members or leader.members[0] != leader.address:
-            return False
-        return all(self._holds(address, leader) for address in leader.members)
-
-    def fail_groups_of(self, lost: EngineHost) -> None:
-        """Break the streams of every group that had a member at a lost host."""
-        for engine in self.hosts.values():
-            if lost.address in engine.members:
-                engine._fail_streams()
-
-    def _holds(self, address: str, leader: EngineHost) -> bool:
-        member = self.hosts.get(address)
-        return (
-            member is not None
-            and member.alive
-            and member.ready
-            and (member.group, member.epoch) == (leader.group, leader.epoch)
-        )
--- /dev/null
+++ b/waxwingpitch/standins/fleet.py
@@ -0,0 +1,57 @@
+"""Fleet of engine stand-ins that can form groups with each other."""
+
+from __future__ import annotations
+
+from .engine import EngineHost
+from .engine_model import EngineModel
+from .weights import WeightStoreStandIn
+
+
+class EngineFleet:
+    """Hosts that can form groups with each other.
+
+    Parameters
+    ----------
+    model
+        Speeds and limits of the engines.
+    weights
+        Weight store that the hosts load from.
+    """
+
+    def __init__(self, model: EngineModel, weights: WeightStoreStandIn | None = None):
+        self.model = model
+        self.weights = weights or WeightStoreStandIn()
+        self.hosts: dict[str, EngineHost] = {}
+
+    def add_host(self, host: str, port: int = 0) -> EngineHost:
+        """Start one more host."""
+        engine = EngineHost(host, self, port)
+        engine.start()
+        self.hosts[engine.address] = engine
+        return engine
+
+    def stop(self) -> None:
+        """Stop all hosts."""
+        for engine in self.hosts.values():
+            engine.stop()
+
+    def is_complete(self, leader: EngineHost) -> bool:
+        """Return whether all members of a leader's group can work together."""
+        if not leader.members or leader.members[0] != leader.address:
+            return False
+        return all(self._holds(address, leader) for address in leader.members)
+
+    def fail_groups_of(self, lost: EngineHost) -> None:
+        """Break the streams of every group that had a member at a lost host."""
+        for engine in self.hosts.values():
+            if lost.address in engine.members:
+                engine.fail_streams()
+
+    def _holds(self, address: str, leader: EngineHost) -> bool:
+        member = self.hosts.get(address)
+        return (
+            member is not None
+            and member.alive
+            and member.ready
+            and (member.group, member.epoch) == (leader.group, leader.epoch)
+        )
