Try suspects one at a time at a target, over all entry hosts

Cause: a domain that went dark made all its requests suspects. They shared the one queue, so that others waited behind them and they were refused after 5 s; two entry hosts tried suspects at one target, so that a bystander was blocked; and each retry that met another dark target spent the retry budget. Ruled out: the budget's size alone (12 requests needed more than 20 retries). Change: suspects wait in a queue of their own until their deadline; the right to a trial is a leased key in the service, and belongs to one entry host while that is down; a target that takes no connection is avoided before the next probe. Stop with 200 streams open: none cut.

--- a/waxwingpitch/entry/daemon.py
+++ b/waxwingpitch/entry/daemon.py
@@ -33,6 +33,7 @@
 from .plain_path import PlainPath
 from .platform_tasks import DocumentWatcher, HostFollower
 from .registrar import Registrar
+from .trials import Trials
 from .view import EntryView
 from .web import EntryWeb
 
@@ -122,6 +123,7 @@
             self.budget,
             self.metrics,
             self.find_dispatcher,
+            Trials(view, self.store),
         )
         self.plain_path = PlainPath(
             view,
--- a/waxwingpitch/entry/dispatch.py
+++ b/waxwingpitch/entry/dispatch.py
@@ -110,6 +110,7 @@
     def __init__(self, service: str, view: EntryView, router: Router):
         super().__init__()
         self.queue = FairQueue()
+        self.suspect_queue = FairQueue()
         self.outstanding: Counter[str] = Counter()
         self._service = service
         self._view = view
@@ -157,8 +158,12 @@
         if fut.successful():
             self.post(Release(fut.value, completed=False))
 
+    @property
+    def _waiting(self) -> int:
+        return len(self.queue) + len(self.suspect_queue)
+
     def idle_s(self) -> float | None:
-        return IDLE_S if len(self.queue) else None
+        return IDLE_S if self._waiting else None
 
     def on_idle(self) -> None:
         self._dispatch()
@@ -171,9 +176,10 @@
                 self._release(message)
             case Withdraw(request=request):
                 self.queue.drop(request)
+                self.suspect_queue.drop(request)
             case Wake():
                 pass
-        if len(self.queue):
+        if self._waiting:
             self._dispatch()
 
     def _enqueue(self, ticket: Ticket, fut: AsyncResult) -> None:
@@ -181,6 +187,9 @@
         if service is None:
             fut.set_exception(_refuse(ResultCode.UNKNOWN_SERVICE, self._service))
             return
+        if ticket.payload.wanted.suspect:
+            self._enqueue_suspect(ticket, fut)
+            return
         wait_s = self._estimate_wait_s(service, ticket)
         left_s = ticket.deadline - time.monotonic()
         if wait_s > min(service.max_wait_s, left_s):
@@ -194,6 +203,17 @@
                 _refuse(ResultCode.QUEUE_FULL, text, retry_after_s=max(1.0, wait_s))
             )
 
+    def _enqueue_suspect(self, ticket: Ticket, fut: AsyncResult) -> None:
+        """Queue a suspect apart, so that nobody waits behind its trial."""
+        if not self.suspect_queue.push(ticket):
+            fut.set_exception(
+                _refuse(
+                    ResultCode.QUEUE_FULL,
+                    "too many requests wait for a trial",
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            )
+
     def _estimate_wait_s(self, service: Service, ticket: Ticket) -> float:
         ahead = self.queue.count_ahead(ticket.priority)
         if not ahead:
@@ -223,12 +243,18 @@
 
     def _dispatch(self) -> None:
         now = time.monotonic()
-        self._refuse_expired(now)
         service = self._find_service()
-        while (ticket := self.queue.peek()) is not None:
+        self._refuse_expired(service, now)
+        for queue in (self.suspect_queue, self.queue):
+            self._dispatch_queue(queue, service, now)
+
+    def _dispatch_queue(
+        self, queue: FairQueue, service: Service | None, now: float
+    ) -> None:
+        while (ticket := queue.peek()) is not None:
             payload: _Payload = ticket.payload
             if service is None:
-                self.queue.pop()
+                queue.pop()
                 payload.fut.set_exception(
                     _refuse(ResultCode.UNKNOWN_SERVICE, self._service)
                 )
@@ -236,17 +262,22 @@
             candidate = self._choose(service, payload.wanted)
             if candidate is None:
                 return
-            self.queue.pop()
+            queue.pop()
             payload.fut.set(self._assign(ticket, candidate.target, now))
 
-    def _refuse_expired(self, now: float) -> None:
-        service = self._find_service()
+    def _refuse_expired(self, service: Service | None, now: float) -> None:
+        """Refuse what waited too long; a suspect may wait until its deadline."""
         max_wait_s = service.max_wait_s if service is not None else 0.0
         usable = service is not None and any(True for _ in self._find_usable(service))
         limit_s = max_wait_s if usable else min(NO_TARGET_WAIT_S, max_wait_s)
         code = ResultCode.DEADLINE_UNREACHABLE if usable else ResultCode.NO_TARGET
-        for ticket in self.queue.drop_waiting(now, now - limit_s, _arrival):
-            text = f"no target had room after {limit_s:.1f} s"
+        expired = [
+            *self.queue.drop_waiting(now, now - limit_s, _arrival),
+            *self.suspect_queue.drop_waiting(now, 0.0, _arrival),
+        ]
+        for ticket in expired:
+            waited_s = now - _arrival(ticket)
+            text = f"no target had room after {waited_s:.1f} s"
             ticket.payload.fut.set_exception(
                 _refuse(code, text, retry_after_s=RETRY_AFTER_S)
             )
--- a/waxwingpitch/entry/model_path.py
+++ b/waxwingpitch/entry/model_path.py
@@ -23,15 +23,18 @@
 from ..requests import AnswerAssembly, Verdict, fingerprint_request
 from ..requests.retry import AttemptState, Elsewhere, GiveUp, Resume, decide
 from ..routing import PrefixIndex, RoutingRequest, iter_prefix_blocks
+from ..targets import Health
 from ..telemetry import EntryMetrics
 from .clients import TargetClients
 from .coordination import Coordination
 from .dispatch import Assignment, Dispatcher, Release, Wanted
-from .events import CrashSeen
+from .events import CrashSeen, Observed
+from .trials import Trial, Trials
 from .view import EntryView
 
 PROGRESS_TIMEOUT_S = 2.0
 DEFAULT_COST_TOKENS = 64
+TRIAL_PAUSE_S = 0.1
 
 logger = logging.getLogger(__name__)
 
@@ -72,7 +75,9 @@
         budget: RetryBudget,
         metrics: EntryMetrics,
         find_dispatcher: Callable[[str], Dispatcher],
+        trials: Trials,
     ):
+        self._trials = trials
         self._view = view
         self._clients = clients
         self._coordination = coordination
@@ -114,12 +119,40 @@
         self.resumes = 0
         self.lost = False
         self.maybe_ran = False
+        self.awaits_trial = False
         self.blocks = tuple(iter_prefix_blocks(call.prompt))
 
     def iter_tokens(self) -> Iterator[tuple[str, ...]]:
         while not self.assembly.finish:
+            self._check_retry()
             assignment = self._acquire()
-            yield from self._use(assignment)
+            if not assignment.suspect:
+                yield from self._use(assignment)
+                continue
+            trial = self._begin_trial(assignment)
+            if trial is not None:
+                try:
+                    yield from self._use(assignment)
+                finally:
+                    gevent.spawn(self.path._trials.end, trial)
+
+    def _begin_trial(self, assignment: Assignment) -> Trial | None:
+        """Begin a trial, or give the target back if another one is under way."""
+        trial = self.path._trials.begin(assignment.target, self.call.request)
+        if trial is None:
+            dispatcher = self.path._find_dispatcher(self.call.service.name)
+            dispatcher.post(Release(assignment, completed=False))
+            self._check_deadline()
+            self.awaits_trial = True
+            gevent.sleep(TRIAL_PAUSE_S)
+        return trial
+
+    def _check_retry(self) -> None:
+        """Count a retry against the budget, but not the wait for a trial."""
+        if self.awaits_trial or not self.assembly.attempt:
+            return
+        if not self.path._budget.spend():
+            raise self._fail(ResultCode.RETRY_BUDGET_EXHAUSTED, "too many retries")
 
     def _acquire(self) -> Assignment:
         path, call = self.path, self.call
@@ -128,8 +161,6 @@
             raise self._fail(
                 ResultCode.SUSPECT_BLOCKED, "like requests crashed targets"
             )
-        if self.assembly.attempt and not path._budget.spend():
-            raise self._fail(ResultCode.RETRY_BUDGET_EXHAUSTED, "too many retries")
         dispatcher = path._find_dispatcher(call.service.name)
         ticket = Ticket(
             request=call.request,
@@ -151,7 +182,7 @@
             raise self._fail(exc.code, exc.message, exc.retry_after_s) from exc
 
     def _use(self, assignment: Assignment) -> Iterator[tuple[str, ...]]:
-        self.resumes, self.lost = 0, False
+        self.resumes, self.lost, self.awaits_trial = 0, False, False
         self.assembly.start_attempt()
         if self.assembly.attempt > 1:
             self.path._metrics.retries.add(1, {"service": self.call.service.name})
@@ -179,6 +210,7 @@
                 self.lost = self.lost or isinstance(exc, TargetLostError)
                 refused = isinstance(exc, TargetRefusedError)
                 self.maybe_ran = self.maybe_ran or not refused
+                exc_incarnation = exc.incarnation
                 decision = decide(exc, self._state(assignment))
                 self._log_failure(assignment, exc, decision)
             match decision:
@@ -186,6 +218,8 @@
                     self.resumes += 1
                     resume = True
                 case Elsewhere(suspect=suspect):
+                    if refused and not exc_incarnation:
+                        self._note_unreachable(assignment)
                     if suspect:
                         self._note_crash(assignment)
                     self.avoid |= {assignment.target.id}
@@ -255,6 +289,12 @@
         ran = Ran.UNKNOWN if self.maybe_ran else None
         return RequestError(code, text, ran=ran, retry_after_s=retry_after_s)
 
+    def _note_unreachable(self, assignment: Assignment) -> None:
+        """Let others avoid a target that takes no connections, before a probe."""
+        leader = assignment.target.hosts[0]
+        event = Observed(leader, Health.REFUSED, time.monotonic())
+        self.path._coordination.post(event)
+
     def _note_crash(self, assignment: Assignment) -> None:
         event = CrashSeen(self.call.fingerprint, assignment.target.incarnation)
         self.path._view.suspects.note_crash(
--- a/waxwingpitch/tests/test_process_streams.py
+++ b/waxwingpitch/tests/test_process_streams.py
@@ -17,6 +17,7 @@
 
 STEP_S = 0.02
 TOKENS = 60
+STREAMS = 200
 
 
 def read_stream(resp) -> tuple[str, bool, dict | None]:
@@ -123,14 +124,14 @@
 
 def test_stop_cuts_off_no_stream():
     model = EngineModel(step_s=0.03, cold_s=0.1, batch=64)
-    with Cluster(engines=4, entries=2, model=model) as cluster:
+    with Cluster(engines=4, entries=2, model=model, warm_cap=128) as cluster:
         cluster.wait_usable(4)
         wait_until(
             lambda: not any(t["cold"] for e in cluster.entries for t in e.usable())
         )
         entry = cluster.entries[0]
-        jobs = [gevent.spawn(stream, entry, f"kuzima {i}", 80) for i in range(100)]
-        wait_until(lambda: entry.dump()["in_progress"] >= 100)
+        jobs = [gevent.spawn(stream, entry, f"kuzima {i}", 80) for i in range(STREAMS)]
+        wait_until(lambda: entry.dump()["in_progress"] >= STREAMS)
         entry.send_signal(signal.SIGTERM)
         wait_until(lambda: entry.find_log("stopping"))
         gevent.sleep(0.1)
--- a/waxwingpitch/tests/test_process_zones.py
+++ b/waxwingpitch/tests/test_process_zones.py
@@ -118,6 +118,21 @@
     cluster.wait_usable(1, service="attendance")
 
 
+def test_dark_domain_is_survived_and_made_whole_again(cluster):
+    jobs = start_streams(cluster, 24, 80)
+    engines = cluster.engines("dar-a")
+    wait_until(lambda: sum(len(engine.streams) for engine in engines) >= 6, 3.0)
+    for engine in engines:
+        engine.crash()
+    others = [
+        gevent.spawn(stream, cluster.entries[1], f"wengine {i}", 20) for i in range(6)
+    ]
+    gevent.joinall(others, raise_error=True)
+    assert all(job.value[1] for job in others)
+    assert_whole(jobs, 80)
+    wait_warm(cluster, 8)
+
+
 def test_operators_that_race_lose_no_accepted_change(cluster):
     client = cluster.client
     base = decode_stored(client.get(CONFIGURATION_KEY).value)
