--- a/waxwingpitch/cli/application.py
+++ b/waxwingpitch/cli/application.py
@@ -25,6 +25,7 @@
     StandInHostsCommand,
     StandInServiceCommand,
     StandInStoreCommand,
+    StandInWeightsCommand,
 )
 from .zones import ZoneInCommand, ZoneOutCommand, ZoneShowCommand
 
@@ -34,6 +35,7 @@
     StandInEngineCommand,
     StandInServiceCommand,
     StandInHostsCommand,
+    StandInWeightsCommand,
     ConfigPrintCommand,
     ConfigCheckCommand,
     ConfigSubmitCommand,
--- a/waxwingpitch/cli/standins.py
+++ b/waxwingpitch/cli/standins.py
@@ -5,7 +5,7 @@
 import msgspec
 from cleo.helpers import option
 
-from ..ports import Host
+from ..ports import Host, HttpWeightStore, WeightStore
 from ..standins import (
     EngineFleet,
     EngineModel,
@@ -89,6 +89,7 @@
         ),
         option("restart", None, "Seconds to restart.", flag=False, default=0.5),
         option("load", None, "Seconds to load weights.", flag=False, default=0.2),
+        option("weights", None, "Base URL of a weight store.", flag=False),
         option("no-fencing", None, "Ignore fencing numbers.", flag=True),
     ]
 
@@ -101,7 +102,7 @@
             restart_s=float(self.option("restart")),
             checks_fencing=not self.option("no-fencing"),
         )
-        fleet = EngineFleet(model, WeightStoreStandIn(float(self.option("load"))))
+        fleet = EngineFleet(model, self._open_weights())
         domain = self.option("domain")
         for number in range(int(self.option("hosts"))):
             engine = fleet.add_host(f"{domain}-{number}")
@@ -116,6 +117,35 @@
         wait_for_stop(fleet.stop)
         return ExitCode.OK
 
+    def _open_weights(self) -> WeightStore:
+        if self.option("weights"):
+            return HttpWeightStore(self.option("weights"))
+        return WeightStoreStandIn(float(self.option("load")))
+
+
+class StandInWeightsCommand(BaseCommand):
+    """Runs the stand-in of the weight store."""
+
+    name = "standin weights"
+    description = "Run the stand-in of the rate-limited weight store."
+    help = "Example: <info>waxwingpitch standin weights --port 8403 --load 2</info>"
+    options = [
+        PORT_OPTION,
+        option("load", None, "Seconds of one load.", flag=False, default=0.2),
+        option("loads", None, "Loads at once.", flag=False, default=4),
+    ]
+
+    def run_command(self) -> ExitCode:
+        weights = WeightStoreStandIn(
+            float(self.option("load")),
+            int(self.option("loads")),
+            int(self.option("port")),
+        )
+        weights.start()
+        print(f"URL: {weights.server.url}", flush=True)
+        wait_for_stop(weights.stop)
+        return ExitCode.OK
+
 
 class StandInServiceCommand(BaseCommand):
     """Runs a plain service stand-in."""
--- a/waxwingpitch/entry/model_path.py
+++ b/waxwingpitch/entry/model_path.py
@@ -21,7 +21,14 @@
 )
 from ..ports import GenerateRequest, HttpModelTarget, Piece
 from ..requests import AnswerAssembly, Verdict, fingerprint_request
-from ..requests.retry import AttemptState, Elsewhere, GiveUp, Resume, decide
+from ..requests.retry import (
+    AttemptState,
+    Decision,
+    Elsewhere,
+    GiveUp,
+    Resume,
+    decide,
+)
 from ..routing import PrefixIndex, RoutingRequest, iter_prefix_blocks
 from ..targets import Health
 from ..telemetry import EntryMetrics
@@ -183,7 +190,7 @@
 
     def _use(self, assignment: Assignment) -> Iterator[tuple[str, ...]]:
         self.resumes, self.lost, self.awaits_trial = 0, False, False
-        self.assembly.start_attempt()
+        self.assembly.start_attempt(assignment.target.id)
         if self.assembly.attempt > 1:
             self.path._metrics.retries.add(1, {"service": self.call.service.name})
         completed = False
@@ -207,26 +214,31 @@
                 yield from self._iter_pieces(client, assignment, resume)
                 return
             except TargetError as exc:
-                self.lost = self.lost or isinstance(exc, TargetLostError)
-                refused = isinstance(exc, TargetRefusedError)
-                self.maybe_ran = self.maybe_ran or not refused
-                exc_incarnation = exc.incarnation
-                decision = decide(exc, self._state(assignment))
-                self._log_failure(assignment, exc, decision)
+                decision = self._note_failure(assignment, exc)
             match decision:
                 case Resume():
                     self.resumes += 1
                     resume = True
-                case Elsewhere(suspect=suspect):
-                    if refused and not exc_incarnation:
-                        self._note_unreachable(assignment)
-                    if suspect:
-                        self._note_crash(assignment)
-                    self.avoid |= {assignment.target.id}
+                case Elsewhere():
                     return
                 case GiveUp(code=code):
                     raise self._fail(code, "too many attempts")
 
+    def _note_failure(self, assignment: Assignment, exc: TargetError) -> Decision:
+        """Record what a failure says about the target, and decide what follows."""
+        refused = isinstance(exc, TargetRefusedError)
+        self.lost = self.lost or isinstance(exc, TargetLostError)
+        self.maybe_ran = self.maybe_ran or not refused
+        decision = decide(exc, self._state(assignment))
+        self._log_failure(assignment, exc, decision)
+        if isinstance(decision, Elsewhere):
+            self.avoid |= {assignment.target.id}
+            if refused and not exc.incarnation:
+                self._note_unreachable(assignment)
+            if decision.suspect:
+                self._note_crash(assignment)
+        return decision
+
     def _iter_pieces(
         self, client: HttpModelTarget, assignment: Assignment, resume: bool
     ) -> Iterator[tuple[str, ...]]:
--- a/waxwingpitch/entry/web.py
+++ b/waxwingpitch/entry/web.py
@@ -28,7 +28,7 @@
 
 MAX_TIMEOUT_S = 3600.0
 MAX_HEADERS = 64
-MAX_HEADER_BYTES = 8192
+MAX_HEADER_BYTES = 16384
 TIMEOUT_HEADER = "X-Timeout-S"
 KEY_HEADER = "Idempotency-Key"
 ATTEMPT_HEADER = "Idempotency-Attempt"
@@ -81,6 +81,7 @@
         def _handle(**params):
             request = uuid.uuid4().hex
             try:
+                _check_headers()
                 return handler(request, **params)
             except RequestError as exc:
                 return self._answer_error(exc, request)
@@ -263,6 +264,7 @@
                 "finish": assembly.finish or "incomplete",
                 "tokens": len(assembly.tokens),
                 "attempts": assembly.attempt,
+                "target": assembly.target,
                 "took_s": round(time.monotonic() - call.arrived_at, 4),
             },
         )
@@ -336,6 +338,18 @@
         return bottle.HTTPResponse(self._daemon.metrics.render(), headers=headers)
 
 
+def _check_headers() -> None:
+    """Refuse a request whose headers are too many or too large."""
+    headers = bottle.request.headers
+    size = sum(len(name) + len(value) for name, value in headers.items())
+    if len(headers) > MAX_HEADERS or size > MAX_HEADER_BYTES:
+        raise RequestError(
+            ResultCode.HEADERS_TOO_LARGE,
+            f"{len(headers)} headers of {size} bytes; valid: {MAX_HEADERS} headers "
+            f"of {MAX_HEADER_BYTES} bytes together",
+        )
+
+
 class _Closing:
     """Iterates over events and closes the pipeline behind them when it ends."""
 
--- a/waxwingpitch/errors.py
+++ b/waxwingpitch/errors.py
@@ -32,6 +32,7 @@
     IDEMPOTENCY_KEY_REUSED = 1008
     NOT_FOUND = 1009
     METHOD_NOT_ALLOWED = 1010
+    HEADERS_TOO_LARGE = 1011
     QUEUE_FULL = 2001
     DEADLINE_UNREACHABLE = 2002
     NO_TARGET = 2003
@@ -103,6 +104,9 @@
     ),
     ResultCode.NOT_FOUND: ResultInfo(404, Ran.NO, "Check the path."),
     ResultCode.METHOD_NOT_ALLOWED: ResultInfo(405, Ran.NO, "Check the method."),
+    ResultCode.HEADERS_TOO_LARGE: ResultInfo(
+        431, Ran.NO, "Send fewer or smaller headers; the limit is in the message."
+    ),
     ResultCode.QUEUE_FULL: ResultInfo(
         503, Ran.NO, "Send the request again after the Retry-After seconds."
     ),
--- a/waxwingpitch/jsonc/__init__.py
+++ b/waxwingpitch/jsonc/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .reader import decode, read_file
+from .reader import decode, find_line, read_file
 from .writer import Comment, render
 
-__all__ = ["Comment", "decode", "read_file", "render"]
+__all__ = ["Comment", "decode", "find_line", "read_file", "render"]
--- a/waxwingpitch/jsonc/reader.py
+++ b/waxwingpitch/jsonc/reader.py
@@ -87,6 +87,24 @@
         raise error(_describe_invalid(source, str(exc), plain, located, cls)) from exc
 
 
+def find_line(text: str, path: str) -> int:
+    """Return the line of a dotted key in a text that :func:`decode` accepts.
+
+    Examples
+    --------
+    >>> find_line('{"a":\\n {"b": 1}}', "a.b")
+    2
+    """
+    node = jsoncfg.loads_config(text)
+    for key in path.split("."):
+        if not isinstance(node, jsoncfg.config_classes.ConfigJSONObject):
+            break
+        if key not in node:
+            break
+        node = node[key]
+    return jsoncfg.node_location(node).line
+
+
 def _describe_syntax(exc: Exception) -> str:
     message = str(exc)
     match = _PARSE_LOCATION.search(message)
--- a/waxwingpitch/ports/__init__.py
+++ b/waxwingpitch/ports/__init__.py
@@ -21,11 +21,13 @@
     StoredEntry,
     TargetReport,
     Warmth,
+    WeightStore,
 )
 from .engine_http import HttpModelTarget
 from .hosts_http import HttpHostList
 from .plain_http import HttpPlainTarget
 from .store_http import HttpKeyValueStore
+from .weights_http import HttpWeightStore
 
 __all__ = [
     "CacheEvent",
@@ -39,6 +41,7 @@
     "HttpKeyValueStore",
     "HttpModelTarget",
     "HttpPlainTarget",
+    "HttpWeightStore",
     "KeyValueStore",
     "ModelTarget",
     "OrderKind",
@@ -50,4 +53,5 @@
     "StoredEntry",
     "TargetReport",
     "Warmth",
+    "WeightStore",
 ]
--- a/waxwingpitch/ports/common.py
+++ b/waxwingpitch/ports/common.py
@@ -142,6 +142,20 @@
         """
 
 
+class WeightStore(ABC):
+    """The platform's rate-limited weight store."""
+
+    @abstractmethod
+    def load(self, model: str, version: str) -> None:
+        """Load weights; blocks until they are in memory.
+
+        Raises
+        ------
+        StoreUnavailableError
+            The store can't be reached or has no such weights.
+        """
+
+
 class Warmth(enum.StrEnum):
     """How much load a target bears; unknown counts as cold."""
 
--- /dev/null
+++ b/waxwingpitch/ports/weights_http.py
@@ -0,0 +1,33 @@
+"""HTTP implementation of the weight store's interface."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+from ..errors import StoreUnavailableError
+from .common import WeightStore
+from .http import BrokenError, HttpClient, NotSentError, SilentError
+
+LOAD_TIMEOUT_S = 3600.0
+
+
+class HttpWeightStore(WeightStore):
+    """Weight store over HTTP.
+
+    Parameters
+    ----------
+    base
+        Base URL of the store.
+    """
+
+    def __init__(self, base: str):
+        self._client = HttpClient(base)
+
+    def load(self, model: str, version: str) -> None:
+        path = f"/v1/weights/{quote(model, safe='')}/{quote(version, safe='')}"
+        try:
+            resp = self._client.send("GET", path, timeout_s=LOAD_TIMEOUT_S)
+        except (NotSentError, SilentError, BrokenError) as exc:
+            raise StoreUnavailableError(str(exc)) from exc
+        if resp.status != 200:
+            raise StoreUnavailableError(f"GET {path}: status {resp.status}")
--- a/waxwingpitch/requests/assembly.py
+++ b/waxwingpitch/requests/assembly.py
@@ -18,6 +18,11 @@
     request
         Id of the request.
 
+    Attributes
+    ----------
+    target
+        Id of the target of the current attempt.
+
     Examples
     --------
     >>> assembly = AnswerAssembly("r")
@@ -34,6 +39,7 @@
     def __init__(self, request: str):
         self.request = request
         self.attempt = 0
+        self.target = ""
         self.tokens: list[str] = []
         self.finish = ""
         self.prompt_tokens = 0
@@ -46,9 +52,10 @@
         """Index of the first token that is missing."""
         return len(self.tokens)
 
-    def start_attempt(self) -> int:
+    def start_attempt(self, target: str = "") -> int:
         """Give up the attempt so far and return the number of the next one."""
         self.attempt += 1
+        self.target = target
         self._held.clear()
         self._end = None
         return self.attempt
--- a/waxwingpitch/settings/entry.py
+++ b/waxwingpitch/settings/entry.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from ..errors import SettingsError
-from ..jsonc import read_file
+from ..jsonc import find_line, read_file
 
 MIN_MESH_KEY_CHARS = 16
 MIN_TOKEN_CHARS = 8
@@ -147,40 +147,53 @@
     """
     settings = read_file(path, EntrySettings)
     for problem in _find_problems(settings):
-        raise SettingsError(f"{path}: {problem}")
+        line = find_line(Path(path).read_text(encoding="utf-8"), problem.key)
+        raise SettingsError(f"{path}: line {line}, key '{problem.key}': {problem.text}")
     return settings
 
 
+@dataclass(frozen=True, slots=True)
+class _Problem:
+    """A wrong value and the valid ones."""
+
+    key: str
+    text: str
+
+
 def _find_problems(settings: EntrySettings):
     for key in ("id", "zone"):
         value = getattr(settings, key)
         if not _NAME.match(value):
-            yield (
-                f"key '{key}': got {value!r}; valid: lower-case letters, digits "
-                "and hyphens, at most 63"
-            )
+            text = f"got {value!r}; valid: lower-case letters, digits and hyphens"
+            yield _Problem(key, f"{text}, at most 63")
     for key, part in (("http", settings.http), ("mesh", settings.mesh)):
         if not 0 <= part.port <= MAX_PORT:
-            yield f"key '{key}.port': got {part.port}; valid: 0 to {MAX_PORT}"
+            yield _Problem(f"{key}.port", f"got {part.port}; valid: 0 to {MAX_PORT}")
         if not _is_ip(part.host):
-            yield f"key '{key}.host': got {part.host!r}; valid: an IP address"
+            yield _Problem(f"{key}.host", f"got {part.host!r}; valid: an IP address")
     if len(settings.mesh.key) < MIN_MESH_KEY_CHARS:
-        yield f"key 'mesh.key': too short; valid: {MIN_MESH_KEY_CHARS} characters"
+        yield _Problem("mesh.key", f"too short; valid: {MIN_MESH_KEY_CHARS} characters")
     if len(settings.operator_token) < MIN_TOKEN_CHARS:
-        yield f"key 'operator_token': too short; valid: {MIN_TOKEN_CHARS} characters"
+        yield _Problem(
+            "operator_token", f"too short; valid: {MIN_TOKEN_CHARS} characters"
+        )
     for seed in settings.mesh.seeds:
         if not _is_address(seed):
-            yield f"key 'mesh.seeds': got {seed!r}; valid: IP:port"
+            yield _Problem("mesh.seeds", f"got {seed!r}; valid: IP:port")
     for key, part in (("http", settings.http), ("mesh", settings.mesh)):
         if part.advertise and not _is_address(part.advertise):
-            yield f"key '{key}.advertise': got {part.advertise!r}; valid: IP:port"
+            yield _Problem(
+                f"{key}.advertise", f"got {part.advertise!r}; valid: IP:port"
+            )
     for key in ("store", "hosts"):
         url = getattr(settings.platform, key)
         if not url.startswith(("http://", "https://")):
-            yield f"key 'platform.{key}': got {url!r}; valid: an http or https URL"
+            yield _Problem(
+                f"platform.{key}", f"got {url!r}; valid: an http or https URL"
+            )
     for key in ("body_bytes", "frame_bytes", "connections"):
         if getattr(settings.limits, key) <= 0:
-            yield f"key 'limits.{key}': must be above 0"
+            yield _Problem(f"limits.{key}", "must be above 0")
 
 
 def _is_address(text: str) -> bool:
--- a/waxwingpitch/standins/fleet.py
+++ b/waxwingpitch/standins/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..ports import WeightStore
 from .engine import EngineHost
 from .engine_model import EngineModel
 from .weights import WeightStoreStandIn
@@ -18,7 +19,7 @@
         Weight store that the hosts load from.
     """
 
-    def __init__(self, model: EngineModel, weights: WeightStoreStandIn | None = None):
+    def __init__(self, model: EngineModel, weights: WeightStore | None = None):
         self.model = model
         self.weights = weights or WeightStoreStandIn()
         self.hosts: dict[str, EngineHost] = {}
--- a/waxwingpitch/tests/test_process_calls.py
+++ b/waxwingpitch/tests/test_process_calls.py
@@ -165,6 +165,7 @@
             400,
         ),
         ("GET", "/v1/services/attendance/x", {"headers": {"X-Timeout-S": "nan"}}, 400),
+        ("GET", "/v1/models", {"headers": {"X-Long": "x" * 20000}}, 431),
         ("DELETE", "/v1/chat/completions", {}, 405),
         ("GET", "/%ff%00", {}, 404),
     ],
--- a/waxwingpitch/tests/test_settings.py
+++ b/waxwingpitch/tests/test_settings.py
@@ -48,6 +48,7 @@
     with pytest.raises(SettingsError) as caught:
         load(tmp_path, json.dumps({**GOOD, **change}, indent=1))
     assert "entry.jsonc" in caught.value.message
+    assert "line " in caught.value.message
     for part in parts:
         assert part in caught.value.message
 
@@ -58,6 +59,13 @@
         load(tmp_path, text)
 
 
+def test_line_of_a_value_out_of_range_is_named(tmp_path):
+    text = json.dumps({**GOOD, "http": {"port": 70000}}, indent=1)
+    line = 1 + text[: text.index('"port"')].count("\n")
+    with pytest.raises(SettingsError, match=rf"line {line}, key 'http.port'"):
+        load(tmp_path, text)
+
+
 def test_missing_file_is_named(tmp_path):
     with pytest.raises(SettingsError, match="can't be read"):
         load_entry_settings(tmp_path / "none.jsonc")
