Keep mutable state out of data classes

Cause: two data classes were not frozen. Change: the store stand-in's bucket and the load tool's progress are plain classes.

--- a/waxwingpitch/load/runner.py
+++ b/waxwingpitch/load/runner.py
@@ -5,7 +5,6 @@
 import itertools
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 
 import gevent
 import msgspec
@@ -22,14 +21,14 @@
 GRACE_S = 5.0
 
 
-@dataclass(slots=True)
 class _Progress:
     """Times of one streamed answer; filled while it arrives."""
 
-    due_at: float
-    last_at: float = 0.0
-    first_token_s: float = 0.0
-    gaps_s: list[float] = field(default_factory=list)
+    def __init__(self, due_at: float):
+        self.due_at = due_at
+        self.last_at = 0.0
+        self.first_token_s = 0.0
+        self.gaps_s: list[float] = []
 
     def note_tokens(self) -> None:
         now = time.monotonic()
--- a/waxwingpitch/standins/store.py
+++ b/waxwingpitch/standins/store.py
@@ -10,7 +10,7 @@
 import time
 import uuid
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 import bottle
 import gevent
@@ -55,13 +55,13 @@
     count: int = -1
 
 
-@dataclass(slots=True)
 class _Bucket:
     """Token bucket with a burst of one second."""
 
-    rate: float
-    level: float = field(default=0.0)
-    updated_at: float = field(default_factory=time.monotonic)
+    def __init__(self, rate: float):
+        self.rate = rate
+        self.level = rate
+        self.updated_at = time.monotonic()
 
     def take(self) -> bool:
         now = time.monotonic()
@@ -98,8 +98,8 @@
         self._leased: dict[str, str] = {}
         self._version = 0
         self._changed = Event()
-        self._writes = _Bucket(writes_per_s, writes_per_s)
-        self._reads = _Bucket(reads_per_s, reads_per_s)
+        self._writes = _Bucket(writes_per_s)
+        self._reads = _Bucket(reads_per_s)
         self.server = StandInServer(self._build_app(), port)
         self._expirer = None
 
