--- a/waxwingpitch/tests/test_process_cli.py
+++ b/waxwingpitch/tests/test_process_cli.py
@@ -126,3 +126,16 @@
     done = run("entry", "--settings", str(path))
     assert done.returncode == 2
     assert "'log_level'" in done.stderr and "'warning'" in done.stderr
+
+
+def test_metrics_and_logs_name_what_was_served(cluster):
+    entry = cluster.entries[0]
+    assert entry.chat("kumbukumbu", max_tokens=3).status == 200
+    text = entry.request("GET", "/operator/metrics").data.decode()
+    for name in ("answers", "tokens", "first_token_seconds_bucket"):
+        assert f"waxwingpitch_{name}" in text
+    line = [x for x in entry.iter_log() if x["message"] == "request ended"][-1]
+    assert len(line["request"]) == 32
+    assert line["workspace"] == "form-two"
+    assert line["target"].startswith("lesson.")
+    assert line["tokens"] == 3
