--- a/waxwingpitch/standins/engine.py
+++ b/waxwingpitch/standins/engine.py
@@ -204,6 +204,9 @@
         self._fleet.fail_groups_of(self)
 
     def _wait_while_frozen(self) -> None:
+        """Answer nothing while frozen, or once the process has ended."""
+        if not self.alive:
+            raise ConnectionError("engine lost")
         while self.frozen:
             gevent.sleep(0.05)
 
