Test that a mesh frame above the limit is not delivered

Cause: the size limit of mesh frames had no test. Change: a frame of twice the limit closes the link and reaches nobody.

--- a/waxwingpitch/tests/test_mesh.py
+++ b/waxwingpitch/tests/test_mesh.py
@@ -155,6 +155,19 @@
     bob.stop()
 
 
+def test_frame_above_the_limit_closes_the_link_and_is_not_delivered():
+    events = []
+    alice, bob = build_node(ALICE, []), build_node(BOB, events)
+    alice.dial([bob.address])
+    wait_until(lambda: "bob" in alice.peers, 5.0)
+    link = alice._links["bob"]
+    alice.send("bob", Documents((DocumentItem("agreed/x", 1, b"x" * (1 << 17)),)))
+    wait_until(lambda: alice._links.get("bob") is not link, 5.0)
+    assert not [event for event in events if isinstance(event, Received)]
+    alice.stop()
+    bob.stop()
+
+
 def build_book(now: float) -> EvidenceBook:
     book = EvidenceBook()
     for host in ("h0", "h1"):
