--- a/waxwingpitch/errors.py
+++ b/waxwingpitch/errors.py
@@ -264,6 +264,10 @@
     """A compare-and-swap found another version than expected."""
 
 
+class StoreHistoryLostError(StoreError):
+    """A watch can't go on, because the service dropped the history it needs."""
+
+
 class PeerError(WaxwingpitchError):
     """A mesh connection or message that is refused."""
 
--- /dev/null
+++ b/waxwingpitch/forwarding/__init__.py
@@ -0,0 +1,35 @@
+"""HTTP/1.1 between callers and targets: framing, connections, streams."""
+
+from __future__ import annotations
+
+from .answers import Answer, AnswerHead, format_answer, format_head
+from .events import EventSplitter, StreamEvent
+from .listener import CallerListener, Responder
+from .parsing import AnswerReader, CallerRequest, MalformedRequestError, RequestReader
+from .targets import (
+    ConnectionPool,
+    TargetBrokenError,
+    TargetConnection,
+    TargetTimeoutError,
+    UnreachableError,
+)
+
+__all__ = [
+    "Answer",
+    "AnswerHead",
+    "AnswerReader",
+    "CallerListener",
+    "CallerRequest",
+    "ConnectionPool",
+    "EventSplitter",
+    "MalformedRequestError",
+    "RequestReader",
+    "Responder",
+    "StreamEvent",
+    "TargetBrokenError",
+    "TargetConnection",
+    "TargetTimeoutError",
+    "UnreachableError",
+    "format_answer",
+    "format_head",
+]
--- /dev/null
+++ b/waxwingpitch/forwarding/exchange.py
@@ -0,0 +1,89 @@
+"""One request to one target, up to the answer's head or its end."""
+
+from __future__ import annotations
+
+import time
+
+from .answers import Answer, Headers
+from .targets import (
+    ConnectionPool,
+    TargetBrokenError,
+    TargetConnection,
+    UnreachableError,
+)
+
+
+def format_request(
+    method: bytes, target: bytes, address: str, headers: Headers, body: bytes
+) -> bytes:
+    """Return a request's bytes, framed by its length."""
+    lines = [b"%s %s HTTP/1.1\r\n" % (method, target)]
+    if not any(name.lower() == b"host" for name, _ in headers):
+        lines.append(b"Host: %s\r\n" % address.encode())
+    lines.extend(b"%s: %s\r\n" % (name, value) for name, value in headers)
+    if body or method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d\r\n" % len(body))
+    lines.append(b"\r\n")
+    lines.append(body)
+    return b"".join(lines)
+
+
+def send_request(
+    pool: ConnectionPool, address: str, data: bytes, *, timeout_s: float
+) -> TargetConnection:
+    """Send a request over a kept connection, or a new one.
+
+    Raises
+    ------
+    UnreachableError
+        Nothing was sent.
+    TargetBrokenError
+        A part may have been sent.
+    """
+    conn = pool.take(address, time.monotonic())
+    if conn is not None:
+        try:
+            conn.send(data)
+            return conn
+        except UnreachableError:
+            conn.close()
+        except TargetBrokenError:
+            conn.close()
+            raise
+    conn = pool.connect(address, timeout_s=timeout_s)
+    try:
+        conn.send(data)
+    except BaseException:
+        conn.close()
+        raise
+    return conn
+
+
+def call_target(
+    pool: ConnectionPool,
+    address: str,
+    method: bytes,
+    target: bytes,
+    *,
+    headers: Headers = (),
+    body: bytes = b"",
+    timeout_s: float,
+) -> Answer:
+    """Make one call and return the whole answer.
+
+    Raises
+    ------
+    UnreachableError, TargetTimeoutError, TargetBrokenError
+        See the classes.
+    """
+    deadline = time.monotonic() + timeout_s
+    data = format_request(method, target, address, headers, body)
+    conn = send_request(pool, address, data, timeout_s=timeout_s)
+    try:
+        head = conn.read_head(deadline)
+        parts = list(iter(lambda: conn.read_body(deadline), b""))
+    except BaseException:
+        conn.close()
+        raise
+    pool.put_back(conn, head, time.monotonic())
+    return Answer(head, b"".join(parts))
--- /dev/null
+++ b/waxwingpitch/gateway/daemon.py
@@ -0,0 +1,257 @@
+"""Wires the tasks of a gateway, and starts and stops them."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import time
+import uuid
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+
+from ..admission import RetryBudget
+from ..configuration.routes import CallerLimits
+from ..forwarding import CallerListener, ConnectionPool
+from ..platform import OPERATOR_PREFIX, TARGET_PREFIX, PlatformStore
+from ..ports import KeyValueStore
+from ..settings.gateway import GatewaySettings
+from ..targets.loads import LoadBook
+from ..targets.progress import ProgressBook
+from .beliefs import OWN_PREFIX, Beliefs
+from .dispatch import Dispatcher
+from .peers import PeerTask
+from .planning import ZonePlanner
+from .serving import RequestServer
+from .store_tasks import LeaseKeeper, PrefixWatcher, StoreContact
+from .web import GatewayWeb
+
+LEASE_S = 3.0
+# Each watch has its price; a leaving target must be known well within the bound.
+TARGET_PAUSE_S = 0.5
+TARGET_PAUSE_BUSY_S = 0.05
+# Part of the repeats that all entry hosts together may send that is used.
+RETRY_PART = 0.8
+HOUSEKEEPING_S = 0.25
+# The balancer takes a process out after two questions, one a second.
+UNREADY_S = 2.6
+STOP_MARGIN_S = 0.8
+
+logger = logging.getLogger(__name__)
+
+
+class GatewayDaemon:
+    """One gateway process.
+
+    Parameters
+    ----------
+    store
+        Key-value service, if not the one that the settings name.
+    """
+
+    def __init__(self, settings: GatewaySettings, store: KeyValueStore | None = None):
+        self._settings = settings
+        self._stopped = Event()
+        self._stopping = False
+        self._store = store or PlatformStore(str(settings.store))
+        self.pool = ConnectionPool()
+        self.loads = LoadBook()
+        self.progress = ProgressBook()
+        self.beliefs = Beliefs(time.monotonic, self._on_beliefs)
+        self._contact = StoreContact(self.beliefs.note_store_back)
+        self._budgets: dict[str, RetryBudget] = {}
+        self.dispatcher = Dispatcher(
+            settings.zone, self.beliefs, self.loads, self.progress
+        )
+        self._keeper = LeaseKeeper(
+            self._store,
+            self._contact,
+            settings.name,
+            str(settings.peers),
+            max(LEASE_S, settings.min_lease_s),
+            self.beliefs,
+        )
+        self._peers = PeerTask(
+            settings,
+            uuid.uuid4().hex,
+            self.beliefs,
+            self.loads,
+            self.progress,
+            self._contact,
+            self.dispatcher.pump,
+        )
+        self._server = RequestServer(
+            self.beliefs,
+            self.dispatcher,
+            self.pool,
+            self.progress,
+            self._find_budget,
+            self._on_suspect,
+        )
+        self._planners = [
+            ZonePlanner(
+                zone,
+                name=settings.name,
+                at_home=zone == settings.zone,
+                beliefs=self.beliefs,
+                keeper=self._keeper,
+                pool=self.pool,
+                loads=self.loads,
+                progress=self.progress,
+                zones=len(settings.zones),
+            )
+            for zone in settings.zones
+        ]
+        self._watchers = [
+            self._watch(OPERATOR_PREFIX, lambda: 0.0),
+            self._watch(TARGET_PREFIX, self._find_target_pause),
+            self._watch(OWN_PREFIX, lambda: 0.1),
+        ]
+        self._listener = CallerListener(
+            settings.front.host,
+            settings.front.port,
+            self._server.handle,
+            self._find_limits,
+        )
+        self._web = GatewayWeb(
+            settings.ready, settings.metrics, self.find_unready, self.dump
+        )
+        self._housekeeper: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start all tasks."""
+        for watcher in self._watchers:
+            watcher.start()
+        self._keeper.start()
+        self._peers.start()
+        for planner in self._planners:
+            planner.start()
+        self._web.start()
+        self._listener.start()
+        self._housekeeper = gevent.spawn(self._keep_house)
+        logger.info(
+            "gateway started",
+            extra={"node": self._settings.name, "zone": self._settings.zone},
+        )
+
+    def run_until_stopped(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        gevent.signal_handler(signal.SIGTERM, self._begin_stop)
+        gevent.signal_handler(signal.SIGINT, self._begin_stop)
+        gevent.signal_handler(signal.SIGHUP, self._on_hangup)
+        self.start()
+        self._stopped.wait()
+
+    def stop(self) -> None:
+        """Stop all tasks at once."""
+        self._listener.stop_accepting()
+        self._web.stop()
+        self._peers.stop()
+        self._keeper.stop()
+        for task in (*self._planners, *self._watchers):
+            task.stop()
+        if self._housekeeper is not None:
+            self._housekeeper.kill(block=False)
+        self._stopped.set()
+
+    def find_unready(self) -> str | None:
+        """Return why this process takes no requests, or None."""
+        if self._stopping:
+            return "stopping"
+        if self.beliefs.cfg is None:
+            return "no configuration"
+        if not any(True for _ in self.beliefs.iter_replicas()):
+            return "no target"
+        return None
+
+    def dump(self) -> dict:
+        """Return the state of this process."""
+        now = time.monotonic()
+        cfg = self.beliefs.cfg
+        return {
+            "node": self._settings.name,
+            "zone": self._settings.zone,
+            "stopping": self._stopping,
+            "configuration": None if cfg is None else cfg.version,
+            "evacuated": sorted(self.beliefs.evacuated),
+            "peers": sorted(self._peers.peers),
+            "plans": [item.zone for item in self._planners if item.is_holder],
+            "replicas": list(self.beliefs.iter_replicas()),
+            "loads": self.loads.get_own(),
+            "suspects": [list(key) for key in self.progress.list_suspects(now)],
+            "waiting": self.dispatcher.count_waiting(),
+            "store_answered_s_ago": now - self._contact.answered_at,
+        }
+
+    def _watch(self, prefix: str, pause_s: Callable[[], float]) -> PrefixWatcher:
+        return PrefixWatcher(self._store, prefix, self.beliefs, self._contact, pause_s)
+
+    def _find_target_pause(self) -> float:
+        if any(planner.is_busy for planner in self._planners):
+            return TARGET_PAUSE_BUSY_S
+        return TARGET_PAUSE_S
+
+    def _find_limits(self) -> CallerLimits:
+        cfg = self.beliefs.cfg
+        return CallerLimits() if cfg is None else cfg.limits
+
+    def _find_budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._settings.bounds
+            peers = max(1, len(self.beliefs.list_peers()))
+            slack = bounds.retry_slack * RETRY_PART / peers
+            budget = RetryBudget(
+                ratio=bounds.retry_ratio * RETRY_PART, saved=slack, most=slack
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _on_beliefs(self) -> None:
+        self.dispatcher.pump()
+
+    def _on_suspect(self, target: str, epoch: int) -> None:
+        if self.progress.suspect(target, epoch, time.monotonic()):
+            logger.info("target suspected", extra={"target": target, "epoch": epoch})
+            self._peers.announce_stall(target, epoch)
+
+    def _keep_house(self) -> None:
+        while True:
+            gevent.sleep(HOUSEKEEPING_S)
+            now = time.monotonic()
+            self.pool.close_idle(now)
+            self.beliefs.expire_lapsed()
+            self.dispatcher.pump()
+
+    def _on_hangup(self) -> None:
+        logger.info("reload asked for", extra={"node": self._settings.name})
+
+    def _begin_stop(self) -> None:
+        if not self._stopping:
+            self._stopping = True
+            gevent.spawn(self._stop_gracefully)
+
+    def _stop_gracefully(self) -> None:
+        """Answer what was read, take nothing new, then end."""
+        started_at = time.monotonic()
+        deadline = started_at + self._settings.bounds.stop_s - STOP_MARGIN_S
+        logger.info("gateway stops", extra={"in_progress": self._listener.busy})
+        for planner in self._planners:
+            planner.stop()
+        self._keeper.stop()
+        gevent.spawn(self._keeper.end)
+        self._listener.stop_keeping()
+        gevent.sleep(UNREADY_S)
+        self._listener.stop_accepting()
+        while self._listener.busy and time.monotonic() < deadline:
+            self._listener.close_idle()
+            gevent.sleep(0.05)
+        logger.info(
+            "gateway stopped",
+            extra={
+                "in_progress": self._listener.busy,
+                "took_s": round(time.monotonic() - started_at, 2),
+            },
+        )
+        self.stop()
--- /dev/null
+++ b/waxwingpitch/gateway/dispatch.py
@@ -0,0 +1,213 @@
+"""Gives requests their replicas, and lets them wait while all are full."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import defaultdict, deque
+from dataclasses import dataclass
+
+from gevent.event import AsyncResult
+
+from ..admission import FairQueue, Ticket
+from ..admission.forecast import Pressure, Refuse, decide_admission
+from ..routing.placement import ReplicaLoad, choose_replica
+from ..targets.loads import LoadBook
+from ..targets.progress import ProgressBook
+from .beliefs import Beliefs, Replica
+
+# Weight of the newest figure in a running mean.
+NEWEST_WEIGHT = 0.05
+FIRST_SERVICE_S = 1.0
+PLAIN_EXTRA = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A request that got no replica; it has not run.
+
+    Attributes
+    ----------
+    retry_after_s
+        Time after which the caller may come back, in seconds.
+    """
+
+    retry_after_s: float
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request needs of its replica.
+
+    Attributes
+    ----------
+    cost
+        Expected work, in tokens or calls.
+    avoid
+        Replicas that it was already sent to.
+    """
+
+    request: str
+    service: str
+    model: str
+    workspace: str
+    priority: int
+    cost: float
+    deadline: float
+    avoid: frozenset[str] = frozenset()
+
+
+class _ColdLimit:
+    """Share of a cold target's rate that this entry host may use."""
+
+    def __init__(self):
+        self._sent: dict[str, deque[float]] = defaultdict(deque)
+
+    def has_room(self, replica: Replica, rate: float, peers: int, now: float) -> bool:
+        if replica.cold_until <= now or rate <= 0:
+            self._sent.pop(replica.id, None)
+            return True
+        sent = self._sent[replica.id]
+        while sent and now - sent[0] > 1.0:
+            sent.popleft()
+        return len(sent) < max(1, int(rate / peers))
+
+    def note(self, replica: Replica, now: float) -> None:
+        if replica.cold_until > now:
+            self._sent[replica.id].append(now)
+
+
+class Dispatcher:
+    """Chooses replicas for all services of this entry host."""
+
+    def __init__(
+        self, zone: str, beliefs: Beliefs, loads: LoadBook, progress: ProgressBook
+    ):
+        self._zone = zone
+        self._beliefs = beliefs
+        self._loads = loads
+        self._progress = progress
+        self._rng = random.Random(zone)
+        self._queues: dict[tuple[str, str], FairQueue] = defaultdict(FairQueue)
+        self._service_s: dict[tuple[str, str], float] = {}
+        self._cold = _ColdLimit()
+
+    def acquire(self, demand: Demand) -> Replica | Refused:
+        """Return a replica with a slot taken, waiting for one if need be."""
+        key = (demand.service, demand.model)
+        queue = self._queues[key]
+        now = time.monotonic()
+        if len(queue) == 0:
+            replica = self._choose(demand, now)
+            if replica is not None:
+                self._take(replica, now)
+                return replica
+        decision = decide_admission(
+            self._measure(key, demand, now), now=now, deadline=demand.deadline
+        )
+        if isinstance(decision, Refuse):
+            return Refused(decision.retry_after_s, "no slot in time")
+        return self._wait(queue, demand, now, decision.until)
+
+    def release(self, replica: Replica) -> None:
+        """Give a slot back."""
+        self._loads.remove(replica.id)
+        self.pump()
+
+    def note_served(self, replica: Replica, took_s: float) -> None:
+        """Note how long a request took at a replica."""
+        key = (replica.service, replica.model)
+        known = self._service_s.get(key, FIRST_SERVICE_S)
+        self._service_s[key] = known + NEWEST_WEIGHT * (took_s - known)
+
+    def pump(self) -> None:
+        """Give free slots to the requests that wait."""
+        now = time.monotonic()
+        for queue in self._queues.values():
+            while (ticket := queue.peek()) is not None:
+                demand, result = ticket.payload
+                replica = self._choose(demand, now)
+                if replica is None:
+                    break
+                queue.pop()
+                self._take(replica, now)
+                result.set(replica)
+
+    def count_waiting(self) -> int:
+        """Return the requests that wait."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def _wait(
+        self, queue: FairQueue, demand: Demand, now: float, until: float
+    ) -> Replica | Refused:
+        result: AsyncResult = AsyncResult()
+        ticket = Ticket(
+            request=demand.request,
+            workspace=demand.workspace,
+            priority=demand.priority,
+            share=1.0,
+            cost=demand.cost,
+            deadline=until,
+            payload=(demand, result),
+        )
+        if not queue.push(ticket):
+            return Refused(1.0, "queue is full")
+        try:
+            replica = result.get(timeout=until - now, block=True)
+        except BaseException as exc:
+            queue.drop(demand.request)
+            if result.ready():
+                self.release(result.get_nowait())
+            if not isinstance(exc, TimeoutError) and not _is_timeout(exc):
+                raise
+            return Refused(0.5, "waited too long")
+        return replica
+
+    def _choose(self, demand: Demand, now: float) -> Replica | None:
+        service = self._beliefs.find_service(demand.service)
+        rate = 0.0 if service is None else service.cold_per_s
+        replicas = {
+            item.id: item
+            for item in self._beliefs.find_replicas(demand.service, demand.model)
+            if not self._progress.is_suspect(item.id, item.epoch, now)
+        }
+        peers = max(1, len(self._beliefs.list_peers()))
+        loads = [
+            ReplicaLoad(
+                id=item.id,
+                zone=item.zone,
+                outstanding=self._loads.count_at(item.id, now),
+                capacity=item.capacity,
+            )
+            for item in replicas.values()
+            if self._cold.has_room(item, rate, peers, now)
+        ]
+        fresh = [load for load in loads if load.id not in demand.avoid]
+        chosen = choose_replica(fresh, zone=self._zone, tie=self._rng.random())
+        if chosen is None and demand.avoid and not fresh:
+            chosen = choose_replica(loads, zone=self._zone, tie=self._rng.random())
+        return None if chosen is None else replicas[chosen.id]
+
+    def _take(self, replica: Replica, now: float) -> None:
+        self._loads.add(replica.id)
+        self._cold.note(replica, now)
+
+    def _measure(self, key, demand: Demand, now: float) -> Pressure:
+        replicas = self._beliefs.find_replicas(*key)
+        slots = sum(
+            item.capacity
+            for item in replicas
+            if not self._progress.is_suspect(item.id, item.epoch, now)
+        )
+        ahead = self._queues[key].count_ahead(demand.priority)
+        peers = max(1, len(self._beliefs.list_peers()))
+        return Pressure(
+            slots=slots,
+            waiting=ahead * peers,
+            service_s=self._service_s.get(key, FIRST_SERVICE_S),
+        )
+
+
+def _is_timeout(exc: BaseException) -> bool:
+    return type(exc).__name__ == "Timeout"
--- /dev/null
+++ b/waxwingpitch/gateway/main.py
@@ -0,0 +1,38 @@
+"""Start of the gateway daemon's process.
+
+Run it with ``python3 -m gevent.monkey --module waxwingpitch.gateway.main``, which
+replaces blocking calls before any other module is imported.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from ..errors import SettingsError
+from ..platform.settings import (
+    SETTINGS_VARIABLE,
+    load_platform_settings,
+)
+from ..telemetry.logs import set_up_bounded_logging
+from .daemon import GatewayDaemon
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+
+def run_gateway() -> int:
+    """Run a gateway until it is told to stop; return the exit code."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = load_platform_settings(path)
+    except SettingsError as exc:
+        print(exc.message, file=sys.stderr)
+        return EXIT_SETTINGS
+    set_up_bounded_logging("info")
+    GatewayDaemon(settings).run_until_stopped()
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(run_gateway())
--- /dev/null
+++ b/waxwingpitch/gateway/peers.py
@@ -0,0 +1,173 @@
+"""Task that talks to the other entry hosts: loads, stalled targets, store items."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import gevent
+
+from ..mesh import Identity, MeshNode
+from ..mesh.messages import (
+    DeletedItem,
+    DocumentItem,
+    ItemsRequest,
+    LoadCounts,
+    StalledTarget,
+    StoreItems,
+)
+from ..mesh.node import LinkDown, LinkUp, MeshEvent, Received
+from ..ports import StoredChange, StoredDeletion, StoredEntry
+from ..settings.gateway import GatewaySettings
+from ..targets.loads import LoadBook
+from ..targets.progress import ProgressBook
+from .beliefs import Beliefs
+from .store_tasks import StoreContact
+
+COUNTS_INTERVAL_S = 0.1
+QUIET_COUNTS_INTERVAL_S = 0.5
+DIAL_INTERVAL_S = 1.0
+# Silence of the store after which its items are asked of a peer.
+STORE_SILENCE_S = 0.8
+ITEMS_INTERVAL_S = 0.5
+FRAME_BYTES = 4 * 1024 * 1024
+
+logger = logging.getLogger(__name__)
+
+
+class PeerTask:
+    """Owns the mesh node of a gateway."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        incarnation: str,
+        beliefs: Beliefs,
+        loads: LoadBook,
+        progress: ProgressBook,
+        contact: StoreContact,
+        on_loads,
+    ):
+        self._settings = settings
+        self._beliefs = beliefs
+        self._loads = loads
+        self._progress = progress
+        self._contact = contact
+        self._on_loads = on_loads
+        self._store_ages: dict[str, tuple[float, float]] = {}
+        self._sent: dict[str, int] = {}
+        self._sent_at = 0.0
+        self._asked_at = 0.0
+        self._dialled_at = 0.0
+        self._node = MeshNode(
+            Identity(settings.name, incarnation, settings.zone),
+            f"{settings.store} waxwingpitch",
+            host=settings.peers.host,
+            port=settings.peers.port,
+            frame_bytes=FRAME_BYTES,
+            deliver=self._deliver,
+        )
+        self._greenlet: gevent.Greenlet | None = None
+
+    @property
+    def peers(self) -> frozenset[str]:
+        """Names of the entry hosts that a link is up to."""
+        return self._node.peers
+
+    def start(self) -> None:
+        """Start to talk."""
+        self._node.start()
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Close all links."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+        self._node.stop()
+
+    def announce_stall(self, target: str, epoch: int) -> None:
+        """Tell all peers that nothing moves at a target."""
+        self._node.broadcast(StalledTarget(target, epoch))
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self._tick(time.monotonic())
+            except Exception:
+                logger.exception("peer task failed")
+            gevent.sleep(COUNTS_INTERVAL_S)
+
+    def _tick(self, now: float) -> None:
+        if now - self._dialled_at >= DIAL_INTERVAL_S:
+            self._dialled_at = now
+            self._dial()
+        counts = self._loads.get_own()
+        if counts != self._sent or now - self._sent_at >= QUIET_COUNTS_INTERVAL_S:
+            self._sent, self._sent_at = counts, now
+            age_ms = int(1000 * min(600.0, now - self._contact.answered_at))
+            self._node.broadcast(LoadCounts(counts, age_ms))
+        silent_s = now - self._contact.answered_at
+        if self._contact.failing and silent_s > STORE_SILENCE_S:
+            self._ask_for_items(now)
+
+    def _dial(self) -> None:
+        """Dial the peers with a higher address, so that each pair has one link."""
+        mine = str(self._settings.peers)
+        addresses = set(self._beliefs.list_peers().values())
+        addresses.update(map(str, self._settings.seeds))
+        self._node.dial(address for address in addresses if address > mine)
+
+    def _ask_for_items(self, now: float) -> None:
+        if now - self._asked_at < ITEMS_INTERVAL_S:
+            return
+        ages = {
+            peer: age_s + now - at
+            for peer, (at, age_s) in self._store_ages.items()
+            if peer in self._node.peers and now - at < 2.0
+        }
+        if ages:
+            self._asked_at = now
+            best = min(ages, key=ages.get)
+            self._node.send(best, ItemsRequest(self._beliefs.mirror.version))
+
+    def _deliver(self, event: MeshEvent) -> None:
+        match event:
+            case Received(peer=peer, message=LoadCounts() as message, at=at):
+                self._store_ages[peer.id] = (at, message.store_age_ms / 1000)
+                self._loads.note_peer(peer.id, message.counts, at)
+                self._on_loads()
+            case Received(message=StalledTarget() as message, at=at):
+                self._progress.suspect(message.target, message.epoch, at)
+            case Received(peer=peer, message=ItemsRequest(after=after)):
+                self._node.send(peer.id, self._collect_items(after))
+            case Received(peer=peer, message=StoreItems() as message):
+                self._take_items(message)
+            case LinkUp(peer=peer):
+                logger.info("peer connected", extra={"peer": peer.id})
+            case LinkDown(peer=peer):
+                logger.info("peer lost", extra={"peer": peer.id})
+
+    def _collect_items(self, after: int) -> StoreItems:
+        change = self._beliefs.mirror.list_after(after)
+        return StoreItems(
+            change.version,
+            tuple(
+                DocumentItem(item.key, item.version, item.value)
+                for item in change.entries
+            ),
+            tuple(DeletedItem(item.key, item.version) for item in change.deletions),
+        )
+
+    def _take_items(self, message: StoreItems) -> None:
+        self._beliefs.apply(
+            StoredChange(
+                message.version,
+                tuple(
+                    StoredEntry(item.key, item.version, item.value)
+                    for item in message.items
+                ),
+                tuple(
+                    StoredDeletion(item.key, item.version) for item in message.deleted
+                ),
+            )
+        )
--- /dev/null
+++ b/waxwingpitch/gateway/planning.py
@@ -0,0 +1,317 @@
+"""Task that plans one zone's replica groups while it holds the zone's key."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import gevent
+
+from ..errors import StoreError
+from ..forwarding import (
+    ConnectionPool,
+    TargetBrokenError,
+    TargetTimeoutError,
+    UnreachableError,
+)
+from ..forwarding.exchange import call_target
+from ..groups.formation import FleetView, FormationPlanner, GiveOrder
+from ..groups.orders_to_targets import Order
+from ..platform import (
+    ORDER_PATH,
+    REPORT_PATH,
+    HeaderNames,
+    decode_report,
+    encode_order,
+)
+from ..targets.loads import LoadBook
+from ..targets.progress import ProgressBook
+from .beliefs import PLANNER_PREFIX, Beliefs, KnownTarget
+from .store_tasks import LeaseKeeper
+
+BUSY_TICK_S = 0.05
+CALM_TICK_S = 0.1
+ORDER_TIMEOUT_S = 0.6
+PROBE_TIMEOUT_S = 0.3
+PROBE_AGAIN_S = 1.0
+# Time that a candidate from another zone waits before it takes a zone's key.
+FOREIGN_WAIT_S = 2.0
+# Part of the lease that is left unused, against a paused process.
+LEASE_MARGIN_S = 0.5
+EPOCHS_PER_REVISION = 1000
+
+logger = logging.getLogger(__name__)
+
+
+class ZonePlanner:
+    """Holds one zone's planner key if it can, and plans while it does.
+
+    Parameters
+    ----------
+    zone
+        Zone whose groups are planned.
+    at_home
+        Whether this process is in that zone; others wait before they step in.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        *,
+        name: str,
+        at_home: bool,
+        beliefs: Beliefs,
+        keeper: LeaseKeeper,
+        pool: ConnectionPool,
+        loads: LoadBook,
+        progress: ProgressBook,
+        zones: int,
+    ):
+        self.zone = zone
+        self._name = name
+        self._at_home = at_home
+        self._beliefs = beliefs
+        self._keeper = keeper
+        self._pool = pool
+        self._loads = loads
+        self._progress = progress
+        self._zones = zones
+        self._fence = 0
+        self._lease: str | None = None
+        self._counter = 0
+        self._vacant_since: float | None = None
+        self._planners: dict[str, FormationPlanner] = {}
+        self._load_starts: list[float] = []
+        self._unreachable: dict[str, float] = {}
+        self._orders: dict[str, int] = {}
+        self._probed_at: dict[str, float] = {}
+        self._greenlet: gevent.Greenlet | None = None
+
+    @property
+    def is_holder(self) -> bool:
+        """Whether this process may give orders in the zone now."""
+        return (
+            self._fence > 0
+            and self._lease == self._keeper.lease
+            and time.monotonic() < self._keeper.valid_until - LEASE_MARGIN_S
+            and self._beliefs.find_planner(self.zone) in (self._name, None)
+        )
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether orders are under way whose effect should be seen soon."""
+        return self.is_holder and any(
+            planner.is_busy for planner in self._planners.values()
+        )
+
+    def start(self) -> None:
+        """Start to plan."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop to plan."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            try:
+                if self.is_holder:
+                    self._plan()
+                else:
+                    self._acquire()
+            except StoreError as exc:
+                logger.info(
+                    "planner key not taken",
+                    extra={"zone": self.zone, "reason": exc.message},
+                )
+            except Exception:
+                logger.exception("planning failed", extra={"zone": self.zone})
+            gevent.sleep(BUSY_TICK_S if self.is_busy else CALM_TICK_S)
+
+    def _acquire(self) -> None:
+        now = time.monotonic()
+        if self._beliefs.find_planner(self.zone) is not None:
+            self._vacant_since = None
+            return
+        if self._vacant_since is None:
+            self._vacant_since = now
+        if not self._at_home and now - self._vacant_since < FOREIGN_WAIT_S:
+            return
+        lease = self._keeper.lease
+        if lease is None or not self._beliefs.table:
+            return
+        version = self._keeper.put(PLANNER_PREFIX + self.zone, self._name.encode())
+        if version is None:
+            self._vacant_since = now
+            gevent.sleep(0.5)
+            return
+        self._fence = version
+        self._lease = lease
+        self._counter = 0
+        self._planners.clear()
+        self._orders.clear()
+        logger.info("plans zone", extra={"zone": self.zone, "fence": version})
+
+    def _next_epoch(self) -> int:
+        self._counter += 1
+        return self._fence * EPOCHS_PER_REVISION + self._counter
+
+    def _may_load(self, now: float) -> bool:
+        self._load_starts = [at for at in self._load_starts if now - at < 1.0]
+        service = next(iter(self._planners))
+        spec = self._beliefs.find_service(service)
+        limit = max(1, int(spec.engine.loads_per_s / self._zones))
+        if len(self._load_starts) >= limit:
+            return False
+        self._load_starts.append(now)
+        return True
+
+    def _plan(self) -> None:
+        now = time.monotonic()
+        cfg = self._beliefs.cfg
+        if cfg is None or now < self._beliefs.settled_at:
+            return
+        for service in cfg.services.values():
+            if service.engine is None or not service.engine.models:
+                continue
+            planner = self._planners.get(service.name)
+            if planner is None:
+                planner = FormationPlanner(self._next_epoch, self._may_load)
+                self._planners[service.name] = planner
+            view = self._build_view(service, now)
+            for command in planner.plan(view, now):
+                gevent.spawn(self._give, planner, command)
+
+    def _build_view(self, service, now: float) -> FleetView:
+        targets = {
+            known.record.id: known.record
+            for known in self._beliefs.targets.values()
+            if known.record.service == service.name and known.record.zone == self.zone
+        }
+        suspects = self._progress.list_suspects(now)
+        self._probe_suspects(targets, suspects, now)
+        self._probe_unreachable(now)
+        unreachable = frozenset(self._unreachable)
+        return FleetView(
+            spec=service.engine,
+            targets=targets,
+            unreachable=unreachable,
+            suspects={key: at for key, at in suspects.items() if key[0] in targets},
+            load=self._measure_load(service, now),
+        )
+
+    def _measure_load(self, service, now: float) -> dict[str, float]:
+        load = {}
+        for model in service.engine.models:
+            replicas = self._beliefs.find_replicas(service.name, model.name)
+            slots = sum(replica.capacity for replica in replicas)
+            taken = sum(self._loads.count_at(item.id, now) for item in replicas)
+            load[model.name] = taken / slots if slots else 1.0
+        return load
+
+    def _probe_unreachable(self, now: float) -> None:
+        """Ask targets that did not answer again, until the list drops them."""
+        for target in list(self._unreachable):
+            known = self._beliefs.targets.get(target)
+            if known is None:
+                del self._unreachable[target]
+            elif now - self._probed_at.get(target, 0.0) >= PROBE_AGAIN_S:
+                self._probed_at[target] = now
+                gevent.spawn(self._probe, known)
+
+    def _probe_suspects(self, targets, suspects, now: float) -> None:
+        """Ask each member of a suspected group whether it answers."""
+        for head, epoch in suspects:
+            record = targets.get(head)
+            if record is None or record.membership is None:
+                continue
+            if record.membership.epoch != epoch:
+                continue
+            members = [
+                other.id
+                for other in targets.values()
+                if other.membership is not None and other.membership.epoch == epoch
+            ]
+            for member in members:
+                if now - self._probed_at.get(member, 0.0) >= PROBE_AGAIN_S:
+                    self._probed_at[member] = now
+                    gevent.spawn(self._probe, self._beliefs.targets[member])
+
+    def _probe(self, known: KnownTarget) -> bool:
+        """Ask a target how many orders it has begun; return whether it answers."""
+        record = known.record
+        try:
+            answer = call_target(
+                self._pool,
+                record.address,
+                b"GET",
+                REPORT_PATH.encode(),
+                headers=((HeaderNames.EXPECTED_TARGET.value, record.id.encode()),),
+                timeout_s=PROBE_TIMEOUT_S,
+            )
+            self._orders[record.id] = decode_report(answer.body)
+        except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
+            self._unreachable[record.id] = time.monotonic()
+            logger.info(
+                "target does not answer",
+                extra={"target": record.id, "reason": str(exc)},
+            )
+            return False
+        except ValueError as exc:
+            logger.warning(
+                "report is unreadable",
+                extra={"target": record.id, "reason": str(exc)},
+            )
+            return False
+        self._unreachable.pop(record.id, None)
+        return True
+
+    def _give(self, planner: FormationPlanner, command: GiveOrder) -> None:
+        known = self._beliefs.targets.get(command.target)
+        if known is None or not self.is_holder:
+            return
+        status, outcome = self._send_order(known, command.order)
+        if status not in (200, 202):
+            planner.note_refused(command.target, command.order, time.monotonic())
+        logger.info(
+            "order given",
+            extra={
+                "target": command.target,
+                "order": repr(command.order),
+                "status": status,
+                "outcome": outcome,
+            },
+        )
+
+    def _send_order(self, known: KnownTarget, order: Order) -> tuple[int, str]:
+        """Send an order; return the status, 0 if there was no answer, and why."""
+        record = known.record
+        if self._orders.get(record.id) is None and not self._probe(known):
+            return 0, "target does not answer"
+        body = encode_order(
+            order, fence=self._fence, expected_orders=self._orders[record.id]
+        )
+        expected = self._orders.pop(record.id)
+        try:
+            answer = call_target(
+                self._pool,
+                record.address,
+                b"POST",
+                ORDER_PATH.encode(),
+                headers=(
+                    (HeaderNames.EXPECTED_TARGET.value, record.id.encode()),
+                    (b"Content-Type", b"application/json"),
+                ),
+                body=body,
+                timeout_s=ORDER_TIMEOUT_S,
+            )
+        except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
+            gevent.spawn(self._probe, known)
+            return 0, str(exc)
+        status = answer.head.status
+        if status == 202:
+            self._orders[record.id] = expected + 1
+        elif status == 200:
+            self._orders[record.id] = expected
+        return status, f"expected {expected} orders"
--- /dev/null
+++ b/waxwingpitch/gateway/web.py
@@ -0,0 +1,73 @@
+"""Answers the balancer, metric scrapers and operators who ask for a dump."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import bottle
+import msgspec
+from prometheus_client import REGISTRY, generate_latest
+
+from ..http_server import HttpServer
+from ..platform import READY_PATH
+from ..settings.gateway import Address
+
+
+class GatewayWeb:
+    """Serves readiness on one address, metrics and dump on another.
+
+    Parameters
+    ----------
+    find_unready
+        Returns why the process takes no requests, or None.
+    dump
+        Returns the process's state.
+    """
+
+    def __init__(
+        self,
+        ready: Address,
+        metrics: Address,
+        find_unready: Callable[[], str | None],
+        dump: Callable[[], Any],
+    ):
+        self._find_unready = find_unready
+        self._dump = dump
+        balancer = bottle.Bottle()
+        balancer.route(READY_PATH, "GET", self._get_ready)
+        inner = bottle.Bottle()
+        inner.route("/metrics", "GET", self._get_metrics)
+        inner.route("/dump", "GET", self._get_dump)
+        self._servers = [
+            HttpServer(ready.host, ready.port, balancer),
+            HttpServer(metrics.host, metrics.port, inner),
+        ]
+
+    def start(self) -> None:
+        """Start to answer."""
+        for server in self._servers:
+            server.start()
+
+    def stop(self) -> None:
+        """Close the listening sockets."""
+        for server in self._servers:
+            server.stop(timeout=0)
+
+    def _get_ready(self):
+        reason = self._find_unready()
+        if reason is None:
+            return bottle.HTTPResponse("ready\n", 200)
+        return bottle.HTTPResponse(f"{reason}\n", 503)
+
+    def _get_metrics(self):
+        return bottle.HTTPResponse(
+            generate_latest(REGISTRY), 200, {"Content-Type": "text/plain"}
+        )
+
+    def _get_dump(self):
+        return bottle.HTTPResponse(
+            msgspec.json.encode(self._dump(), enc_hook=str),
+            200,
+            {"Content-Type": "application/json"},
+        )
--- a/waxwingpitch/mesh/messages.py
+++ b/waxwingpitch/mesh/messages.py
@@ -197,6 +197,55 @@
     name: str
 
 
+class LoadCounts(_Message, tag=12):
+    """Requests in progress from the sender, and how fresh its view of the store is.
+
+    Attributes
+    ----------
+    counts
+        Requests in progress by target.
+    store_age_ms
+        Time since the store last answered the sender.
+    """
+
+    counts: dict[str, int]
+    store_age_ms: int
+
+
+class StalledTarget(_Message, tag=13):
+    """Says that nothing moves at a target.
+
+    Attributes
+    ----------
+    epoch
+        Epoch of the group that it heads.
+    """
+
+    target: str
+    epoch: int
+
+
+class ItemsRequest(_Message, tag=14):
+    """Asks for the store's keys that changed after a version."""
+
+    after: int
+
+
+class DeletedItem(msgspec.Struct, frozen=True, array_like=True):
+    """A key of the store that is gone since a version."""
+
+    key: str
+    version: int
+
+
+class StoreItems(_Message, tag=15):
+    """Keys of the store, in answer to :class:`ItemsRequest`."""
+
+    version: int
+    items: tuple[DocumentItem, ...]
+    deleted: tuple[DeletedItem, ...]
+
+
 Message = (
     Hello
     | Challenge
@@ -209,4 +258,8 @@
     | Suspects
     | EvidenceSet
     | SetRequest
+    | LoadCounts
+    | StalledTarget
+    | ItemsRequest
+    | StoreItems
 )
--- /dev/null
+++ b/waxwingpitch/platform/__init__.py
@@ -0,0 +1,42 @@
+"""Names, formats and calls of the users' platform.
+
+Translates between what the platform speaks and the product's own types. Nothing
+here decides, retries or supplies a default, and nothing else knows these names.
+"""
+
+from __future__ import annotations
+
+from .documents import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    OPERATOR_PREFIX,
+    TARGET_PREFIX,
+    decode_evacuated_zone,
+    decode_routed_configuration,
+    decode_target_id,
+    decode_target_record,
+)
+from .headers import HeaderNames
+from .orders import ORDER_PATH, REPORT_PATH, decode_report, encode_order
+from .ready import READY_PATH
+from .settings import load_platform_settings
+from .store import PlatformStore
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
+    "HeaderNames",
+    "OPERATOR_PREFIX",
+    "ORDER_PATH",
+    "PlatformStore",
+    "READY_PATH",
+    "REPORT_PATH",
+    "TARGET_PREFIX",
+    "decode_evacuated_zone",
+    "decode_report",
+    "decode_routed_configuration",
+    "decode_target_id",
+    "decode_target_record",
+    "encode_order",
+    "load_platform_settings",
+]
--- /dev/null
+++ b/waxwingpitch/platform/documents.py
@@ -0,0 +1,285 @@
+"""Decodes what operators and targets write into the platform's store."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ..configuration.routes import (
+    CallerLimits,
+    EngineSpec,
+    KeyHolder,
+    ModelSpec,
+    Route,
+    RoutedConfiguration,
+    RouteKind,
+    ServiceShare,
+    ServiceSpec,
+)
+from ..errors import ConfigurationError
+from ..targets.records import Membership, MemberState, TargetRecord
+
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+TARGET_PREFIX = "servers/"
+
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "stream": RouteKind.STREAM,
+}
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    max_attempts: int = 1
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_Split] = []
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class _Model(msgspec.Struct):
+    name: str
+    size: int = 1
+    share: float = 0.0
+    pace: float = 1.0
+    load_s: float = 0.0
+    warm_s: float = 0.0
+
+
+class _Usual(msgspec.Struct):
+    prompt: float = 0.0
+    answer: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    capacity: int
+    step_ms: float
+    per_seq_ms: float
+    read_per_s: float
+    models: list[_Model] = []
+    stride: int = 1
+    chunk: int = 2048
+    loads_per_s: float = 1.0
+    loads_at_once: int = 1
+    form_ms: float = 0.0
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits | None = None
+    tenants: list[_Tenant] | None = None
+
+
+class _Group(msgspec.Struct):
+    name: str
+    epoch: int
+    rank: int
+    state: MemberState
+
+
+class _EntryModel(msgspec.Struct):
+    name: str
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    capacity: int
+    state: str
+    cold_left_ms: float = 0.0
+    fault_domain: Any = ""
+    staged: list[Any] = []
+    models: list[_EntryModel] = []
+    group: _Group | None = None
+    born: int = 0
+
+
+def decode_routed_configuration(data: bytes) -> RoutedConfiguration:
+    """Decode an operator's configuration.
+
+    Raises
+    ------
+    ConfigurationError
+        The bytes are not a configuration.
+    """
+    try:
+        found = msgspec.json.decode(data, type=_Configuration)
+        return RoutedConfiguration(
+            version=found.version,
+            routes=tuple(map(_convert_route, found.routes)),
+            services={item.name: _convert_service(item) for item in found.services},
+            limits=_convert_limits(found.limits),
+            keys=_convert_keys(found.tenants),
+        )
+    except (msgspec.MsgspecError, KeyError) as exc:
+        raise ConfigurationError(f"configuration: {exc}") from exc
+
+
+def decode_target_record(key: str, data: bytes) -> TargetRecord:
+    """Decode a target's entry.
+
+    Raises
+    ------
+    ValueError
+        The entry names no target to use.
+    """
+    try:
+        found = msgspec.json.decode(data, type=_Entry)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise ValueError(f"{key}: {exc}") from exc
+    if found.state not in ("ready", "draining"):
+        raise ValueError(f"{key}: state {found.state!r}; valid: ready, draining")
+    group = found.group
+    return TargetRecord(
+        id=key.removeprefix(TARGET_PREFIX),
+        service=found.service,
+        address=found.address,
+        zone=found.zone,
+        capacity=found.capacity,
+        leaving=found.state == "draining",
+        cold_s=found.cold_left_ms / 1000,
+        domain=str(found.fault_domain),
+        staged=tuple(_name_staged(item) for item in found.staged),
+        model=found.models[0].name if found.models else "",
+        membership=(
+            None
+            if group is None or not group.name
+            else Membership(group.name, group.epoch, group.rank, group.state)
+        ),
+        started_ms=found.born,
+    )
+
+
+def decode_target_id(key: str) -> str | None:
+    """Return the target that a key describes, or None for another key."""
+    if key.startswith(TARGET_PREFIX):
+        return key.removeprefix(TARGET_PREFIX)
+    return None
+
+
+def decode_evacuated_zone(key: str) -> str | None:
+    """Return the zone that a key takes out of service, or None."""
+    if key.startswith(EVACUATION_PREFIX):
+        return key.removeprefix(EVACUATION_PREFIX)
+    return None
+
+
+def _convert_route(item: _Route) -> Route:
+    shares = tuple(
+        ServiceShare(split.service, split.weight) for split in item.traffic_split
+    )
+    return Route(
+        name=item.name,
+        host=item.host,
+        prefix=item.path_prefix,
+        kind=_KINDS[item.kind],
+        timeout_s=item.timeout_ms / 1000,
+        aim_s=item.target_latency_ms / 1000,
+        priority=item.priority,
+        max_attempts=item.max_attempts,
+        shares=shares or (ServiceShare(item.service, 1.0),),
+        public=item.public,
+        resumable=item.resumable,
+        gap_aim_s=item.gap_aim_ms / 1000,
+    )
+
+
+def _convert_service(item: _Service) -> ServiceSpec:
+    return ServiceSpec(
+        item.name,
+        item.max_conns,
+        item.cold_per_s,
+        None if item.engine is None else _convert_engine(item.engine),
+    )
+
+
+def _convert_engine(item: _Engine) -> EngineSpec:
+    return EngineSpec(
+        capacity=item.capacity,
+        step_s=item.step_ms / 1000,
+        step_per_request_s=item.per_seq_ms / 1000,
+        read_per_s=item.read_per_s,
+        stride=item.stride,
+        chunk=item.chunk,
+        usual_prompt=item.usual.prompt,
+        usual_answer=item.usual.answer,
+        loads_per_s=item.loads_per_s,
+        loads_at_once=item.loads_at_once,
+        open_s=item.form_ms / 1000,
+        models=tuple(
+            ModelSpec(
+                model.name,
+                model.size,
+                model.share,
+                model.pace,
+                model.load_s,
+                model.warm_s,
+            )
+            for model in item.models
+        ),
+    )
+
+
+def _convert_limits(item: _Limits | None) -> CallerLimits:
+    if item is None:
+        return CallerLimits()
+    return CallerLimits(
+        item.max_header_bytes,
+        item.max_body_bytes,
+        item.header_timeout_ms / 1000,
+        item.idle_timeout_ms / 1000,
+    )
+
+
+def _convert_keys(tenants: list[_Tenant] | None) -> dict[str, KeyHolder] | None:
+    if tenants is None:
+        return None
+    return {
+        key: KeyHolder(tenant.name, tenant.priority)
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
+
+
+def _name_staged(item: Any) -> str:
+    return str(item.get("name", "")) if isinstance(item, dict) else str(item)
--- /dev/null
+++ b/waxwingpitch/platform/headers.py
@@ -0,0 +1,29 @@
+"""Header names on the wire, in lower case as bytes."""
+
+from __future__ import annotations
+
+import enum
+
+
+class HeaderNames(bytes, enum.Enum):
+    """Headers whose meaning the platform defines."""
+
+    REQUEST_ID = b"attempt-id"
+    DEADLINE_MS = b"deadline-ms"
+    LAST_EVENT = b"last-event-id"
+    SEAL = b"response-seal"
+    WORKSPACE = b"tenant"
+    EXPECTED_TARGET = b"expect-instance"
+    NOT_RUN = b"not-executed"
+    RETRY_AFTER = b"retry-after"
+    TARGET = b"instance-id"
+    TARGET_AT_FAULT = b"at-server"
+    COLD_MS = b"cold-ms"
+    MODEL = b"model"
+    TOKEN_COUNTS = b"token-counts"
+    URGENCY = b"request-urgency"
+    LENGTH_HINT = b"length-hint"
+    AUTHORIZATION = b"authorization"
+
+
+KEY_SCHEME = b"Bearer "
--- /dev/null
+++ b/waxwingpitch/platform/orders.py
@@ -0,0 +1,60 @@
+"""Encodes orders to targets and decodes their reports."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..groups.orders_to_targets import Close, Join, Leave, Open, Order, Stage
+
+ORDER_PATH = "/waxwingpitch/order"
+REPORT_PATH = "/waxwingpitch/report"
+
+
+def encode_order(order: Order, *, fence: int, expected_orders: int) -> bytes:
+    """Encode an order.
+
+    Parameters
+    ----------
+    fence
+        Fencing number of the planner that gives the order.
+    expected_orders
+        Orders that the target must have begun; it refuses if there were others.
+    """
+    match order:
+        case Join():
+            body = {
+                "operation": "join",
+                "group": order.group,
+                "epoch": order.epoch,
+                "model": order.model,
+                "members": list(order.members),
+            }
+        case Open():
+            body = {"operation": "open", "group": order.group, "epoch": order.epoch}
+        case Close():
+            mode = "preempt" if order.preempt else "queue"
+            body = {
+                "operation": "close",
+                "group": order.group,
+                "epoch": order.epoch,
+                "mode": mode,
+            }
+        case Leave():
+            body = {"operation": "leave", "group": order.group, "epoch": order.epoch}
+        case Stage():
+            body = {"operation": "stage", "model": order.model}
+    body["fence_token"] = fence
+    body["expected"] = expected_orders
+    return msgspec.json.encode(body)
+
+
+class _Report(msgspec.Struct):
+    seq: int = 0
+    pace: float = 1.0
+    queued: int = 0
+    running: int = 0
+
+
+def decode_report(data: bytes) -> int:
+    """Return the orders that a target has begun; ValueError if unreadable."""
+    return msgspec.json.decode(data, type=_Report).seq
--- /dev/null
+++ b/waxwingpitch/platform/settings.py
@@ -0,0 +1,109 @@
+"""Decodes the platform's settings file into the product's settings."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from ..errors import SettingsError
+from ..settings.gateway import Address, GatewaySettings, SafetyBounds
+
+SETTINGS_VARIABLE = "WAXWINGPITCH_CONFIG"
+METRICS_PORT = 9464
+
+
+def load_platform_settings(path: str) -> GatewaySettings:
+    """Read and check the settings file.
+
+    Raises
+    ------
+    SettingsError
+        Names the file, the field, its value and valid values.
+    """
+    try:
+        with Path(path).open("rb") as file:
+            fields = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise SettingsError(f"{path}: {exc}; valid: a readable TOML file") from exc
+    reader = _Reader(path, fields)
+    bind = reader.text("bind_ip")
+    return GatewaySettings(
+        name=reader.text("node_name"),
+        zone=reader.text("zone"),
+        zones=tuple(reader.table("zones")),
+        front=reader.address("listen", "front"),
+        ready=reader.address("listen", "ready"),
+        peers=reader.address("listen", "control"),
+        store=reader.address("provider", "address"),
+        metrics=Address(bind, METRICS_PORT),
+        bounds=SafetyBounds(
+            contact_s=reader.number("bounds", "contact_ms") / 1000,
+            leaving_s=reader.number("bounds", "drain_ms") / 1000,
+            stop_s=reader.number("bounds", "grace_period_s"),
+            retry_ratio=reader.number("bounds", "retry_ratio"),
+            retry_slack=reader.number("bounds", "budget_slack"),
+            retry_window_s=reader.number("bounds", "budget_window_s"),
+            cold_factor=reader.number("bounds", "cold_over"),
+            stall_s=reader.number("bounds", "stall_ms") / 1000,
+            pass_s=reader.number("bounds", "pass_ms") / 1000,
+        ),
+        min_lease_s=reader.number("provider", "ttl_min_ms") / 1000,
+        seeds=reader.addresses("seed_nodes"),
+    )
+
+
+class _Reader:
+    """Reads fields and names the one that is wrong."""
+
+    def __init__(self, path: str, fields: Mapping[str, Any]):
+        self._path = path
+        self._fields = fields
+
+    def text(self, *names: str) -> str:
+        return self._read(names, lambda value: isinstance(value, str) and value, "text")
+
+    def number(self, *names: str) -> float:
+        return float(
+            self._read(
+                names,
+                lambda value: isinstance(value, int | float)
+                and not isinstance(value, bool)
+                and value >= 0,
+                "a number of 0 or more",
+            )
+        )
+
+    def table(self, *names: str) -> Mapping[str, Any]:
+        return self._read(names, lambda value: isinstance(value, dict), "a table")
+
+    def address(self, *names: str) -> Address:
+        text = self._read(names, _is_address, "IP:port")
+        return Address.parse(text)
+
+    def addresses(self, *names: str) -> tuple[Address, ...]:
+        texts = self._read(
+            names,
+            lambda value: isinstance(value, list) and all(map(_is_address, value)),
+            "a list of IP:port",
+        )
+        return tuple(map(Address.parse, texts))
+
+    def _read(self, names: tuple[str, ...], is_valid, valid: str) -> Any:
+        value: Any = self._fields
+        for name in names:
+            value = value.get(name) if isinstance(value, dict) else None
+        if not is_valid(value):
+            raise SettingsError(
+                f"{self._path}: {'.'.join(names)}: {value!r} is wrong; valid: {valid}"
+            )
+        return value
+
+
+def _is_address(value: Any) -> bool:
+    try:
+        Address.parse(value)
+    except (ValueError, AttributeError):
+        return False
+    return True
--- a/waxwingpitch/ports/common.py
+++ b/waxwingpitch/ports/common.py
@@ -23,6 +23,14 @@
     value: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class StoredDeletion:
+    """A key that was deleted, or whose lease ended, at a version."""
+
+    key: str
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class StoredChange:
     """Answer of a watch.
@@ -33,10 +41,13 @@
         Service-wide revision to watch from next.
     entries
         Entries written since, oldest first.
+    deletions
+        Keys deleted since; a key is in only one of the two, by its last change.
     """
 
     version: int
     entries: tuple[StoredEntry, ...]
+    deletions: tuple[StoredDeletion, ...] = ()
 
 
 class KeyValueStore(ABC):
@@ -90,6 +101,9 @@
     def renew_lease(self, lease: str) -> bool:
         """Renew a lease; return False if it has lapsed."""
 
+    def end_lease(self, lease: str) -> None:
+        """End a lease and delete its keys; best effort, does nothing by default."""
+
 
 class HostState(enum.StrEnum):
     """State of a host in the platform's list."""
--- /dev/null
+++ b/waxwingpitch/targets/loads.py
@@ -0,0 +1,43 @@
+"""Requests in progress at each target, from this entry host and its peers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+
+# Age after which a peer's counts no longer say anything, in seconds.
+PEER_COUNTS_VALID_S = 1.5
+
+
+class LoadBook:
+    """Counts of requests in progress."""
+
+    def __init__(self):
+        self._own: Counter[str] = Counter()
+        self._peers: dict[str, tuple[float, Mapping[str, int]]] = {}
+
+    def add(self, target: str) -> None:
+        """Note that a request was sent to a target."""
+        self._own[target] += 1
+
+    def remove(self, target: str) -> None:
+        """Note that a request at a target has ended."""
+        self._own[target] -= 1
+        if self._own[target] <= 0:
+            del self._own[target]
+
+    def note_peer(self, peer: str, counts: Mapping[str, int], now: float) -> None:
+        """Take in a peer's counts."""
+        self._peers[peer] = (now, counts)
+
+    def get_own(self) -> dict[str, int]:
+        """Return this entry host's counts."""
+        return dict(self._own)
+
+    def count_at(self, target: str, now: float) -> int:
+        """Return the requests in progress at a target, as far as known."""
+        return self._own[target] + sum(
+            counts.get(target, 0)
+            for at, counts in self._peers.values()
+            if now - at < PEER_COUNTS_VALID_S
+        )
