Plan groups by pressure, keep a second model on each host, prove a head's loss

Cause: pairs ran short once members died, since spares held the wrong weights and a new target loads for 12 to 16 s. Members now hold one model loaded and another on the host, free targets go to the more pressed model, and groups are given up for a crowded one.

--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -31,6 +31,9 @@
 # come back; until then they are not taken for gone.
 SETTLE_S = 2.5
 
+# Time for which a target that vanished from the list is still asked whether it lives.
+VANISHED_S = 15.0
+
 logger = logging.getLogger(__name__)
 
 
@@ -87,6 +90,7 @@
         self.mirror = StoreMirror()
         self.table: RouteTable | None = None
         self.targets: dict[str, KnownTarget] = {}
+        self.vanished: dict[str, tuple[KnownTarget, float]] = {}
         self.lapsed: dict[str, tuple[KnownTarget, float]] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.settled_at = 0.0
@@ -139,6 +143,9 @@
     def expire_lapsed(self) -> None:
         """Forget targets that did not come back to the list in time."""
         now = self._clock()
+        for target, (_, at) in list(self.vanished.items()):
+            if now - at > VANISHED_S:
+                del self.vanished[target]
         over = [key for key, (_, until) in self.lapsed.items() if until <= now]
         for target in over:
             del self.lapsed[target]
@@ -196,11 +203,13 @@
             if known is None:
                 return False
             del self.targets[target]
+            self.vanished[target] = (known, now)
             if now < self.settled_at and not known.record.leaving:
                 self.lapsed[target] = (known, self.settled_at)
             logger.info("target gone from the list", extra={"target": target})
             return True
         self.lapsed.pop(target, None)
+        self.vanished.pop(target, None)
         try:
             record = decode_target_record(key, entry.value)
         except ValueError as exc:
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -13,8 +13,21 @@
 
 from ..admission import RetryBudget
 from ..configuration.routes import CallerLimits
-from ..forwarding import CallerListener, ConnectionPool
-from ..platform import OPERATOR_PREFIX, TARGET_PREFIX, PlatformStore
+from ..forwarding import (
+    CallerListener,
+    ConnectionPool,
+    TargetBrokenError,
+    TargetTimeoutError,
+    UnreachableError,
+)
+from ..forwarding.exchange import call_target
+from ..platform import (
+    OPERATOR_PREFIX,
+    REPORT_PATH,
+    TARGET_PREFIX,
+    HeaderNames,
+    PlatformStore,
+)
 from ..ports import KeyValueStore
 from ..settings.gateway import GatewaySettings
 from ..targets.loads import LoadBook
@@ -34,6 +47,7 @@
 # Part of the repeats that all entry hosts together may send that is used.
 RETRY_PART = 0.8
 HOUSEKEEPING_S = 0.25
+PROBE_TIMEOUT_S = 0.3
 # The balancer takes a process out after two questions, one a second.
 UNREADY_S = 2.6
 STOP_MARGIN_S = 0.8
@@ -80,6 +94,7 @@
             self.progress,
             self._contact,
             self.dispatcher.pump,
+            self._is_answering,
         )
         self._server = RequestServer(
             self.beliefs,
@@ -100,6 +115,8 @@
                 loads=self.loads,
                 progress=self.progress,
                 zones=len(settings.zones),
+                count_waiting=self.dispatcher.count_waiting_for,
+                ask_peers=self._peers.may_be_alive,
             )
             for zone in settings.zones
         ]
@@ -187,6 +204,21 @@
     def _watch(self, prefix: str, pause_s: Callable[[], float]) -> PrefixWatcher:
         return PrefixWatcher(self._store, prefix, self.beliefs, self._contact, pause_s)
 
+    def _is_answering(self, target: str, address: str) -> bool:
+        """Return whether a target answers this process."""
+        try:
+            call_target(
+                self.pool,
+                address,
+                b"GET",
+                REPORT_PATH.encode(),
+                headers=((HeaderNames.EXPECTED_TARGET.value, target.encode()),),
+                timeout_s=PROBE_TIMEOUT_S,
+            )
+        except (UnreachableError, TargetTimeoutError, TargetBrokenError):
+            return False
+        return True
+
     def _find_target_pause(self) -> float:
         if any(planner.is_busy for planner in self._planners):
             return TARGET_PAUSE_BUSY_S
--- a/waxwingpitch/gateway/dispatch.py
+++ b/waxwingpitch/gateway/dispatch.py
@@ -138,6 +138,10 @@
         """Return the requests that wait."""
         return sum(len(queue) for queue in self._queues.values())
 
+    def count_waiting_for(self, service: str, model: str) -> int:
+        """Return the requests that wait for a replica of a model."""
+        return len(self._queues[(service, model)])
+
     def _wait(
         self, queue: FairQueue, demand: Demand, now: float, until: float
     ) -> Replica | Refused:
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 
 import gevent
 
@@ -13,6 +14,8 @@
     DocumentItem,
     ItemsRequest,
     LoadCounts,
+    ProbeRequest,
+    ProbeResult,
     StalledTarget,
     StoreItems,
 )
@@ -21,7 +24,7 @@
 from ..settings.gateway import GatewaySettings
 from ..targets.loads import LoadBook
 from ..targets.progress import ProgressBook
-from .beliefs import Beliefs
+from .beliefs import Beliefs, KnownTarget
 from .store_tasks import StoreContact
 
 COUNTS_INTERVAL_S = 0.1
@@ -30,6 +33,7 @@
 # Silence of the store after which its items are asked of a peer.
 STORE_SILENCE_S = 0.8
 ITEMS_INTERVAL_S = 0.5
+PROBE_ANSWER_S = 0.8
 FRAME_BYTES = 4 * 1024 * 1024
 
 logger = logging.getLogger(__name__)
@@ -46,7 +50,8 @@
         loads: LoadBook,
         progress: ProgressBook,
         contact: StoreContact,
-        on_loads,
+        on_loads: Callable[[], None],
+        is_answering: Callable[[str, str], bool],
     ):
         self._settings = settings
         self._beliefs = beliefs
@@ -54,6 +59,8 @@
         self._progress = progress
         self._contact = contact
         self._on_loads = on_loads
+        self._is_answering = is_answering
+        self._results: dict[str, dict[str, bool]] = {}
         self._store_ages: dict[str, tuple[float, float]] = {}
         self._sent: dict[str, int] = {}
         self._sent_at = 0.0
@@ -89,6 +96,27 @@
         """Tell all peers that nothing moves at a target."""
         self._node.broadcast(StalledTarget(target, epoch))
 
+    def may_be_alive(self, known: KnownTarget) -> bool:
+        """Return whether a target may answer any other entry host.
+
+        True unless every listed peer says that it does not.
+        """
+        record = known.record
+        listed = self._beliefs.list_peers().keys() - {self._settings.name}
+        self._results[record.id] = results = {}
+        self._node.broadcast(ProbeRequest(record.id, record.address))
+        deadline = time.monotonic() + PROBE_ANSWER_S
+        while time.monotonic() < deadline and len(results) < len(listed):
+            if any(results.values()):
+                return True
+            gevent.sleep(0.02)
+        del self._results[record.id]
+        return any(results.values()) or not listed <= results.keys()
+
+    def _answer_probe(self, peer: str, message: ProbeRequest) -> None:
+        answers = self._is_answering(message.target, message.address)
+        self._node.send(peer, ProbeResult(message.target, answers))
+
     def _run(self) -> None:
         while True:
             try:
@@ -114,7 +142,6 @@
         """Dial the peers with a higher address, so that each pair has one link."""
         mine = str(self._settings.peers)
         addresses = set(self._beliefs.list_peers().values())
-        addresses.update(map(str, self._settings.seeds))
         self._node.dial(address for address in addresses if address > mine)
 
     def _ask_for_items(self, now: float) -> None:
@@ -142,6 +169,11 @@
                 self._node.send(peer.id, self._collect_items(after))
             case Received(peer=peer, message=StoreItems() as message):
                 self._take_items(message)
+            case Received(peer=peer, message=ProbeRequest() as message):
+                gevent.spawn(self._answer_probe, peer.id, message)
+            case Received(peer=peer, message=ProbeResult() as message):
+                if message.target in self._results:
+                    self._results[message.target][peer.id] = message.answers
             case LinkUp(peer=peer):
                 logger.info("peer connected", extra={"peer": peer.id})
             case LinkDown(peer=peer):
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -4,6 +4,8 @@
 
 import logging
 import time
+from collections.abc import Callable
+from dataclasses import asdict
 
 import gevent
 
@@ -15,8 +17,8 @@
     UnreachableError,
 )
 from ..forwarding.exchange import call_target
-from ..groups.formation import FleetView, FormationPlanner, GiveOrder
-from ..groups.orders_to_targets import Order
+from ..groups.formation import FleetView, FormationPlanner, GiveOrder, summarize
+from ..groups.orders_to_targets import Close, Order
 from ..platform import (
     ORDER_PATH,
     REPORT_PATH,
@@ -26,6 +28,7 @@
 )
 from ..targets.loads import LoadBook
 from ..targets.progress import ProgressBook
+from ..targets.records import MemberState, TargetReport
 from .beliefs import PLANNER_PREFIX, Beliefs, KnownTarget
 from .store_tasks import LeaseKeeper
 
@@ -39,6 +42,7 @@
 # Part of the lease that is left unused, against a paused process.
 LEASE_MARGIN_S = 0.5
 EPOCHS_PER_REVISION = 1000
+SUMMARY_INTERVAL_S = 1.0
 
 logger = logging.getLogger(__name__)
 
@@ -66,6 +70,8 @@
         loads: LoadBook,
         progress: ProgressBook,
         zones: int,
+        count_waiting: Callable[[str, str], int],
+        ask_peers: Callable[[KnownTarget], bool],
     ):
         self.zone = zone
         self._name = name
@@ -76,7 +82,10 @@
         self._loads = loads
         self._progress = progress
         self._zones = zones
+        self._count_waiting = count_waiting
+        self._ask_peers = ask_peers
         self._fence = 0
+        self._summarized_at = 0.0
         self._lease: str | None = None
         self._counter = 0
         self._vacant_since: float | None = None
@@ -84,6 +93,7 @@
         self._load_starts: list[float] = []
         self._unreachable: dict[str, float] = {}
         self._orders: dict[str, int] = {}
+        self._gone: set[str] = set()
         self._probed_at: dict[str, float] = {}
         self._greenlet: gevent.Greenlet | None = None
 
@@ -158,11 +168,16 @@
         return self._fence * EPOCHS_PER_REVISION + self._counter
 
     def _may_load(self, now: float) -> bool:
-        self._load_starts = [at for at in self._load_starts if now - at < 1.0]
+        """Keep this zone's part of the weight store's limits."""
         service = next(iter(self._planners))
-        spec = self._beliefs.find_service(service)
-        limit = max(1, int(spec.engine.loads_per_s / self._zones))
-        if len(self._load_starts) >= limit:
+        engine = self._beliefs.find_service(service).engine
+        longest_s = max(model.load_s for model in engine.models)
+        self._load_starts = [at for at in self._load_starts if now - at < longest_s]
+        recent = sum(now - at < 1.0 for at in self._load_starts)
+        at_once = max(1, -(-engine.loads_at_once // self._zones))
+        if len(self._load_starts) >= at_once:
+            return False
+        if recent >= max(1, int(engine.loads_per_s / self._zones)):
             return False
         self._load_starts.append(now)
         return True
@@ -180,6 +195,10 @@
                 planner = FormationPlanner(self._next_epoch, self._may_load)
                 self._planners[service.name] = planner
             view = self._build_view(service, now)
+            if now - self._summarized_at >= SUMMARY_INTERVAL_S:
+                self._summarized_at = now
+                summary = asdict(summarize(view, planner))
+                logger.info("fleet", extra={"zone": self.zone, **summary})
             for command in planner.plan(view, now):
                 gevent.spawn(self._give, planner, command)
 
@@ -189,26 +208,32 @@
             for known in self._beliefs.targets.values()
             if known.record.service == service.name and known.record.zone == self.zone
         }
+        demand, slots = self._measure(service, now)
         suspects = self._progress.list_suspects(now)
         self._probe_suspects(targets, suspects, now)
         self._probe_unreachable(now)
+        self._probe_vanished(service.name, now)
         unreachable = frozenset(self._unreachable)
         return FleetView(
             spec=service.engine,
             targets=targets,
             unreachable=unreachable,
-            suspects={key: at for key, at in suspects.items() if key[0] in targets},
-            load=self._measure_load(service, now),
+            gone=frozenset(self._gone),
+            demand=demand,
+            slots=slots,
+            has_traffic=self._loads.has_seen_requests,
         )
 
-    def _measure_load(self, service, now: float) -> dict[str, float]:
-        load = {}
+    def _measure(self, service, now: float) -> tuple[dict, dict]:
+        """Return the demand for each model and its slots."""
+        demand, slots = {}, {}
         for model in service.engine.models:
             replicas = self._beliefs.find_replicas(service.name, model.name)
-            slots = sum(replica.capacity for replica in replicas)
-            taken = sum(self._loads.count_at(item.id, now) for item in replicas)
-            load[model.name] = taken / slots if slots else 1.0
-        return load
+            slots[model.name] = sum(replica.capacity for replica in replicas)
+            demand[model.name] = sum(
+                self._loads.count_at(item.id, now) for item in replicas
+            ) + self._count_waiting(service.name, model.name)
+        return demand, slots
 
     def _probe_unreachable(self, now: float) -> None:
         """Ask targets that did not answer again, until the list drops them."""
@@ -220,6 +245,42 @@
                 self._probed_at[target] = now
                 gevent.spawn(self._probe, known)
 
+    def _probe_vanished(self, service: str, now: float) -> None:
+        """Ask heads that the list has dropped whether they still answer."""
+        vanished = self._beliefs.vanished
+        self._gone &= vanished.keys()
+        for target, (known, _) in vanished.items():
+            record = known.record
+            if (
+                record.service == service
+                and record.zone == self.zone
+                and record.membership is not None
+                and record.membership.rank == 0
+                and target not in self._gone
+                and now - self._probed_at.get(target, 0.0) >= PROBE_AGAIN_S
+            ):
+                self._probed_at[target] = now
+                gevent.spawn(self._probe_gone, known)
+
+    def _probe_gone(self, known: KnownTarget) -> None:
+        """Find out whether a head that left the list still takes requests.
+
+        One that answers is told to close. One that answers no entry host is gone.
+        """
+        target = known.record.id
+        report = self._probe(known)
+        if report is None:
+            if self._ask_peers(known) or target not in self._beliefs.vanished:
+                return
+            self._gone.add(target)
+            return
+        place = report.membership
+        if place is None or place.state not in (MemberState.OPEN, MemberState.CLOSING):
+            self._gone.add(target)
+            return
+        if self.is_holder:
+            self._send_order(known, Close(place.group, place.epoch, preempt=True))
+
     def _probe_suspects(self, targets, suspects, now: float) -> None:
         """Ask each member of a suspected group whether it answers."""
         for head, epoch in suspects:
@@ -238,8 +299,8 @@
                     self._probed_at[member] = now
                     gevent.spawn(self._probe, self._beliefs.targets[member])
 
-    def _probe(self, known: KnownTarget) -> bool:
-        """Ask a target how many orders it has begun; return whether it answers."""
+    def _probe(self, known: KnownTarget) -> TargetReport | None:
+        """Ask a target for its report; return None if it does not answer."""
         record = known.record
         try:
             answer = call_target(
@@ -250,22 +311,23 @@
                 headers=((HeaderNames.EXPECTED_TARGET.value, record.id.encode()),),
                 timeout_s=PROBE_TIMEOUT_S,
             )
-            self._orders[record.id] = decode_report(answer.body)
+            report = decode_report(answer.body)
         except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
             self._unreachable[record.id] = time.monotonic()
             logger.info(
                 "target does not answer",
                 extra={"target": record.id, "reason": str(exc)},
             )
-            return False
+            return None
         except ValueError as exc:
             logger.warning(
                 "report is unreadable",
                 extra={"target": record.id, "reason": str(exc)},
             )
-            return False
+            return None
+        self._orders[record.id] = report.orders
         self._unreachable.pop(record.id, None)
-        return True
+        return report
 
     def _give(self, planner: FormationPlanner, command: GiveOrder) -> None:
         known = self._beliefs.targets.get(command.target)
@@ -287,7 +349,7 @@
     def _send_order(self, known: KnownTarget, order: Order) -> tuple[int, str]:
         """Send an order; return the status, 0 if there was no answer, and why."""
         record = known.record
-        if self._orders.get(record.id) is None and not self._probe(known):
+        if self._orders.get(record.id) is None and self._probe(known) is None:
             return 0, "target does not answer"
         body = encode_order(
             order, fence=self._fence, expected_orders=self._orders[record.id]
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -82,6 +82,7 @@
 
     sends: int = 0
     runs: int = 0
+    began: bool = False
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     last_event: int | None = None
@@ -237,6 +238,7 @@
     ) -> _Outcome:
         started_at = time.monotonic()
         attempts.sends += 1
+        attempts.began = False
         attempts.tried.add(replica.id)
         try:
             outcome = self._exchange(ctx, resp, attempts, replica)
@@ -255,10 +257,11 @@
                         "took_ms": round(1000 * (now - ctx.arrived_at)),
                     },
                 )
-            case _Stalled() | _Broken():
-                attempts.may_have_run |= isinstance(outcome, _Broken)
-                if replica.epoch and now < ctx.deadline:
-                    self._on_suspect(replica.id, replica.epoch)
+            case _Broken():
+                attempts.may_have_run = True
+                attempts.runs += not attempts.began
+            case _Stalled() if replica.epoch and now < ctx.deadline:
+                self._on_suspect(replica.id, replica.epoch)
         return outcome
 
     def _exchange(
@@ -348,6 +351,7 @@
             attempts.may_have_run = attempts.runs > 0
             return outcome
         attempts.runs += 1
+        attempts.began = True
         if outcome is None:
             self._progress.note_progress(replica.id, replica.epoch, time.monotonic())
             resp.send_answer(answer)
@@ -396,7 +400,7 @@
             self._progress.note_progress(replica.id, replica.epoch, moved_at)
             events = list(self._select_events(attempts, splitter.feed(data)))
             if not ran and events:
-                ran = True
+                ran = attempts.began = True
                 attempts.runs += 1
                 attempts.may_have_run = True
             if events:
@@ -468,7 +472,7 @@
             case _Stalled() | _Broken():
                 if not ctx.route.is_repeatable:
                     return False
-                if attempts.runs >= ctx.route.max_attempts + 1:
+                if attempts.runs >= ctx.route.max_attempts:
                     return False
         return budget.spend()
 
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -22,12 +22,16 @@
 EFFECT_S = 1.5
 # Joining again for the model of the last group takes 0.2 s.
 REJOIN_S = 0.2
-# Share of a domain's targets that are kept as spares.
-SPARE_SHARE = 0.2
+# Share of slots taken above which another model's groups are given up for this one,
+# and the part of that share which they may have themselves afterwards.
+CROWDED = 0.7
+REBALANCE_PART = 0.75
+REBALANCE_INTERVAL_S = 2.0
 # Longest time for requests in progress when a group is closed for a planned change.
 CLOSING_S = 6.0
-# Time for which a suspected group whose members all answer is left alone.
-SUSPECT_PATIENCE_S = 1.0
+# Time after which a head that is missing from the list does not come back: targets
+# that could not reach the list are in it again within two heartbeats.
+HEAD_ABSENCE_S = 4.0
 # Time without a new target after which a new domain counts as complete.
 ARRIVALS_S = 1.5
 
@@ -42,18 +46,23 @@
         Records by id.
     unreachable
         Targets that do not answer although the list still has them.
-    suspects
-        Head and epoch of each group in which nothing moves, with the monotonic
-        time since which that is so.
-    load
-        Share of the open groups' slots that is taken, by model.
+    gone
+        Targets that the list has dropped and that take no more requests.
+    demand
+        Requests in progress and waiting, by model, over all zones.
+    slots
+        Requests that all open groups run at once, by model, over all zones.
+    has_traffic
+        Whether requests have come; before that, loads cost nothing.
     """
 
     spec: EngineSpec
     targets: Mapping[str, TargetRecord]
     unreachable: frozenset[str] = frozenset()
-    suspects: Mapping[tuple[str, int], float] = field(default_factory=dict)
-    load: Mapping[str, float] = field(default_factory=dict)
+    gone: frozenset[str] = frozenset()
+    demand: Mapping[str, float] = field(default_factory=dict)
+    slots: Mapping[str, int] = field(default_factory=dict)
+    has_traffic: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +126,12 @@
         self._pending: dict[str, _Pending] = {}
         self._closing_since: dict[tuple[str, int], float] = {}
         self._laid_out: set[str] = set()
+        self._rebalanced_at = 0.0
+        self._given_up: set[tuple[str, int]] = set()
+        self._reserved: dict[str, tuple[str, float]] = {}
+        self._appeared: dict[str, float] = {}
+        self._heads: dict[tuple[str, int], str] = {}
+        self._vanished: dict[str, float] = {}
         self._arrivals: dict[str, tuple[int, float]] = {}
 
     @property
@@ -126,6 +141,10 @@
             not isinstance(item.order, Stage) for item in self._pending.values()
         )
 
+    def count_forming(self) -> Mapping[str, int]:
+        """Return the groups that are being formed, by model."""
+        return Counter(forming.model.name for forming in self._forming.values())
+
     def note_refused(self, target: str, order: Order, now: float) -> None:
         """Note that a target refused an order, or did not answer."""
         pending = self._pending.get(target)
@@ -134,12 +153,16 @@
 
     def plan(self, view: FleetView, now: float) -> list[GiveOrder]:
         """Return the orders to give now."""
+        self._note_arrivals(view, now)
         self._drop_settled(view, now)
         orders = list(self._advance_forming(view, now))
         by_domain: dict[str, list[TargetRecord]] = defaultdict(list)
         for record in view.targets.values():
             by_domain[record.domain].append(record)
         seen = _find_groups(view.targets.values())
+        for key, group in seen.items():
+            if group.head is not None:
+                self._heads[key] = group.head.id
         for domain in sorted(by_domain):
             members = sorted(by_domain[domain], key=lambda record: record.id)
             if self._is_laid_out(domain, members):
@@ -147,6 +170,8 @@
             elif self._is_settled(domain, len(members), now):
                 self._laid_out.add(domain)
                 orders += self._lay_out(view, members, now)
+        orders += self._stage_hosts(view, now)
+        orders += self._rebalance(view, by_domain, seen, now)
         return orders
 
     def _is_laid_out(self, domain: str, members: Sequence[TargetRecord]) -> bool:
@@ -162,6 +187,30 @@
         self._arrivals[domain] = (known, since)
         return now - since >= ARRIVALS_S
 
+    def _note_arrivals(self, view: FleetView, now: float) -> None:
+        """Note which targets appeared in the list and which vanished from it."""
+        for target in view.targets:
+            self._appeared.setdefault(target, now)
+            self._vanished.pop(target, None)
+        for target in self._appeared.keys() - view.targets.keys():
+            del self._appeared[target]
+            self._vanished[target] = now
+
+    def _is_headless(self, view: FleetView, record: TargetRecord, now: float) -> bool:
+        """Return whether the head of a target's group is certainly gone.
+
+        A head that only can't reach the list may still take requests. It is gone if
+        it does not answer, and if this member stayed in the list when it vanished.
+        """
+        place = record.membership
+        appeared_at = self._appeared[record.id]
+        head = self._heads.get((place.group, place.epoch))
+        vanished_at = self._vanished.get(head)
+        if head in view.gone and vanished_at is not None:
+            if appeared_at < vanished_at - EFFECT_S:
+                return True
+        return now - max(appeared_at, vanished_at or 0.0) >= HEAD_ABSENCE_S
+
     def _drop_settled(self, view: FleetView, now: float) -> None:
         for target, pending in list(self._pending.items()):
             record = view.targets.get(target)
@@ -228,9 +277,10 @@
         for key, group in in_domain.items():
             if group.group not in self._forming:
                 yield from self._tend(view, key, group, now)
-        free = [record for record in members if self._is_free(view, record, in_domain)]
+        free = [
+            record for record in members if self._is_free(view, record, in_domain, now)
+        ]
         yield from self._form(view, free, now)
-        yield from self._stage(view, members, free, now)
 
     def _tend(
         self, view: FleetView, key, group: _SeenGroup, now: float
@@ -246,10 +296,8 @@
             if rank not in group.members or group.members[rank].id in view.unreachable
         ]
         leaving = any(record.leaving for record in group.members.values())
-        stuck_since = view.suspects.get((head.id, group.epoch))
-        stuck = stuck_since is not None and now - stuck_since > SUSPECT_PATIENCE_S
         match group.state:
-            case MemberState.OPEN if lost or stuck:
+            case MemberState.OPEN if lost:
                 order = Close(group.group, group.epoch, preempt=True)
                 yield from self._give(head, order, EFFECT_S, now)
             case MemberState.OPEN if leaving:
@@ -262,7 +310,8 @@
                     order = Close(group.group, group.epoch, preempt=True)
                     yield from self._give(head, order, EFFECT_S, now)
             case MemberState.READY if (
-                not lost
+                key not in self._given_up
+                and not lost
                 and not leaving
                 and model is not None
                 and all(
@@ -285,6 +334,7 @@
         view: FleetView,
         record: TargetRecord,
         seen: Mapping[tuple[str, int], _SeenGroup],
+        now: float,
     ) -> bool:
         if record.leaving or record.id in view.unreachable:
             return False
@@ -297,7 +347,7 @@
             return True
         group = seen[(record.membership.group, record.membership.epoch)]
         if group.head is None:
-            return True
+            return self._is_headless(view, record, now)
         return group.state not in (MemberState.OPEN, MemberState.CLOSING)
 
     def _lay_out(
@@ -306,37 +356,30 @@
         """Form the first groups, when every target still has to load a model."""
         free = [record for record in members if not record.leaving]
         models = view.spec.models
-        spares = math.floor(len(free) * SPARE_SHARE)
-        places = len(free) - spares
         total = sum(model.share for model in models) or 1.0
-        wanted = {model.name: model.share / total * places for model in models}
+        wanted = {model.name: model.share / total * len(free) for model in models}
         while True:
-            fitting = [model for model in models if model.size <= places]
+            fitting = [model for model in models if model.size <= len(free)]
             if not fitting:
-                break
+                return
             model = max(fitting, key=lambda item: (wanted[item.name], item.size))
             chosen, free = free[: model.size], free[model.size :]
-            places -= model.size
             wanted[model.name] -= model.size
             yield from self._start(view, model, chosen, now, model.load_s)
-        largest = max(models, key=lambda item: item.size)
-        for record in free:
-            yield from self._give(
-                record, Stage(largest.name), largest.load_s * 1.5 + EFFECT_S, now
-            )
 
     def _form(
         self, view: FleetView, free: list[TargetRecord], now: float
     ) -> Iterator[GiveOrder]:
+        """Form groups of free targets, for the most pressed model first."""
         while True:
             options = []
             for model in view.spec.models:
                 ready = [
                     record for record in free if _find_join_s(model, record) is not None
                 ]
-                if len(ready) >= model.size:
+                if len(ready) >= model.size and self._may_form(model, free[0], now):
                     ready.sort(key=lambda record: _find_join_s(model, record))
-                    options.append((view.load.get(model.name, 0.0), model, ready))
+                    options.append((self._find_pressure(view, model), model, ready))
             if not options:
                 return
             _, model, ready = max(options, key=lambda item: (item[0], item[1].size))
@@ -346,43 +389,152 @@
             join_s = max(_find_join_s(model, record) for record in chosen)
             yield from self._start(view, model, chosen, now, join_s)
 
-    def _stage(
+    def _may_form(self, model: ModelSpec, record: TargetRecord, now: float) -> bool:
+        """Return whether a domain's free targets are not kept for another model."""
+        kept_for, until = self._reserved.get(record.domain, ("", 0.0))
+        return now >= until or kept_for == model.name
+
+    def _find_pressure(
+        self, view: FleetView, model: ModelSpec, *, without: int = 0
+    ) -> float:
+        """Return the share of a model's slots that is taken.
+
+        Parameters
+        ----------
+        without
+            Groups that are thought away.
+        """
+        coming = sum(
+            forming.model.name == model.name for forming in self._forming.values()
+        )
+        groups = coming - without
+        slots = view.slots.get(model.name, 0) + groups * view.spec.capacity
+        demand = view.demand.get(model.name, 0.0)
+        if slots <= 0:
+            return 1.0 + demand + model.share
+        return demand / slots
+
+    def _stage_hosts(self, view: FleetView, now: float) -> Iterator[GiveOrder]:
+        """Load onto each host the model that its target would need next.
+
+        Targets that can join nothing come first. Then those in a group, so that they
+        can change to another model in the time of a join from the host.
+        """
+        for record in sorted(view.targets.values(), key=_count_models):
+            if (
+                record.leaving
+                or record.id in view.unreachable
+                or record.domain not in self._laid_out
+                or record.id in self._pending
+            ):
+                continue
+            model = self._choose_to_stage(view, record)
+            if model is None:
+                continue
+            if view.has_traffic and not self._may_load(now):
+                return
+            effect_s = model.load_s * 2 + EFFECT_S
+            yield from self._give(record, Stage(model.name), effect_s, now)
+
+    def _choose_to_stage(
+        self, view: FleetView, record: TargetRecord
+    ) -> ModelSpec | None:
+        if _count_models(record) > 1:
+            return None
+        forming = any(
+            record.id in forming.members for forming in self._forming.values()
+        )
+        if forming and not record.model:
+            return None
+        lacking = [
+            model
+            for model in view.spec.models
+            if model.name != record.model and model.name not in record.staged
+        ]
+        return max(
+            lacking,
+            key=lambda model: (self._find_pressure(view, model), -model.size),
+            default=None,
+        )
+
+    def _rebalance(
         self,
         view: FleetView,
-        members: Sequence[TargetRecord],
-        free: Sequence[TargetRecord],
+        by_domain: Mapping[str, Sequence[TargetRecord]],
+        seen: Mapping[tuple[str, int], _SeenGroup],
         now: float,
     ) -> Iterator[GiveOrder]:
-        """Load weights onto the hosts of targets that have none."""
-        largest = max(view.spec.models, key=lambda item: item.size)
-        smallest = min(view.spec.models, key=lambda item: item.size)
-        staging = [
-            pending.order.model
-            for record in members
-            if (pending := self._pending.get(record.id)) is not None
-            and isinstance(pending.order, Stage)
-        ]
-        has_group = any(
-            record.model == largest.name and record.membership is not None
-            for record in members
-            if record not in free
-        )
-        wanted = math.ceil(len(members) * SPARE_SHARE) if has_group else largest.size
-        held = staging.count(largest.name) + sum(
-            _find_join_s(largest, record) is not None for record in free
+        """Give up groups of a model with room for one whose slots are taken."""
+        if self._forming or now - self._rebalanced_at < REBALANCE_INTERVAL_S:
+            return
+        models = sorted(
+            view.spec.models, key=lambda model: self._find_pressure(view, model)
         )
-        for record in free:
-            if record.id in self._pending or any(
-                _find_join_s(model, record) is not None for model in view.spec.models
-            ):
+        crowded = models[-1]
+        if self._find_pressure(view, crowded) < CROWDED:
+            return
+        for donor in models[:-1]:
+            count = math.ceil(crowded.size / donor.size)
+            after = self._find_pressure(view, donor, without=count)
+            slots = view.slots.get(donor.name, 0)
+            limit = self._find_pressure(view, crowded) * REBALANCE_PART
+            if after > limit or slots <= count * view.spec.capacity:
                 continue
-            model = largest if held < wanted else smallest
-            if not self._may_load(now):
+            heads = self._find_donors(view, by_domain, seen, crowded, donor, now)
+            if heads:
+                self._rebalanced_at = now
+                self._reserved[heads[0].domain] = (crowded.name, now + CLOSING_S)
+            for head in heads:
+                place = head.membership
+                self._given_up.add((place.group, place.epoch))
+                order = Close(place.group, place.epoch, preempt=False)
+                yield from self._give(head, order, CLOSING_S, now)
+            if heads:
                 return
-            held += model is largest
-            yield from self._give(
-                record, Stage(model.name), model.load_s * 1.5 + EFFECT_S, now
+
+    def _find_donors(
+        self,
+        view: FleetView,
+        by_domain: Mapping[str, Sequence[TargetRecord]],
+        seen: Mapping[tuple[str, int], _SeenGroup],
+        crowded: ModelSpec,
+        donor: ModelSpec,
+        now: float,
+    ) -> list[TargetRecord]:
+        """Return the heads of the fewest groups whose members make up a new one."""
+        best: list[TargetRecord] = []
+        for domain, members in by_domain.items():
+            ready = sum(
+                _find_join_s(crowded, record) is not None
+                for record in members
+                if self._is_free(view, record, seen, now)
             )
+            heads = []
+            for group in seen.values():
+                head = group.head
+                if (
+                    ready >= crowded.size
+                    or head is None
+                    or head.domain != domain
+                    or head.model != donor.name
+                    or group.state is not MemberState.OPEN
+                    or isinstance(self._find_pending(head.id), Close)
+                ):
+                    continue
+                added = sum(
+                    _find_join_s(crowded, record) is not None
+                    for record in group.members.values()
+                )
+                if added:
+                    ready += added
+                    heads.append(head)
+            if ready >= crowded.size and heads and (not best or len(heads) < len(best)):
+                best = heads
+        return best
+
+    def _find_pending(self, target: str) -> Order | None:
+        pending = self._pending.get(target)
+        return None if pending is None else pending.order
 
     def _start(
         self,
@@ -397,20 +549,60 @@
         members = tuple(record.id for record in chosen)
         deadline = now + join_s + view.spec.open_s + 2 * EFFECT_S
         self._forming[group] = _Forming(group, epoch, model, members, deadline)
+        self._reserved.pop(chosen[0].domain, None)
         order = Join(group, epoch, model.name, members)
         for record in chosen:
-            self._pending.pop(record.id, None)
             yield from self._give(record, order, EFFECT_S, now)
 
     def _give(
         self, record: TargetRecord, order: Order, effect_s: float, now: float
     ) -> Iterator[GiveOrder]:
-        if record.id in self._pending:
+        pending = self._pending.get(record.id)
+        if pending is not None and not isinstance(pending.order, Stage):
             return
         self._pending[record.id] = _Pending(order, now + effect_s)
         yield GiveOrder(record.id, order)
 
 
+@dataclass(frozen=True, slots=True)
+class FleetSummary:
+    """Counts of a service's targets in one zone, for logs and the dump.
+
+    Attributes
+    ----------
+    open_groups
+        Groups that take requests, by model.
+    idle
+        Targets in no group, by the model that lies on their hosts.
+    """
+
+    targets: int
+    open_groups: Mapping[str, int]
+    forming: Mapping[str, int]
+    idle: Mapping[str, int]
+    unreachable: int
+
+
+def summarize(view: FleetView, planner: FormationPlanner) -> FleetSummary:
+    """Count what a planner sees."""
+    groups = _find_groups(view.targets.values())
+    serving = {key for key, group in groups.items() if group.state is MemberState.OPEN}
+    open_groups = Counter(groups[key].head.model for key in serving)
+    idle = Counter(
+        record.model or (record.staged[0] if record.staged else "")
+        for record in view.targets.values()
+        if record.membership is None
+        or (record.membership.group, record.membership.epoch) not in serving
+    )
+    return FleetSummary(
+        len(view.targets),
+        dict(open_groups),
+        dict(planner.count_forming()),
+        dict(idle),
+        len(view.unreachable),
+    )
+
+
 def _find_groups(
     records: Iterable[TargetRecord],
 ) -> dict[tuple[str, int], _SeenGroup]:
@@ -425,6 +617,11 @@
     return found
 
 
+def _count_models(record: TargetRecord) -> int:
+    """Return the models for which a target can join without the weight store."""
+    return len({*record.staged, record.model} - {""})
+
+
 def _is_member(record: TargetRecord, key: tuple[str, int]) -> bool:
     place = record.membership
     return place is not None and (place.group, place.epoch) == key
--- a/waxwingpitch/mesh/messages.py
+++ b/waxwingpitch/mesh/messages.py
@@ -246,6 +246,20 @@
     deleted: tuple[DeletedItem, ...]
 
 
+class ProbeRequest(_Message, tag=16):
+    """Asks whether a target answers the receiver."""
+
+    target: str
+    address: str
+
+
+class ProbeResult(_Message, tag=17):
+    """Says whether a target answers the sender."""
+
+    target: str
+    answers: bool
+
+
 Message = (
     Hello
     | Challenge
@@ -262,4 +276,6 @@
     | StalledTarget
     | ItemsRequest
     | StoreItems
+    | ProbeRequest
+    | ProbeResult
 )
--- a/waxwingpitch/platform/orders.py
+++ b/waxwingpitch/platform/orders.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..groups.orders_to_targets import Close, Join, Leave, Open, Order, Stage
+from ..targets.records import Membership, MemberState, TargetReport
 
 ORDER_PATH = "/waxwingpitch/order"
 REPORT_PATH = "/waxwingpitch/report"
@@ -48,13 +49,24 @@
     return msgspec.json.encode(body)
 
 
+class _Group(msgspec.Struct):
+    name: str = ""
+    epoch: int = 0
+    rank: int = 0
+    state: MemberState | None = None
+
+
 class _Report(msgspec.Struct):
     seq: int = 0
     pace: float = 1.0
-    queued: int = 0
-    running: int = 0
+    group: _Group | None = None
 
 
-def decode_report(data: bytes) -> int:
-    """Return the orders that a target has begun; ValueError if unreadable."""
-    return msgspec.json.decode(data, type=_Report).seq
+def decode_report(data: bytes) -> TargetReport:
+    """Decode a target's report; ValueError if it is unreadable."""
+    found = msgspec.json.decode(data, type=_Report)
+    group = found.group
+    place = None
+    if group is not None and group.name and group.state is not None:
+        place = Membership(group.name, group.epoch, group.rank, group.state)
+    return TargetReport(orders=found.seq, pace=found.pace, membership=place)
--- a/waxwingpitch/platform/settings.py
+++ b/waxwingpitch/platform/settings.py
@@ -12,6 +12,7 @@
 
 SETTINGS_VARIABLE = "WAXWINGPITCH_CONFIG"
 METRICS_PORT = 9464
+MAX_PORT = 65535
 
 
 def load_platform_settings(path: str) -> GatewaySettings:
@@ -35,7 +36,7 @@
         zones=tuple(reader.table("zones")),
         front=reader.address("listen", "front"),
         ready=reader.address("listen", "ready"),
-        peers=reader.address("listen", "control"),
+        peers=Address(bind, reader.port("port_range")),
         store=reader.address("provider", "address"),
         metrics=Address(bind, METRICS_PORT),
         bounds=SafetyBounds(
@@ -50,7 +51,6 @@
             pass_s=reader.number("bounds", "pass_ms") / 1000,
         ),
         min_lease_s=reader.number("provider", "ttl_min_ms") / 1000,
-        seeds=reader.addresses("seed_nodes"),
     )
 
 
@@ -82,13 +82,17 @@
         text = self._read(names, _is_address, "IP:port")
         return Address.parse(text)
 
-    def addresses(self, *names: str) -> tuple[Address, ...]:
-        texts = self._read(
+    def port(self, *names: str) -> int:
+        """Return the first port of a range."""
+        ports = self._read(
             names,
-            lambda value: isinstance(value, list) and all(map(_is_address, value)),
-            "a list of IP:port",
+            lambda value: isinstance(value, list)
+            and len(value) == 2
+            and all(isinstance(port, int) for port in value)
+            and 0 < value[0] <= value[1] <= MAX_PORT,
+            "a list of the first and the last port",
         )
-        return tuple(map(Address.parse, texts))
+        return ports[0]
 
     def _read(self, names: tuple[str, ...], is_valid, valid: str) -> Any:
         value: Any = self._fields
--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,8 +72,6 @@
         ready, and for other entry hosts.
     store
         Address of the platform's key-value service.
-    seeds
-        Addresses of entry hosts that may be stale.
     metrics
         Address on which metrics and the state dump are served.
     min_lease_s
@@ -90,4 +88,3 @@
     metrics: Address
     bounds: SafetyBounds
     min_lease_s: float
-    seeds: tuple[Address, ...] = field(default=())
--- a/waxwingpitch/targets/loads.py
+++ b/waxwingpitch/targets/loads.py
@@ -10,14 +10,22 @@
 
 
 class LoadBook:
-    """Counts of requests in progress."""
+    """Counts of requests in progress.
+
+    Attributes
+    ----------
+    has_seen_requests
+        Whether any entry host has had a request in progress.
+    """
 
     def __init__(self):
+        self.has_seen_requests = False
         self._own: Counter[str] = Counter()
         self._peers: dict[str, tuple[float, Mapping[str, int]]] = {}
 
     def add(self, target: str) -> None:
         """Note that a request was sent to a target."""
+        self.has_seen_requests = True
         self._own[target] += 1
 
     def remove(self, target: str) -> None:
@@ -29,6 +37,7 @@
     def note_peer(self, peer: str, counts: Mapping[str, int], now: float) -> None:
         """Take in a peer's counts."""
         self._peers[peer] = (now, counts)
+        self.has_seen_requests |= bool(counts)
 
     def get_own(self) -> dict[str, int]:
         """Return this entry host's counts."""
--- a/waxwingpitch/targets/records.py
+++ b/waxwingpitch/targets/records.py
@@ -68,3 +68,20 @@
     model: str = ""
     membership: Membership | None = None
     started_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """What a target answers when it is asked, some 100 ms old.
+
+    Attributes
+    ----------
+    orders
+        Orders begun since it started.
+    pace
+        Factor on its usual times; above 1 it is slow.
+    """
+
+    orders: int
+    pace: float
+    membership: Membership | None
