--- a/waxwingpitch/forwarding/parsing.py
+++ b/waxwingpitch/forwarding/parsing.py
@@ -155,40 +155,53 @@
         self.started = False
 
 
-class AnswerReader:
-    """Reads the answers that arrive on one connection to a target.
+class _ReadAnswer:
+    """An answer as far as it has arrived."""
 
-    Attributes
-    ----------
-    head
-        Head of the current answer, once it is complete.
-    complete
-        Whether the current answer is whole.
-    keep_alive
-        Whether the connection may carry another request afterwards.
-    surplus
-        Whether bytes came after the end of the current answer.
-    """
+    def __init__(self):
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.head: AnswerHead | None = None
+        self.body: list[bytes] = []
+        self.complete = False
+        self.keep_alive = False
+        self.has_framing = False
+
+
+class AnswerReader:
+    """Reads the answers that arrive on one connection to a target."""
 
     def __init__(self):
         self._parser = httptools.HttpResponseParser(self)
-        self.surplus = False
-        self.start()
+        self._answers: deque[_ReadAnswer] = deque()
+        self._broken = False
+
+    @property
+    def head(self) -> AnswerHead | None:
+        """Head of the current answer, once it is complete."""
+        return self._answers[0].head if self._answers else None
+
+    @property
+    def complete(self) -> bool:
+        """Whether the current answer is whole."""
+        return bool(self._answers) and self._answers[0].complete
+
+    @property
+    def keep_alive(self) -> bool:
+        """Whether the connection may carry another request afterwards."""
+        return self.complete and self._answers[0].keep_alive
+
+    @property
+    def surplus(self) -> bool:
+        """Whether bytes came after the end of the current answer."""
+        return self._broken or len(self._answers) > 1
 
     def start(self) -> None:
-        """Get ready for the next answer."""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self.head: AnswerHead | None = None
-        self._body: list[bytes] = []
-        self.complete = False
-        self.keep_alive = False
-        self._has_framing = False
+        """Drop the current answer and go on to the next one."""
+        if self._answers:
+            self._answers.popleft()
 
     def feed(self, data: bytes) -> None:
         """Take in bytes; ValueError if they are no answer in the protocol."""
-        if self.complete and data:
-            self.surplus = True
-            return
         try:
             self._parser.feed_data(data)
         except (
@@ -196,52 +209,52 @@
             httptools.HttpParserUpgrade,
             httptools.HttpParserCallbackError,
         ) as exc:
-            if self.complete:
-                self.surplus = True
-                return
-            raise ValueError(str(exc)) from exc
+            self._broken = True
+            if not self.complete:
+                raise ValueError(str(exc)) from exc
 
     def feed_end(self) -> None:
         """Note that the target closed the connection without a reset."""
-        if self.head is not None and not self._has_framing:
-            self.complete = True
-        self.keep_alive = False
+        if self._answers:
+            last = self._answers[-1]
+            if last.head is not None and not last.has_framing:
+                last.complete = True
+            last.keep_alive = False
 
     def take_body(self) -> bytes:
         """Remove and return the bytes of the body that have arrived."""
-        data = b"".join(self._body)
-        self._body.clear()
+        if not self._answers:
+            return b""
+        data = b"".join(self._answers[0].body)
+        self._answers[0].body.clear()
         return data
 
     def on_message_begin(self) -> None:
-        if self.complete:
-            self.surplus = True
+        self._answers.append(_ReadAnswer())
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.surplus:
-            self._headers.append((name, value))
+        self._answers[-1].headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        if self.surplus:
-            return
+        answer = self._answers[-1]
         status = self._parser.get_status_code()
         if status < 200:
-            self._headers = []
             return
-        names = {name.lower() for name, _ in self._headers}
-        self._has_framing = (
+        names = {name.lower() for name, _ in answer.headers}
+        answer.has_framing = (
             b"content-length" in names
             or b"transfer-encoding" in names
             or status in (204, 304)
         )
-        self.head = AnswerHead(status, tuple(self._headers))
+        answer.head = AnswerHead(status, tuple(answer.headers))
 
     def on_body(self, data: bytes) -> None:
-        if not self.surplus:
-            self._body.append(data)
+        self._answers[-1].body.append(data)
 
     def on_message_complete(self) -> None:
-        if self.head is None or self.surplus:
+        answer = self._answers[-1]
+        if answer.head is None:
+            self._answers.pop()
             return
-        self.complete = True
-        self.keep_alive = self._has_framing and self._parser.should_keep_alive()
+        answer.complete = True
+        answer.keep_alive = answer.has_framing and self._parser.should_keep_alive()
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -32,6 +32,7 @@
 from ..settings.gateway import GatewaySettings
 from ..targets.loads import LoadBook
 from ..targets.progress import ProgressBook
+from ..telemetry import GatewayMetrics
 from .beliefs import OWN_PREFIX, Beliefs
 from .dispatch import Dispatcher
 from .peers import PeerTask
@@ -65,10 +66,11 @@
     """
 
     def __init__(self, settings: GatewaySettings, store: KeyValueStore | None = None):
-        self._settings = settings
+        self.settings = settings
         self._stopped = Event()
         self._stopping = False
         self._store = store or PlatformStore(str(settings.store))
+        self.metrics = GatewayMetrics()
         self.pool = ConnectionPool()
         self.loads = LoadBook()
         self.progress = ProgressBook()
@@ -103,6 +105,7 @@
             self.progress,
             self._find_budget,
             self._on_suspect,
+            self.metrics,
         )
         self._planners = [
             ZonePlanner(
@@ -117,6 +120,7 @@
                 zones=len(settings.zones),
                 count_waiting=self.dispatcher.count_waiting_for,
                 ask_peers=self._peers.may_be_alive,
+                metrics=self.metrics,
             )
             for zone in settings.zones
         ]
@@ -149,7 +153,7 @@
         self._housekeeper = gevent.spawn(self._keep_house)
         logger.info(
             "gateway started",
-            extra={"node": self._settings.name, "zone": self._settings.zone},
+            extra={"node": self.settings.name, "zone": self.settings.zone},
         )
 
     def run_until_stopped(self) -> None:
@@ -187,8 +191,8 @@
         now = time.monotonic()
         cfg = self.beliefs.cfg
         return {
-            "node": self._settings.name,
-            "zone": self._settings.zone,
+            "node": self.settings.name,
+            "zone": self.settings.zone,
             "stopping": self._stopping,
             "configuration": None if cfg is None else cfg.version,
             "evacuated": sorted(self.beliefs.evacuated),
@@ -231,7 +235,7 @@
     def _find_budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            bounds = self._settings.bounds
+            bounds = self.settings.bounds
             peers = max(1, len(self.beliefs.list_peers()))
             slack = bounds.retry_slack * RETRY_PART / peers
             budget = RetryBudget(
@@ -257,7 +261,7 @@
             self.dispatcher.pump()
 
     def _on_hangup(self) -> None:
-        logger.info("reload asked for", extra={"node": self._settings.name})
+        logger.info("reload asked for", extra={"node": self.settings.name})
 
     def _begin_stop(self) -> None:
         if not self._stopping:
@@ -267,7 +271,7 @@
     def _stop_gracefully(self) -> None:
         """Answer what was read, take nothing new, then end."""
         started_at = time.monotonic()
-        deadline = started_at + self._settings.bounds.stop_s - STOP_MARGIN_S
+        deadline = started_at + self.settings.bounds.stop_s - STOP_MARGIN_S
         logger.info("gateway stops", extra={"in_progress": self._listener.busy})
         for planner in self._planners:
             planner.stop()
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -29,6 +29,7 @@
 from ..targets.loads import LoadBook
 from ..targets.progress import ProgressBook
 from ..targets.records import MemberState, TargetReport
+from ..telemetry import GatewayMetrics
 from .beliefs import PLANNER_PREFIX, Beliefs, KnownTarget
 from .store_tasks import LeaseKeeper
 
@@ -72,6 +73,7 @@
         zones: int,
         count_waiting: Callable[[str, str], int],
         ask_peers: Callable[[KnownTarget], bool],
+        metrics: GatewayMetrics,
     ):
         self.zone = zone
         self._name = name
@@ -84,6 +86,7 @@
         self._zones = zones
         self._count_waiting = count_waiting
         self._ask_peers = ask_peers
+        self._metrics = metrics
         self._fence = 0
         self._summarized_at = 0.0
         self._lease: str | None = None
@@ -341,6 +344,8 @@
         status, outcome = self._send_order(known, command.order)
         if status not in (200, 202):
             planner.note_refused(command.target, command.order, time.monotonic())
+        kind = type(command.order).__name__.lower()
+        self._metrics.count_order(kind, status)
         logger.info(
             "order given",
             extra={
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -28,6 +28,7 @@
 from ..platform.headers import KEY_SCHEME
 from ..routing.routes import choose_service
 from ..targets.progress import ProgressBook
+from ..telemetry import GatewayMetrics
 from .beliefs import Beliefs, Replica
 from .dispatch import Demand, Dispatcher, Refused
 
@@ -136,6 +137,7 @@
         progress: ProgressBook,
         budget: Callable[[str], RetryBudget],
         on_suspect: Callable[[str, int], None],
+        metrics: GatewayMetrics,
     ):
         self._beliefs = beliefs
         self._dispatcher = dispatcher
@@ -143,6 +145,7 @@
         self._progress = progress
         self._budget = budget
         self._on_suspect = on_suspect
+        self._metrics = metrics
         self.in_progress = 0
 
     def handle(self, req: CallerRequest, resp: Responder) -> None:
@@ -221,7 +224,10 @@
                 ctx.deadline,
                 frozenset(attempts.tried),
             )
+            asked_at = time.monotonic()
             granted = self._dispatcher.acquire(demand)
+            waited_s = time.monotonic() - asked_at
+            self._metrics.note_slot_wait(ctx.service, waited_s)
             if isinstance(granted, Refused):
                 self._give_up(ctx, resp, attempts, granted)
                 return
@@ -245,8 +251,13 @@
         finally:
             self._dispatcher.release(replica)
         now = time.monotonic()
+        kind = type(outcome).__name__.lstrip("_").lower()
+        self._metrics.count_attempt(replica.id, kind)
         match outcome:
             case _Done():
+                self._metrics.count_request(
+                    ctx.route.name, "served", now - ctx.arrived_at
+                )
                 self._dispatcher.note_served(replica, now - started_at)
                 logger.info(
                     "request answered",
@@ -310,12 +321,12 @@
             if name.lower() not in own
         ]
         left_ms = max(1, int(1000 * (ctx.deadline - time.monotonic())))
-        headers.append((b"Deadline-Ms", b"%d" % left_ms))
-        headers.append((b"Expect-Instance", replica.id.encode()))
+        headers.append((HeaderNames.DEADLINE_MS.value, b"%d" % left_ms))
+        headers.append((HeaderNames.EXPECTED_TARGET.value, replica.id.encode()))
         if ctx.workspace is not None:
-            headers.append((b"Tenant", ctx.workspace.encode()))
+            headers.append((HeaderNames.WORKSPACE.value, ctx.workspace.encode()))
         if attempts.last_event is not None:
-            headers.append((b"Last-Event-Id", b"%d" % attempts.last_event))
+            headers.append((HeaderNames.LAST_EVENT.value, b"%d" % attempts.last_event))
         return format_request(
             ctx.req.method, ctx.req.target, replica.address, headers, ctx.req.body
         )
@@ -401,6 +412,10 @@
             events = list(self._select_events(attempts, splitter.feed(data)))
             if not ran and events:
                 ran = attempts.began = True
+                if not resp.started:
+                    self._metrics.note_first_event(
+                        ctx.route.name, moved_at - ctx.arrived_at
+                    )
                 attempts.runs += 1
                 attempts.may_have_run = True
             if events:
@@ -482,7 +497,13 @@
         elif attempts.failure is not None:
             self._pass_failure(ctx, resp, attempts.failure)
         elif attempts.may_have_run and not ctx.route.is_repeatable:
-            self._fail(ctx.id, resp, ResultCode.OUTCOME_UNKNOWN, refused.reason)
+            self._fail(
+                ctx.id,
+                resp,
+                ResultCode.OUTCOME_UNKNOWN,
+                refused.reason,
+                route=ctx.route.name,
+            )
         else:
             self._fail(
                 ctx.id,
@@ -490,6 +511,7 @@
                 ResultCode.NO_TARGET,
                 refused.reason,
                 refused.retry_after_s,
+                route=ctx.route.name,
             )
 
     def _finish_failed(self, ctx, resp: Responder, attempts, outcome) -> None:
@@ -502,13 +524,19 @@
             case _NotRun(reason=reason) if not attempts.may_have_run:
                 left_s = ctx.caller_deadline - time.monotonic()
                 after_s = max(0.05, min(0.5, left_s / 3))
-                self._fail(ctx.id, resp, ResultCode.NO_TARGET, reason, after_s)
+                code = ResultCode.NO_TARGET
+                self._fail(ctx.id, resp, code, reason, after_s, route=ctx.route.name)
             case _Stalled(reason=reason):
-                self._fail(ctx.id, resp, ResultCode.OUTCOME_UNKNOWN, reason)
+                code = ResultCode.OUTCOME_UNKNOWN
+                self._fail(ctx.id, resp, code, reason, route=ctx.route.name)
             case _NotRun(reason=reason) | _Broken(reason=reason):
-                self._fail(ctx.id, resp, ResultCode.ANSWER_INCOMPLETE, reason)
+                code = ResultCode.ANSWER_INCOMPLETE
+                self._fail(ctx.id, resp, code, reason, route=ctx.route.name)
 
     def _pass_failure(self, ctx, resp: Responder, answer: Answer) -> None:
+        self._metrics.count_request(
+            ctx.route.name, "failed", time.monotonic() - ctx.arrived_at
+        )
         logger.info(
             "target's failure passed on",
             extra={"request": ctx.id, "status": answer.head.status},
@@ -516,6 +544,9 @@
         resp.send_answer(answer)
 
     def _break_off(self, ctx, resp: Responder, reason: str) -> None:
+        self._metrics.count_request(
+            ctx.route.name, "broken off", time.monotonic() - ctx.arrived_at
+        )
         logger.warning("stream broken off", extra={"request": ctx.id, "reason": reason})
         resp.close = True
 
@@ -526,11 +557,15 @@
         code: ResultCode,
         reason: str,
         retry_after_s: float | None = None,
+        *,
+        route: str = "",
     ) -> None:
         status = RESULTS[code].status
+        waited_s = time.monotonic() - resp.arrived_at
+        self._metrics.count_request(route, code.name.lower(), waited_s)
         headers: Headers = ((b"Content-Type", b"text/plain"),)
         if request:
-            headers += ((b"Attempt-Id", request.encode("latin-1")),)
+            headers += ((HeaderNames.REQUEST_ID.value, request.encode("latin-1")),)
         if retry_after_s is not None:
             headers += ((b"Retry-After", b"%.2f" % retry_after_s),)
         logger.info(
@@ -541,7 +576,7 @@
                 "code": int(code),
                 "reason": reason,
                 "retry_after_s": retry_after_s,
-                "waited_ms": round(1000 * (time.monotonic() - resp.arrived_at)),
+                "waited_ms": round(1000 * waited_s),
             },
         )
         body = f"{int(code)} {code.name}: {reason}\n".encode()
--- a/waxwingpitch/gateway/web.py
+++ b/waxwingpitch/gateway/web.py
@@ -7,11 +7,11 @@
 
 import bottle
 import msgspec
-from prometheus_client import REGISTRY, generate_latest
 
 from ..http_server import HttpServer
 from ..platform import READY_PATH
 from ..settings.gateway import Address
+from ..telemetry import render_metrics
 
 
 class GatewayWeb:
@@ -62,7 +62,7 @@
 
     def _get_metrics(self):
         return bottle.HTTPResponse(
-            generate_latest(REGISTRY), 200, {"Content-Type": "text/plain"}
+            render_metrics(), 200, {"Content-Type": "text/plain"}
         )
 
     def _get_dump(self):
--- a/waxwingpitch/telemetry/__init__.py
+++ b/waxwingpitch/telemetry/__init__.py
@@ -3,6 +3,6 @@
 from __future__ import annotations
 
 from .logs import set_up_logging
-from .metrics import EntryMetrics
+from .metrics import EntryMetrics, GatewayMetrics, render_metrics
 
-__all__ = ["EntryMetrics", "set_up_logging"]
+__all__ = ["EntryMetrics", "GatewayMetrics", "render_metrics", "set_up_logging"]
--- a/waxwingpitch/telemetry/metrics.py
+++ b/waxwingpitch/telemetry/metrics.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.metrics import CallbackOptions, Meter, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import REGISTRY, generate_latest
@@ -13,20 +13,77 @@
 SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0)
 
 
+def _build_meter() -> Meter:
+    """Return a meter whose instruments are scraped as text."""
+    provider = MeterProvider(
+        metric_readers=[PrometheusMetricReader()],
+        views=[
+            View(
+                instrument_name="waxwingpitch_*_seconds",
+                aggregation=ExplicitBucketHistogramAggregation(SECONDS_BUCKETS),
+            )
+        ],
+    )
+    return provider.get_meter("waxwingpitch")
+
+
+def render_metrics() -> bytes:
+    """Return all metrics in the text format that scrapers read."""
+    return generate_latest(REGISTRY)
+
+
+class GatewayMetrics:
+    """Instruments of one gateway, by route, target and outcome."""
+
+    def __init__(self):
+        meter = _build_meter()
+        self._requests = meter.create_counter(
+            "waxwingpitch_requests", description="Requests by route and outcome"
+        )
+        self._attempts = meter.create_counter(
+            "waxwingpitch_attempts", description="Sends by target and outcome"
+        )
+        self._whole = meter.create_histogram(
+            "waxwingpitch_answer_seconds", description="Time to the whole answer"
+        )
+        self._first = meter.create_histogram(
+            "waxwingpitch_first_event_seconds", description="Time to the first event"
+        )
+        self._wait = meter.create_histogram(
+            "waxwingpitch_slot_wait_seconds", description="Wait for a replica's slot"
+        )
+        self._orders = meter.create_counter(
+            "waxwingpitch_orders", description="Orders to targets by kind and status"
+        )
+
+    def count_request(self, route: str, outcome: str, took_s: float) -> None:
+        """Count a request that has been answered or given up."""
+        labels = {"route": route, "outcome": outcome}
+        self._requests.add(1, labels)
+        self._whole.record(took_s, labels)
+
+    def count_attempt(self, target: str, outcome: str) -> None:
+        """Count one send to a target."""
+        self._attempts.add(1, {"target": target, "outcome": outcome})
+
+    def note_first_event(self, route: str, took_s: float) -> None:
+        """Record the time to a stream's first event."""
+        self._first.record(took_s, {"route": route})
+
+    def note_slot_wait(self, service: str, took_s: float) -> None:
+        """Record the time that a request waited for a slot."""
+        self._wait.record(took_s, {"service": service})
+
+    def count_order(self, kind: str, status: int) -> None:
+        """Count an order to a target."""
+        self._orders.add(1, {"order": kind, "status": str(status)})
+
+
 class EntryMetrics:
     """Instruments of one entry daemon."""
 
     def __init__(self):
-        provider = MeterProvider(
-            metric_readers=[PrometheusMetricReader()],
-            views=[
-                View(
-                    instrument_name="waxwingpitch_*_seconds",
-                    aggregation=ExplicitBucketHistogramAggregation(SECONDS_BUCKETS),
-                )
-            ],
-        )
-        self._meter = provider.get_meter("waxwingpitch")
+        self._meter = _build_meter()
         self.answers = self._meter.create_counter(
             "waxwingpitch_answers", description="Answers by service, code and ran"
         )
@@ -57,4 +114,4 @@
 
     def render(self) -> bytes:
         """Return all metrics in the text format that scrapers read."""
-        return generate_latest(REGISTRY)
+        return render_metrics()
--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -29,7 +29,7 @@
 
 
 class RuleBrokenError(AssertionError):
-    """An order took a target from a group that serves, or opened one that isn't whole."""
+    """A target was taken from a group that serves, or a part of a group opened."""
 
 
 @dataclass
--- /dev/null
+++ b/waxwingpitch/tests/gateway_client.py
@@ -0,0 +1,178 @@
+"""A caller on plain sockets, and gateways started in this process."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+
+from ..gateway import GatewayDaemon
+from ..settings.gateway import Address, GatewaySettings, SafetyBounds
+
+BOUNDS = SafetyBounds(
+    contact_s=3.0,
+    leaving_s=2.0,
+    stop_s=8.0,
+    retry_ratio=0.2,
+    retry_slack=100.0,
+    retry_window_s=10.0,
+    cold_factor=1.5,
+    stall_s=6.0,
+    pass_s=0.12,
+)
+
+
+def find_port() -> int:
+    """Return a TCP port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def build_settings(store: str, name: str = "gw-1", zone: str = "z") -> GatewaySettings:
+    """Return settings with free ports on loopback."""
+
+    def pick() -> Address:
+        return Address("127.0.0.1", find_port())
+
+    return GatewaySettings(
+        name=name,
+        zone=zone,
+        zones=(zone,),
+        front=pick(),
+        ready=pick(),
+        peers=pick(),
+        store=Address.parse(store),
+        metrics=pick(),
+        bounds=BOUNDS,
+        min_lease_s=1.0,
+    )
+
+
+def start_gateway(store: str, name: str = "gw-1", **parts) -> GatewayDaemon:
+    """Start a gateway in this process."""
+    daemon = GatewayDaemon(build_settings(store, name), **parts)
+    daemon.start()
+    return daemon
+
+
+@dataclass(frozen=True, slots=True)
+class CallerAnswer:
+    """What a caller got.
+
+    Attributes
+    ----------
+    whole
+        Whether the answer ended as its framing says.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+    @property
+    def events(self) -> list[int]:
+        """Numbers of the events, in the order in which they came."""
+        return [
+            int(line.removeprefix("id: "))
+            for line in self.body.decode().splitlines()
+            if line.startswith("id: ")
+        ]
+
+
+class Caller:
+    """One connection to a gateway."""
+
+    def __init__(self, address: Address, timeout_s: float = 10.0):
+        self.sock = socket.create_connection((address.host, address.port), timeout_s)
+        self._file = self.sock.makefile("rb")
+
+    def close(self) -> None:
+        self._file.close()
+        self.sock.close()
+
+    def send(
+        self,
+        path: str,
+        request: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"{}",
+        key: str = "key-1",
+        deadline_ms: int = 4000,
+        **headers: str,
+    ) -> None:
+        """Send a request."""
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            "Host: h.example",
+            f"Attempt-Id: {request}",
+            f"Authorization: Bearer {key}",
+            f"Deadline-Ms: {deadline_ms}",
+            f"Content-Length: {len(body)}",
+        ]
+        lines += [
+            f"{name.replace('_', '-')}: {value}" for name, value in headers.items()
+        ]
+        self.sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    def send_chat(self, request: str, *, model: str, events: int, **headers) -> None:
+        """Send a request for a stream."""
+        self.send(
+            "/chat/x",
+            request,
+            Model=model,
+            Token_Counts=f"100,{events * 5}",
+            Prompt_Prefix="aa:100",
+            **headers,
+        )
+
+    def read(self) -> CallerAnswer:
+        """Read one answer."""
+        status = int(self._file.readline().split()[1])
+        headers = {}
+        while (line := self._file.readline()).strip():
+            name, _, value = line.decode().partition(":")
+            headers[name.lower()] = value.strip()
+        if headers.get("transfer-encoding") == "chunked":
+            body, whole = self._read_chunks()
+        else:
+            length = int(headers["content-length"])
+            body = self._file.read(length)
+            whole = len(body) == length
+        return CallerAnswer(status, headers, body, whole)
+
+    def _read_chunks(self) -> tuple[bytes, bool]:
+        parts = []
+        while True:
+            try:
+                line = self._file.readline()
+                if not line.strip():
+                    return b"".join(parts), False
+                size = int(line, 16)
+                data = self._file.read(size + 2)
+            except OSError:
+                return b"".join(parts), False
+            if size == 0:
+                return b"".join(parts), True
+            parts.append(data[:-2])
+
+
+def call(address: Address, path: str, request: str, **options) -> CallerAnswer:
+    """Make one call over a connection of its own."""
+    caller = Caller(address)
+    try:
+        caller.send(path, request, **options)
+        return caller.read()
+    finally:
+        caller.close()
+
+
+def chat(address: Address, request: str, **options) -> CallerAnswer:
+    """Ask for one stream over a connection of its own."""
+    caller = Caller(address)
+    try:
+        caller.send_chat(request, **options)
+        return caller.read()
+    finally:
+        caller.close()
--- /dev/null
+++ b/waxwingpitch/tests/platform_standin.py
@@ -0,0 +1,592 @@
+"""Stand-in of the users' platform: store, model targets and plain targets.
+
+Speaks the platform's protocol over HTTP on loopback and can be told to fail.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import socket
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.server import StreamServer
+
+from ..groups.orders_to_targets import Close, Join, Leave, Open, Stage
+from ..http_server import HttpServer
+from ..targets.records import MemberState
+from .fleet_fake import PAIR, QUAD, SPEC, FleetFake
+
+MODEL_SERVICE = "pool"
+PLAIN_SERVICE = "plain"
+TICK_S = 0.02
+
+
+class StoreFake:
+    """The platform's metadata store.
+
+    Attributes
+    ----------
+    down
+        Whether every call gets 503.
+    lose_answers
+        Writes that are done and not answered.
+    calls
+        Calls by path.
+    """
+
+    def __init__(self):
+        self.items: dict[str, dict] = {}
+        self.history: list[dict] = []
+        self.revision = 10
+        self.oldest = 0
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.down = False
+        self.lose_answers = 0
+        self.calls: Counter[str] = Counter()
+        self._changed = gevent.event.Event()
+        self.server = HttpServer("127.0.0.1", 0, self._answer)
+        self.server.start()
+        self._sweeper = gevent.spawn(self._sweep)
+
+    @property
+    def address(self) -> str:
+        return self.server.address_text
+
+    def stop(self) -> None:
+        self._sweeper.kill()
+        self.server.stop(timeout=0)
+
+    def write(self, key: str, value, lease: int = 0) -> None:
+        """Write a key, as operators and targets do."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        old = self.items.get(key)
+        item = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "revision": self.revision,
+            "created": old["created"] if old else self.revision,
+            "lease": lease,
+        }
+        self.items[key] = item
+        self._note(item)
+
+    def remove(self, key: str) -> None:
+        """Delete a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    def forget_history(self) -> None:
+        """Answer watches from before with 410."""
+        self.oldest = self.revision
+        self._wake()
+
+    def _note(self, event: dict) -> None:
+        self.history.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = gevent.event.Event()
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(0.1)
+            now = time.monotonic()
+            for lease, (until, _) in list(self.leases.items()):
+                if until < now:
+                    self._end_lease(lease)
+
+    def _end_lease(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        for key in [key for key, item in self.items.items() if item["lease"] == lease]:
+            self.remove(key)
+
+    def _answer(self, environ, start_response):
+        path = environ["PATH_INFO"].removeprefix("/waxwingpitch/")
+        self.calls[path.partition("/")[0]] += 1
+        if self.down:
+            start_response("503 Service Unavailable", [])
+            return [b""]
+        query = dict(
+            part.split("=", 1)
+            for part in environ["QUERY_STRING"].split("&")
+            if "=" in part
+        )
+        query = {key: _unquote(value) for key, value in query.items()}
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = json.loads(environ["wsgi.input"].read(length) or b"null")
+        status, answer = self._route(path, query, body)
+        if path.startswith("kv-txn") and self.lose_answers:
+            self.lose_answers -= 1
+            environ["waxwingpitch.socket"].close()
+            return [b""]
+        start_response(f"{status} S", [("Content-Type", "application/json")])
+        return [json.dumps(answer).encode()]
+
+    def _route(self, path, query, body):
+        match path.split("/"):
+            case ["kv-key"]:
+                item = self.items.get(query["key"])
+                return (404, {}) if item is None else (200, item)
+            case ["kv-range"]:
+                return self._list(query)
+            case ["kv-watch"]:
+                return self._watch(query)
+            case ["kv-txn"]:
+                return self._transact(body)
+            case ["kv-lease"]:
+                self.revision += 1
+                ttl_s = body["ttl_ms"] / 1000
+                self.leases[self.revision] = (time.monotonic() + ttl_s, ttl_s)
+                return 200, {"lease": self.revision, "ttl_ms": body["ttl_ms"]}
+            case ["kv-keep", lease]:
+                if int(lease) not in self.leases:
+                    return 404, {}
+                ttl_s = self.leases[int(lease)][1]
+                self.leases[int(lease)] = (time.monotonic() + ttl_s, ttl_s)
+                return 200, {"ttl_ms": ttl_s * 1000}
+            case ["kv-lease-end", lease]:
+                self._end_lease(int(lease))
+                return 200, {}
+        return 404, {}
+
+    def _list(self, query):
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["path_prefix"]) and key > query.get("after", "")
+        )
+        page = [self.items[key] for key in keys[:50]]
+        more = len(keys) > 50
+        return 200, {"items": page, "has_more": more, "at": self.revision}
+
+    def _watch(self, query):
+        after = int(query["after"])
+        until = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            if after < self.oldest:
+                return 410, {}
+            found = [
+                event
+                for event in self.history
+                if event["revision"] > after
+                and event["key"].startswith(query["path_prefix"])
+            ]
+            left_s = until - time.monotonic()
+            if found or left_s <= 0 or self.down:
+                return 200, {"events": found, "at": self.revision}
+            self._changed.wait(min(left_s, 0.2))
+
+    def _transact(self, body):
+        for row in body["expected"]:
+            item = self.items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                return 412, {"items": []}
+        for put in body["puts"]:
+            lease = put.get("lease", 0)
+            if lease and lease not in self.leases:
+                return 404, {}
+        for put in body["puts"]:
+            self.write(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
+        for key in body["delete"]:
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
+
+@dataclass
+class TargetFaults:
+    """What a target does wrong.
+
+    Attributes
+    ----------
+    cut_after
+        Events after which it cuts the next streams.
+    refuse
+        Requests that it refuses as not run.
+    foreign
+        Answers to others that it sends before its own.
+    reset
+        Requests that it runs, whose connection it then resets.
+    hang
+        Whether it answers nothing any more.
+    """
+
+    cut_after: int | None = None
+    refuse: int = 0
+    foreign: int = 0
+    reset: int = 0
+    hang: bool = False
+
+
+@dataclass
+class TargetServer:
+    """One target's listening socket and what it has seen."""
+
+    id: str
+    server: StreamServer
+    faults: TargetFaults = field(default_factory=TargetFaults)
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.server.address[1]}"
+
+
+class PlatformFake:
+    """Store, ten model targets in one domain, and plain targets.
+
+    Attributes
+    ----------
+    runs
+        Runs by request id.
+    seen
+        Headers of each request that ran, by request id.
+    left
+        Requests whose connection was closed while they ran.
+    """
+
+    def __init__(self, *, size: int = 10, plain: int = 2, event_s: float = 0.02):
+        self.store = StoreFake()
+        self.fleet = FleetFake(domains=1, size=size)
+        self.runs: Counter[str] = Counter()
+        self.seen: dict[str, dict[str, str]] = {}
+        self.left: list[str] = []
+        self.event_s = event_s
+        self.plain_s = 0.02
+        self.targets: dict[str, TargetServer] = {}
+        self._orders: Counter[str] = Counter()
+        self._published: dict[str, bytes] = {}
+        for target in self.fleet.targets:
+            self._listen(target)
+        self.plain = [f"p-{number}" for number in range(plain)]
+        for target in self.plain:
+            self._listen(target)
+            self.publish_plain(target)
+        self.version = 1
+        self.routes: list[dict] = []
+        self._last_tick = time.monotonic()
+        self._ticker = gevent.spawn(self._tick_forever)
+
+    def stop(self) -> None:
+        self._ticker.kill()
+        self.store.stop()
+        for target in self.targets.values():
+            target.server.stop(timeout=0)
+
+    def kill(self, target: str) -> None:
+        """Make a target fall silent for good; its entry lapses later."""
+        self.fleet.kill(target)
+        self.targets[target].faults.hang = True
+
+    def find_group(self, model: str) -> list[str]:
+        """Return the members of an open group, the head first."""
+        for item in self.fleet.targets.values():
+            place = item.record.membership
+            if (
+                place is not None
+                and place.rank == 0
+                and place.state is MemberState.OPEN
+                and item.record.model == model
+            ):
+                return list(item.members)
+        raise AssertionError(f"no open group of {model}")
+
+    def publish_plain(self, target: str, state: str = "ready") -> None:
+        """Write a plain target's entry."""
+        entry = {
+            "service": PLAIN_SERVICE,
+            "address": self.targets[target].address,
+            "zone": "z",
+            "version": "v1",
+            "capacity": 6,
+            "state": state,
+            "seq": 1,
+            "cold_left_ms": 0,
+            "born": 1000,
+        }
+        self.store.write(f"servers/{target}", entry)
+
+    def configure(self, *, keys=("key-1",), drop=(), **route) -> None:
+        """Write a new configuration."""
+        self.version += 3
+        common = {"host": "h.example", "timeout_ms": 4000, "priority": 1}
+        stream = {
+            **common,
+            "kind": "stream",
+            "target_latency_ms": 300,
+            "service": MODEL_SERVICE,
+            "max_attempts": 2,
+            "resumable": True,
+            "sticky": True,
+            "gap_aim_ms": 200,
+        }
+        routes = [
+            {**stream, "name": "chat", "path_prefix": "/chat/"},
+            {
+                **common,
+                "name": "file",
+                "path_prefix": "/file/",
+                "kind": "non_idempotent",
+                "service": PLAIN_SERVICE,
+                "max_attempts": 1,
+                "target_latency_ms": 300,
+            },
+            {
+                **common,
+                "name": "read",
+                "path_prefix": "/read/",
+                "kind": "idempotent",
+                "service": PLAIN_SERVICE,
+                "max_attempts": 2,
+                "target_latency_ms": 300,
+            },
+        ]
+        config = {
+            "version": self.version,
+            "routes": [
+                {**item, **route} for item in routes if item["name"] not in drop
+            ],
+            "services": [
+                {
+                    "name": MODEL_SERVICE,
+                    "health_path": "/health",
+                    "max_conns": 300,
+                    "protocol": "h1",
+                    "tls": False,
+                    "cold_start_s": 3.0,
+                    "cold_per_s": 26.0,
+                    "engine": _encode_engine(),
+                },
+                {
+                    "name": PLAIN_SERVICE,
+                    "health_path": "/health",
+                    "max_conns": 100,
+                    "protocol": "h1",
+                    "tls": False,
+                },
+            ],
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 65536,
+                "header_timeout_ms": 3000,
+                "idle_timeout_ms": 15000,
+            },
+            "tenants": [{"name": "w1", "api_keys": list(keys), "priority": 1}],
+        }
+        self.store.write("op/config", config)
+
+    def _listen(self, target: str) -> None:
+        server = StreamServer(
+            ("127.0.0.1", 0), lambda sock, _: self._serve(target, sock)
+        )
+        server.start()
+        self.targets[target] = TargetServer(target, server)
+
+    def _tick_forever(self) -> None:
+        while True:
+            gevent.sleep(TICK_S)
+            now = time.monotonic()
+            self.fleet.advance(now - self._last_tick)
+            self._last_tick = now
+            for target, item in self.fleet.targets.items():
+                if item.alive:
+                    self._publish(target, item.record)
+
+    def _publish(self, target: str, record) -> None:
+        place = record.membership
+        entry = {
+            "service": MODEL_SERVICE,
+            "address": self.targets[target].address,
+            "zone": "z",
+            "version": "v1",
+            "capacity": record.capacity,
+            "state": "draining" if record.leaving else "ready",
+            "cold_left_ms": 0,
+            "born": 1000,
+            "stage": "colocated",
+            "models": [{"name": record.model}] if record.model else [],
+            "fault_domain": record.domain,
+            "staged": list(record.staged),
+            "group": None if place is None else _encode_place(place),
+        }
+        data = json.dumps(entry).encode()
+        if self._published.get(target) != data:
+            self._published[target] = data
+            self.store.write(f"servers/{target}", data)
+
+    def _serve(self, target: str, sock) -> None:
+        reader = sock.makefile("rb")
+        faults = self.targets[target].faults
+        try:
+            while (line := reader.readline()).strip():
+                method, path, _ = line.decode().split()
+                headers = {}
+                while (line := reader.readline()).strip():
+                    name, _, value = line.decode().partition(":")
+                    headers[name.lower()] = value.strip()
+                body = reader.read(int(headers.get("content-length", 0)))
+                while faults.hang:
+                    gevent.sleep(0.05)
+                self._answer(target, sock, method, path, headers, body)
+        except OSError:
+            return
+        finally:
+            sock.close()
+
+    def _answer(self, target, sock, method, path, headers, body) -> None:
+        request = headers.get("attempt-id", "")
+        faults = self.targets[target].faults
+        if headers.get("expect-instance", target) != target:
+            _send(sock, 421, {"Instance-Id": target})
+        elif path == "/waxwingpitch/report":
+            place = None
+            if target in self.fleet.targets:
+                place = self.fleet.targets[target].record.membership
+            report = {
+                "seq": self._orders[target],
+                "group": None if place is None else _encode_place(place),
+            }
+            _send(sock, 200, {}, json.dumps(report).encode())
+        elif path == "/waxwingpitch/order":
+            self._take_order(target, sock, json.loads(body))
+        elif faults.refuse:
+            faults.refuse -= 1
+            _send(sock, 503, {"Not-Executed": "1", "Attempt-Id": request})
+        elif target in self.plain:
+            self._answer_plain(target, sock, request, headers)
+        else:
+            self._answer_stream(target, sock, request, headers)
+
+    def _take_order(self, target, sock, body) -> None:
+        if body.get("expected", self._orders[target]) != self._orders[target]:
+            _send(sock, 409, {})
+        elif self.fleet.carry_out(target, _decode_order(body)):
+            self._orders[target] += 1
+            _send(sock, 202, {})
+        else:
+            _send(sock, 409, {})
+
+    def _note_run(self, request, headers) -> None:
+        self.runs[request] += 1
+        self.seen[request] = headers
+
+    def _answer_plain(self, target, sock, request, headers) -> None:
+        faults = self.targets[target].faults
+        self._note_run(request, headers)
+        gevent.sleep(self.plain_s)
+        if faults.reset:
+            faults.reset -= 1
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            raise OSError("reset")
+        if faults.foreign:
+            faults.foreign -= 1
+            _send(sock, 200, _seal(target, "another"), b"another's answer")
+        _send(sock, 200, _seal(target, request), f"answer to {request}".encode())
+
+    def _answer_stream(self, target, sock, request, headers) -> None:
+        item = self.fleet.targets[target]
+        place = item.record.membership
+        if place is None or place.rank != 0 or place.state is not MemberState.OPEN:
+            _send(sock, 421, {"Not-Executed": "1"})
+            return
+        members = item.members
+        self._note_run(request, headers)
+        count = int(headers["token-counts"].partition(",")[2]) // 5
+        start = int(headers.get("last-event-id", 0)) + 1
+        lines = [f"{key}: {value}" for key, value in _seal(target, request).items()]
+        head = "HTTP/1.1 200 OK\r\n" + "\r\n".join(lines)
+        sock.sendall(f"{head}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+        faults = self.targets[target].faults
+        for number in range(start, count + 1):
+            gevent.sleep(self.event_s)
+            while not all(self.fleet.targets[name].alive for name in members):
+                gevent.sleep(0.05)
+            if faults.cut_after is not None and number > faults.cut_after:
+                faults.cut_after = None
+                sock.sendall(b"5\r\nid: 9\r\n")
+                raise OSError("cut")
+            data = f"id: {number}\ndata: token {number}\n\n".encode()
+            try:
+                sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+            except OSError:
+                self.left.append(request)
+                raise
+        sock.sendall(b"0\r\n\r\n")
+
+
+def _seal(target: str, request: str) -> dict[str, str]:
+    return {"Attempt-Id": request, "Response-Seal": f"seal.{target}"}
+
+
+def _send(sock, status: int, headers: dict, body: bytes = b"") -> None:
+    lines = [f"HTTP/1.1 {status} S", f"Content-Length: {len(body)}"]
+    lines += [f"{key}: {value}" for key, value in headers.items()]
+    sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+
+def _encode_place(place) -> dict:
+    return {
+        "name": place.group,
+        "epoch": place.epoch,
+        "rank": place.rank,
+        "state": place.state.value,
+    }
+
+
+def _encode_engine() -> dict:
+    return {
+        "capacity": SPEC.capacity,
+        "step_ms": 7.8,
+        "per_seq_ms": 0.2,
+        "read_per_s": SPEC.read_per_s,
+        "stride": SPEC.stride,
+        "chunk": SPEC.chunk,
+        "loads_per_s": SPEC.loads_per_s,
+        "loads_at_once": SPEC.loads_at_once,
+        "form_ms": SPEC.open_s * 1000,
+        "usual": {"prompt": 979, "answer": 154},
+        "models": [
+            {
+                "name": model.name,
+                "size": model.size,
+                "share": model.share,
+                "pace": model.pace,
+                "load_s": model.load_s,
+                "warm_s": model.staged_s,
+            }
+            for model in (QUAD, PAIR)
+        ],
+    }
+
+
+def _decode_order(body: dict):
+    match body["operation"]:
+        case "join":
+            return Join(
+                body["group"], body["epoch"], body["model"], tuple(body["members"])
+            )
+        case "open":
+            return Open(body["group"], body["epoch"])
+        case "close":
+            return Close(body["group"], body["epoch"], body["mode"] == "preempt")
+        case "leave":
+            return Leave(body["group"], body["epoch"])
+        case "stage":
+            return Stage(body["model"])
+
+
+def _unquote(text: str) -> str:
+    return text.replace("%2F", "/").replace("%3A", ":")
+
+
+def count_calls(calls: Counter[str]) -> dict[str, int]:
+    """Return calls by path, for tests that bound them."""
+    found: dict[str, int] = defaultdict(int)
+    for path, count in calls.items():
+        found[path] += count
+    return dict(found)
--- /dev/null
+++ b/waxwingpitch/tests/test_gateway.py
@@ -0,0 +1,306 @@
+"""The gateway on real sockets, between callers and a stand-in of the platform."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+import pytest
+import urllib3
+
+from ..targets.records import MemberState
+from .fleet_fake import PAIR, QUAD
+from .gateway_client import Caller, call, chat, start_gateway
+from .platform_standin import PlatformFake, TargetFaults
+
+WAIT_S = 15.0
+
+
+def wait_for(check, wait_s: float = WAIT_S):
+    """Return the first true value of a check."""
+    deadline = time.monotonic() + wait_s
+    while time.monotonic() < deadline:
+        found = check()
+        if found:
+            return found
+        gevent.sleep(0.02)
+    raise AssertionError("waited in vain")
+
+
+def count_slots(daemon, model: str) -> int:
+    return len(daemon.beliefs.find_replicas("pool", model))
+
+
+@pytest.fixture
+def platform():
+    platform = PlatformFake()
+    platform.configure()
+    yield platform
+    platform.stop()
+
+
+@pytest.fixture
+def gateway(platform):
+    daemon = start_gateway(platform.store.address)
+    wait_for(lambda: count_slots(daemon, "quad") and count_slots(daemon, "pair") == 3)
+    yield daemon
+    daemon.stop()
+
+
+@pytest.fixture
+def front(gateway):
+    return gateway.settings.front
+
+
+def test_stream_passes_whole(platform, front):
+    answer = chat(front, "r1", model=PAIR.name, events=20)
+    assert answer.status == 200
+    assert answer.whole
+    assert answer.events == list(range(1, 21))
+    assert answer.headers["response-seal"].startswith("seal.")
+    assert platform.runs["r1"] == 1
+
+
+def test_call_passes_with_its_workspace_and_time(platform, front):
+    answer = call(front, "/file/x?a=b", "r2", Tenant="forged")
+    assert answer.body == b"answer to r2"
+    seen = platform.seen["r2"]
+    assert seen["tenant"] == "w1"
+    assert "authorization" not in seen
+    assert 0 < int(seen["deadline-ms"]) <= 4000
+
+
+def test_stream_of_a_lost_member_goes_on_elsewhere(platform, front):
+    caller = Caller(front)
+    caller.send_chat("r3", model=QUAD.name, events=60)
+    gevent.sleep(0.4)
+    platform.kill(platform.find_group(QUAD.name)[1])
+    answer = caller.read()
+    assert answer.events == list(range(1, len(answer.events) + 1))
+    assert not answer.whole or len(answer.events) == 60
+
+
+def test_cut_stream_is_resumed_without_a_gap(platform, front):
+    shared = TargetFaults(cut_after=5)
+    for target in platform.targets.values():
+        target.faults = shared
+    answer = chat(front, "r4", model=PAIR.name, events=10)
+    assert answer.whole
+    assert answer.events == list(range(1, 11))
+    assert platform.runs["r4"] == 2
+
+
+def test_stalled_pair_is_left_for_another(platform, front):
+    head, other = platform.find_group(PAIR.name)
+    platform.kill(other)
+    answers = [chat(front, f"s{n}", model=PAIR.name, events=10) for n in range(6)]
+    assert all(answer.whole for answer in answers)
+    assert all(answer.events == list(range(1, 11)) for answer in answers)
+
+
+def test_group_is_formed_again_after_a_loss(platform, gateway):
+    lost = platform.find_group(QUAD.name)[2]
+    platform.kill(lost)
+    chat(gateway.settings.front, "s", model=QUAD.name, events=10)
+
+    def is_whole():
+        heads = [
+            item.record.membership
+            for item in platform.fleet.targets.values()
+            if item.alive and item.record.membership and item.members
+        ]
+        return not any(lost in item.members for item in _open(platform)) and heads
+
+    wait_for(is_whole)
+
+
+def _open(platform):
+    return [
+        item
+        for item in platform.fleet.targets.values()
+        if item.record.membership and item.record.membership.state is MemberState.OPEN
+    ]
+
+
+def test_non_idempotent_call_is_not_run_twice(platform, front):
+    for target in platform.plain:
+        platform.targets[target].faults.reset = 1
+    answer = call(front, "/file/x", "r5")
+    assert answer.status in (502, 504)
+    assert platform.runs["r5"] == 1
+
+
+def test_refused_call_goes_to_another_target(platform, front):
+    for target in platform.plain:
+        platform.targets[target].faults.refuse = 1
+    answer = call(front, "/file/x", "r6")
+    assert answer.status in (200, 503)
+    assert platform.runs["r6"] == (answer.status == 200)
+
+
+def test_refusal_says_when_to_come_back(platform, front):
+    for target in platform.plain:
+        platform.targets[target].faults.refuse = 99
+    answer = call(front, "/file/x", "r7", deadline_ms=3000)
+    assert answer.status == 503
+    assert 0 < float(answer.headers["retry-after"]) <= 1.0
+    assert platform.runs["r7"] == 0
+
+
+def test_idempotent_call_is_tried_elsewhere(platform, front):
+    platform.targets[platform.plain[0]].faults.reset = 1
+    platform.targets[platform.plain[1]].faults.reset = 0
+    answers = [call(front, "/read/x", f"i{n}", method="GET") for n in range(4)]
+    assert [answer.status for answer in answers] == [200] * 4
+
+
+def test_answer_to_another_request_is_dropped(platform, front):
+    for target in platform.plain:
+        platform.targets[target].faults.foreign = 1
+    answers = [call(front, "/file/x", f"f{n}") for n in range(4)]
+    assert [answer.body for answer in answers] == [
+        f"answer to f{n}".encode() for n in range(4)
+    ]
+
+
+def test_target_stops_when_the_caller_leaves(platform, gateway):
+    caller = Caller(gateway.settings.front)
+    caller.send_chat("gone", model=PAIR.name, events=200)
+    wait_for(lambda: platform.runs["gone"])
+    gevent.sleep(0.1)
+    caller.close()
+    wait_for(lambda: "gone" in platform.left, 1.0)
+    assert gateway.loads.get_own() == {}
+
+
+def test_unknown_key_and_route_are_refused(front):
+    assert call(front, "/file/x", "k1", key="other").status == 401
+    assert call(front, "/nowhere/x", "k2").status == 404
+
+
+def test_new_configuration_is_in_force(platform, front):
+    platform.configure(keys=("key-2",), drop=("read",))
+    wait_for(lambda: call(front, "/file/x", "c", key="key-2").status == 200, 2.0)
+    assert call(front, "/file/x", "c1").status == 401
+    assert call(front, "/read/x", "c2", key="key-2").status == 404
+
+
+def test_request_is_answered_at_its_routes_timeout(platform, front):
+    platform.configure(timeout_ms=400)
+    gevent.sleep(0.5)
+    platform.plain_s = 3.0
+    started_at = time.monotonic()
+    answer = call(front, "/file/x", "t1")
+    assert answer.status == 504
+    assert 0.35 < time.monotonic() - started_at < 0.9
+
+
+def test_malformed_requests_are_refused_and_the_gateway_lives(front):
+    for data in (b"\0\1\2\r\n\r\n", b"GET http://x/ HTTP/1.1\r\nHost: h\r\n\r\n"):
+        caller = Caller(front)
+        caller.sock.sendall(data)
+        assert caller.read().status == 400
+        caller.close()
+    assert call(front, "/file/x", "alive").status == 200
+
+
+def test_requests_on_one_connection_are_answered_in_order(front):
+    caller = Caller(front)
+    for number in range(3):
+        caller.send("/file/x", f"o{number}")
+    assert [caller.read().body for _ in range(3)] == [
+        f"answer to o{number}".encode() for number in range(3)
+    ]
+    caller.close()
+
+
+def test_leaving_target_gets_no_new_request(platform, front):
+    platform.publish_plain(platform.plain[0], state="draining")
+    gevent.sleep(1.0)
+    for number in range(6):
+        answer = call(front, "/file/x", f"l{number}")
+        assert answer.headers["response-seal"] == f"seal.{platform.plain[1]}"
+
+
+def test_evacuated_zone_gets_no_new_request(platform, front):
+    platform.store.write("op/evacuate/z", {})
+    wait_for(lambda: call(front, "/file/x", "e").status == 503, 2.0)
+    assert chat(front, "e1", model=PAIR.name, events=3).status == 503
+    platform.store.remove("op/evacuate/z")
+    wait_for(lambda: call(front, "/file/x", "e").status == 200, 2.0)
+
+
+def test_serves_on_while_the_store_is_down(platform, front):
+    platform.store.down = True
+    gevent.sleep(1.5)
+    assert call(front, "/file/x", "d1").status == 200
+    assert chat(front, "d2", model=PAIR.name, events=5).whole
+
+
+def test_follows_the_store_after_its_history_is_lost(platform, front):
+    platform.configure(keys=("key-3",))
+    platform.store.forget_history()
+    wait_for(lambda: call(front, "/file/x", "h", key="key-3").status == 200, 3.0)
+
+
+def test_entry_that_is_unreadable_names_no_target(platform, gateway):
+    platform.store.write("servers/odd", b"\xff{")
+    platform.store.write("servers/bad", {"service": 3})
+    gevent.sleep(1.0)
+    assert "odd" not in gateway.beliefs.targets
+    assert call(gateway.settings.front, "/file/x", "u").status == 200
+
+
+def test_without_configuration_nothing_is_refused_for_good(platform):
+    platform.store.remove("op/config")
+    daemon = start_gateway(platform.store.address, "gw-9")
+    try:
+        assert daemon.find_unready() == "no configuration"
+        answer = call(daemon.settings.front, "/file/x", "n1")
+        assert answer.status == 503
+        assert "retry-after" in answer.headers
+    finally:
+        daemon.stop()
+
+
+def test_store_that_turns_one_gateway_away_is_followed_through_a_peer(platform):
+    first = start_gateway(platform.store.address, "gw-1")
+    second = start_gateway(platform.store.address, "gw-2")
+    try:
+        wait_for(lambda: second.dump()["peers"] and first.dump()["peers"])
+        wait_for(lambda: second.find_unready() is None)
+        second._store._client = _Refusing()
+        platform.configure(keys=("key-4",))
+        front = second.settings.front
+        wait_for(lambda: call(front, "/file/x", "p", key="key-4").status == 200, 5.0)
+        assert call(front, "/file/x", "p1").status == 401
+    finally:
+        first.stop()
+        second.stop()
+
+
+class _Refusing:
+    """A store that answers 503."""
+
+    status = 503
+
+    def send(self, *args, **kwargs):
+        gevent.sleep(0.01)
+        return self
+
+
+def test_calls_to_the_store_are_few(platform, gateway):
+    platform.store.calls.clear()
+    gevent.sleep(3.0)
+    calls = sum(platform.store.calls.values())
+    assert calls <= 3.0 * 6
+
+
+def test_metrics_and_dump_are_scraped(gateway):
+    chat(gateway.settings.front, "m1", model=PAIR.name, events=3)
+    base = f"http://{gateway.settings.metrics}"
+    dump = urllib3.request("GET", f"{base}/dump").json()
+    assert dump["configuration"] == 4
+    metrics = urllib3.request("GET", f"{base}/metrics").data.decode()
+    assert "waxwingpitch_requests_total" in metrics
+    assert "waxwingpitch_first_event_seconds_bucket" in metrics
