--- a/waxwingpitch/cli/application.py
+++ b/waxwingpitch/cli/application.py
@@ -19,6 +19,7 @@
 from .demo import DemoCommand
 from .dump import DumpCommand
 from .entry import EntryCommand
+from .explain import ExplainCommand
 from .load import LoadCommand
 from .standins import (
     StandInEngineCommand,
@@ -45,6 +46,7 @@
     ZoneInCommand,
     ZoneShowCommand,
     DumpCommand,
+    ExplainCommand,
     CallCommand,
     LoadCommand,
     DemoCommand,
--- a/waxwingpitch/gateway/dispatch.py
+++ b/waxwingpitch/gateway/dispatch.py
@@ -34,6 +34,7 @@
 
     retry_after_s: float
     reason: str
+    pressure: Pressure
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,12 +104,11 @@
             if replica is not None:
                 self._take(replica, now)
                 return replica
-        decision = decide_admission(
-            self._measure(key, demand, now), now=now, deadline=demand.deadline
-        )
+        pressure = self._measure(key, demand, now)
+        decision = decide_admission(pressure, now=now, deadline=demand.deadline)
         if isinstance(decision, Refuse):
-            return Refused(decision.retry_after_s, "no slot in time")
-        return self._wait(queue, demand, now, decision.until)
+            return Refused(decision.retry_after_s, "no slot in time", pressure)
+        return self._wait(queue, demand, now, decision.until, pressure)
 
     def release(self, replica: Replica) -> None:
         """Give a slot back."""
@@ -134,6 +134,10 @@
                 self._take(replica, now)
                 result.set(replica)
 
+    def count_at(self, replica: Replica) -> int:
+        """Return the requests in progress at a replica, as far as known."""
+        return self._loads.count_at(replica.id, time.monotonic())
+
     def count_waiting(self) -> int:
         """Return the requests that wait."""
         return sum(len(queue) for queue in self._queues.values())
@@ -143,7 +147,12 @@
         return len(self._queues[(service, model)])
 
     def _wait(
-        self, queue: FairQueue, demand: Demand, now: float, until: float
+        self,
+        queue: FairQueue,
+        demand: Demand,
+        now: float,
+        until: float,
+        pressure: Pressure,
     ) -> Replica | Refused:
         result: AsyncResult = AsyncResult()
         ticket = Ticket(
@@ -156,7 +165,7 @@
             payload=(demand, result),
         )
         if not queue.push(ticket):
-            return Refused(1.0, "queue is full")
+            return Refused(1.0, "queue is full", pressure)
         try:
             replica = result.get(timeout=until - now, block=True)
         except BaseException as exc:
@@ -165,7 +174,7 @@
                 self.release(result.get_nowait())
             if not isinstance(exc, TimeoutError) and not _is_timeout(exc):
                 raise
-            return Refused(0.5, "waited too long")
+            return Refused(0.5, "waited too long", pressure)
         return replica
 
     def _choose(self, demand: Demand, now: float) -> Replica | None:
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -24,6 +24,7 @@
 )
 from ..forwarding.answers import Headers, strip_hop_headers
 from ..forwarding.exchange import format_request, send_request
+from ..forwarding.listener import CallerGoneError
 from ..platform import HeaderNames
 from ..platform.headers import KEY_SCHEME
 from ..routing.routes import choose_service
@@ -155,6 +156,12 @@
             ctx = self._route(req, resp)
             if ctx is not None:
                 self._serve(ctx, resp)
+        except CallerGoneError:
+            request = (req.find(HeaderNames.REQUEST_ID) or b"").decode("latin-1")
+            logger.info(
+                "caller left", extra={"request": request, "answering": resp.started}
+            )
+            raise
         finally:
             self.in_progress -= 1
 
@@ -228,6 +235,7 @@
             granted = self._dispatcher.acquire(demand)
             waited_s = time.monotonic() - asked_at
             self._metrics.note_slot_wait(ctx.service, waited_s)
+            self._log_placement(ctx, attempts, granted, waited_s)
             if isinstance(granted, Refused):
                 self._give_up(ctx, resp, attempts, granted)
                 return
@@ -489,7 +497,10 @@
                     return False
                 if attempts.runs >= ctx.route.max_attempts:
                     return False
-        return budget.spend()
+        if budget.spend():
+            return True
+        logger.info("retry budget is spent", extra={"request": ctx.id})
+        return False
 
     def _give_up(self, ctx, resp: Responder, attempts, refused: Refused) -> None:
         if resp.started:
@@ -582,6 +593,43 @@
         body = f"{int(code)} {code.name}: {reason}\n".encode()
         resp.send_answer(Answer(AnswerHead(status, headers), body))
 
+    def _log_placement(self, ctx, attempts, granted, waited_s: float) -> None:
+        inputs = {
+            "request": ctx.id,
+            "route": ctx.route.name,
+            "configuration": self._beliefs.cfg.version,
+            "model": ctx.model,
+            "workspace": ctx.workspace,
+            "priority": ctx.priority,
+            "left_ms": round(1000 * (ctx.deadline - time.monotonic())),
+            "waited_ms": round(1000 * waited_s),
+            "send": attempts.sends + 1,
+        }
+        match granted:
+            case Refused():
+                logger.info(
+                    "request not placed",
+                    extra={
+                        **inputs,
+                        "reason": granted.reason,
+                        "slots": granted.pressure.slots,
+                        "waiting": granted.pressure.waiting,
+                        "service_ms": round(1000 * granted.pressure.service_s),
+                    },
+                )
+            case Replica():
+                logger.info(
+                    "request placed",
+                    extra={
+                        **inputs,
+                        "target": granted.id,
+                        "epoch": granted.epoch,
+                        "zone": granted.zone,
+                        "outstanding": self._dispatcher.count_at(granted),
+                        "capacity": granted.capacity,
+                    },
+                )
+
     def _log_attempt(self, ctx, attempts, replica: Replica, outcome) -> None:
         reason = (
             f"status {outcome.answer.head.status}"
--- /dev/null
+++ b/waxwingpitch/telemetry/explain.py
@@ -0,0 +1,137 @@
+"""Finds in log lines what was decided about one request, and what explains it."""
+
+from __future__ import annotations
+
+import datetime
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+# Time before a request's first line in which news about its targets still matter.
+BACKGROUND_S = 5.0
+_HIDDEN = frozenset({"at", "level", "logger", "message", "line", "request"})
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One structured line.
+
+    Attributes
+    ----------
+    source
+        File that it was read from.
+    number
+        Number of the line within its process; 0 if it has none.
+    """
+
+    source: str
+    at: datetime.datetime
+    number: int
+    message: str
+    fields: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """What the logs say about one request.
+
+    Attributes
+    ----------
+    decisions
+        Lines that name the request, oldest first.
+    background
+        Lines about the targets that it was sent to, from shortly before until its
+        end.
+    missing
+        Lines that are missing in the files that name the request, by file.
+    """
+
+    request: str
+    decisions: tuple[LogLine, ...]
+    background: tuple[LogLine, ...]
+    missing: dict[str, int] = field(default_factory=dict)
+
+
+def parse_lines(source: str, lines: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the structured lines; text before the JSON object is skipped."""
+    for text in lines:
+        start = text.find('{"at"')
+        if start < 0:
+            continue
+        try:
+            found = msgspec.json.decode(text[start:])
+            at = datetime.datetime.fromisoformat(found["at"])
+        except (msgspec.MsgspecError, KeyError, ValueError):
+            continue
+        fields = {key: value for key, value in found.items() if key not in _HIDDEN}
+        if "request" in found:
+            fields["request"] = found["request"]
+        yield LogLine(
+            source, at, found.get("line", 0), found.get("message", ""), fields
+        )
+
+
+def explain(request: str, lines: Iterable[LogLine]) -> Explanation:
+    """Collect what a request's id leads to."""
+    ordered = sorted(lines, key=lambda line: (line.at, line.source, line.number))
+    decisions = [line for line in ordered if line.fields.get("request") == request]
+    if not decisions:
+        return Explanation(request, (), ())
+    targets = {line.fields["target"] for line in decisions if "target" in line.fields}
+    first = decisions[0].at - datetime.timedelta(seconds=BACKGROUND_S)
+    last = decisions[-1].at
+    background = tuple(
+        line
+        for line in ordered
+        if first <= line.at <= last
+        and "request" not in line.fields
+        and line.fields.get("target") in targets
+    )
+    sources = {line.source for line in decisions}
+    return Explanation(
+        request,
+        tuple(decisions),
+        background,
+        dict(_count_missing(ordered, sources, decisions[0].at, last)),
+    )
+
+
+def _count_missing(
+    ordered: list[LogLine],
+    sources: set[str],
+    first: datetime.datetime,
+    last: datetime.datetime,
+) -> Iterator[tuple[str, int]]:
+    for source in sorted(sources):
+        numbers = [
+            line.number
+            for line in ordered
+            if line.source == source and line.number and first <= line.at <= last
+        ]
+        if numbers:
+            missing = max(numbers) - min(numbers) + 1 - len(set(numbers))
+            if missing > 0:
+                yield source, missing
+
+
+def render_explanation(found: Explanation) -> Iterator[str]:
+    """Yield the text of an explanation, a line each."""
+    if not found.decisions:
+        yield f"no line names request {found.request!r}; valid: an id from a log line"
+        return
+    start = found.decisions[0].at
+    background = set(map(id, found.background))
+    merged = sorted((*found.decisions, *found.background), key=lambda line: line.at)
+    for line in merged:
+        offset_ms = (line.at - start).total_seconds() * 1000
+        mark = "  ~" if id(line) in background else "   "
+        inputs = " ".join(
+            f"{key}={value}"
+            for key, value in line.fields.items()
+            if key != "request" and value not in (None, "")
+        )
+        yield f"{offset_ms:9.0f} ms{mark} {line.message}: {inputs} [{line.source}]"
+    for source, count in found.missing.items():
+        yield f"{count} lines are missing in {source} during the request"
--- a/waxwingpitch/telemetry/logs.py
+++ b/waxwingpitch/telemetry/logs.py
@@ -56,7 +56,8 @@
     """Writes records to standard output without ever blocking the process.
 
     Lines wait in a bounded queue. When it is full, lines below warning level are
-    dropped first; what was dropped is counted in a line of its own.
+    dropped first; what was dropped is counted in a line of its own. Every line has a
+    number, so that a reader sees where lines are missing.
 
     Parameters
     ----------
@@ -69,6 +70,7 @@
         self._lines = lines
         self._waiting: deque[bytes] = deque()
         self._dropped = 0
+        self._number = 0
         self._rest = b""
         self._fd = sys.stdout.fileno()
         os.set_blocking(self._fd, False)
@@ -78,10 +80,13 @@
         """Queue a record."""
         if len(self._waiting) >= self._lines and record.levelno < logging.WARNING:
             self._dropped += 1
+            self._number += 1
             return
         if len(self._waiting) >= 2 * self._lines:
             self._waiting.popleft()
             self._dropped += 1
+        self._number += 1
+        record.line = self._number
         self._waiting.append(self.format(record).encode() + b"\n")
 
     def _write_forever(self) -> None:
