--- a/waxwingpitch/admission/forecast.py
+++ b/waxwingpitch/admission/forecast.py
@@ -14,8 +14,9 @@
 # Shortest and longest time after which a refused caller is told to come back.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 3.0
-# Time in which a lost replica is usually formed anew.
-REFORM_S = 1.0
+# Time in which a lost replica is usually formed anew: noticing, closing, joining from
+# the host and opening.
+REFORM_S = 2.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -4,8 +4,8 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, replace
 
 from ..agreed.mirror import StoreMirror
 from ..configuration.routes import RoutedConfiguration, ServiceSpec
@@ -21,7 +21,7 @@
 )
 from ..ports import StoredChange
 from ..routing.routes import RouteTable
-from ..targets.records import MemberState, TargetRecord
+from ..targets.records import MemberState, TargetRecord, TargetReport
 
 OWN_PREFIX = "waxwingpitch/"
 MEMBER_PREFIX = "waxwingpitch/members/"
@@ -45,11 +45,14 @@
     ----------
     cold_until
         Monotonic time until which the target is cold.
+    listed_since
+        Monotonic time since which it has been in the list without a break.
     """
 
     record: TargetRecord
     version: int
     cold_until: float
+    listed_since: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +131,12 @@
         entry = self.mirror.get(PLANNER_PREFIX + zone)
         return None if entry is None else entry.value.decode()
 
+    def iter_listed(self) -> Iterator[KnownTarget]:
+        """Yield all targets of the list, and those that it dropped by mistake."""
+        yield from self.targets.values()
+        for known, _ in self.lapsed.values():
+            yield known
+
     def note_store_back(self) -> None:
         """Note that the store answers again after a failure."""
         self.settled_at = self._clock() + SETTLE_S
@@ -140,6 +149,31 @@
         """Take in all entries below a prefix."""
         self._take_in(self.mirror.apply_list(prefix, listed))
 
+    def note_report(self, target: str, version: int, report: TargetReport) -> bool:
+        """Take in a target's own report; return whether it changed anything.
+
+        Parameters
+        ----------
+        version
+            Version of the target's entry that the report is newer than. Once the
+            list has a higher one, the report no longer counts.
+        """
+        known = self.targets.get(target)
+        if known is None or known.version != version:
+            return False
+        record = replace(
+            known.record,
+            membership=report.membership,
+            model=report.model,
+            staged=report.staged,
+        )
+        if record == known.record:
+            return False
+        self.targets[target] = replace(known, record=record)
+        self._rebuild()
+        self._on_change()
+        return True
+
     def expire_lapsed(self) -> None:
         """Forget targets that did not come back to the list in time."""
         now = self._clock()
@@ -216,16 +250,19 @@
             logger.warning("entry names no target", extra={"reason": str(exc)})
             self.targets.pop(target, None)
             return known is not None
-        self.targets[target] = KnownTarget(record, entry.version, now + record.cold_s)
+        self.targets[target] = KnownTarget(
+            record,
+            entry.version,
+            now + record.cold_s,
+            now if known is None else known.listed_since,
+        )
         return known is None or _is_other(known.record, record)
 
     def _rebuild(self) -> None:
         """Work out the replicas anew."""
         found: dict[tuple[str, str], list[Replica]] = defaultdict(list)
         groups: dict[tuple[str, int], dict[int, KnownTarget]] = defaultdict(dict)
-        listed = list(self.targets.values())
-        listed += [known for known, _ in self.lapsed.values()]
-        for known in listed:
+        for known in self.iter_listed():
             record = known.record
             service = self.find_service(record.service)
             if service is None or service.engine is None:
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -118,8 +118,10 @@
                 loads=self.loads,
                 progress=self.progress,
                 zones=len(settings.zones),
-                count_waiting=self.dispatcher.count_waiting_for,
+                count_waiting=self.dispatcher.estimate_unserved,
                 ask_peers=self._peers.may_be_alive,
+                is_store_silent=self._peers.is_store_silent,
+                announce=self._peers.announce_report,
                 metrics=self.metrics,
             )
             for zone in settings.zones
--- a/waxwingpitch/gateway/dispatch.py
+++ b/waxwingpitch/gateway/dispatch.py
@@ -92,6 +92,7 @@
         self._rng = random.Random(zone)
         self._queues: dict[tuple[str, str], FairQueue] = defaultdict(FairQueue)
         self._service_s: dict[tuple[str, str], float] = {}
+        self._refused: dict[tuple[str, str], deque[float]] = defaultdict(deque)
         self._cold = _ColdLimit()
 
     def acquire(self, demand: Demand) -> Replica | Refused:
@@ -107,6 +108,7 @@
         pressure = self._measure(key, demand, now)
         decision = decide_admission(pressure, now=now, deadline=demand.deadline)
         if isinstance(decision, Refuse):
+            self._refused[key].append(now)
             return Refused(decision.retry_after_s, "no slot in time", pressure)
         return self._wait(queue, demand, now, decision.until, pressure)
 
@@ -142,9 +144,20 @@
         """Return the requests that wait."""
         return sum(len(queue) for queue in self._queues.values())
 
-    def count_waiting_for(self, service: str, model: str) -> int:
-        """Return the requests that wait for a replica of a model."""
-        return len(self._queues[(service, model)])
+    def estimate_unserved(self, service: str, model: str) -> float:
+        """Return the slots that requests without one would take, at all entry hosts.
+
+        Counts those that wait and, for the time that they would have run, those that
+        were refused within the last second.
+        """
+        key = (service, model)
+        now = time.monotonic()
+        refused = self._refused[key]
+        while refused and now - refused[0] > 1.0:
+            refused.popleft()
+        service_s = self._service_s.get(key, FIRST_SERVICE_S)
+        peers = max(1, len(self._beliefs.list_peers()))
+        return (len(self._queues[key]) + len(refused) * service_s) * peers
 
     def _wait(
         self,
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -18,13 +18,15 @@
     ProbeResult,
     StalledTarget,
     StoreItems,
+    TargetNews,
 )
 from ..mesh.node import LinkDown, LinkUp, MeshEvent, Received
 from ..ports import StoredChange, StoredDeletion, StoredEntry
 from ..settings.gateway import GatewaySettings
 from ..targets.loads import LoadBook
 from ..targets.progress import ProgressBook
-from .beliefs import Beliefs, KnownTarget
+from ..targets.records import Membership, MemberState, TargetReport
+from .beliefs import Beliefs
 from .store_tasks import StoreContact
 
 COUNTS_INTERVAL_S = 0.1
@@ -34,6 +36,11 @@
 STORE_SILENCE_S = 0.8
 ITEMS_INTERVAL_S = 0.5
 PROBE_ANSWER_S = 0.8
+# Part of the entry hosts that must not reach a target before it is taken for gone. A
+# target that is cut from some entry hosts is cut from a third of them.
+WITNESSES = 0.6
+# Age of its last answer from which the store counts as silent.
+SILENT_S = 1.2
 FRAME_BYTES = 4 * 1024 * 1024
 
 logger = logging.getLogger(__name__)
@@ -96,22 +103,69 @@
         """Tell all peers that nothing moves at a target."""
         self._node.broadcast(StalledTarget(target, epoch))
 
-    def may_be_alive(self, known: KnownTarget) -> bool:
+    def may_be_alive(self, target: str, address: str) -> bool:
         """Return whether a target may answer any other entry host.
 
-        True unless every listed peer says that it does not.
+        False only if most of the listed peers say that it does not.
         """
-        record = known.record
         listed = self._beliefs.list_peers().keys() - {self._settings.name}
-        self._results[record.id] = results = {}
-        self._node.broadcast(ProbeRequest(record.id, record.address))
+        self._results[target] = results = {}
+        self._node.broadcast(ProbeRequest(target, address))
         deadline = time.monotonic() + PROBE_ANSWER_S
         while time.monotonic() < deadline and len(results) < len(listed):
             if any(results.values()):
                 return True
             gevent.sleep(0.02)
-        del self._results[record.id]
-        return any(results.values()) or not listed <= results.keys()
+        self._results.pop(target, None)
+        answered = len(results) + 1
+        return any(results.values()) or answered < WITNESSES * (len(listed) + 1)
+
+    def is_store_silent(self) -> bool:
+        """Return whether the store answers neither this process nor its peers."""
+        now = time.monotonic()
+        if not self._contact.failing or now - self._contact.answered_at < SILENT_S:
+            return False
+        listed = self._beliefs.list_peers().keys() - {self._settings.name}
+        ages = [
+            age_s + now - at
+            for peer, (at, age_s) in self._store_ages.items()
+            if peer in self._node.peers and now - at < 2.0
+        ]
+        if len(ages) + 1 < WITNESSES * (len(listed) + 1):
+            return False
+        return all(age_s >= SILENT_S for age_s in ages)
+
+    def announce_report(self, target: str, version: int, report: TargetReport) -> None:
+        """Tell all peers what a target said of itself."""
+        place = report.membership
+        news = TargetNews(target, version, report.model, report.staged)
+        if place is not None:
+            news = TargetNews(
+                target,
+                version,
+                report.model,
+                report.staged,
+                place.group,
+                place.epoch,
+                place.rank,
+                place.state.value,
+            )
+        self._node.broadcast(news)
+
+    def _take_news(self, message: TargetNews) -> None:
+        place = None
+        if message.state:
+            place = Membership(
+                message.group, message.epoch, message.rank, MemberState(message.state)
+            )
+        report = TargetReport(
+            orders=0,
+            pace=1.0,
+            membership=place,
+            model=message.model,
+            staged=message.staged,
+        )
+        self._beliefs.note_report(message.target, message.version, report)
 
     def _answer_probe(self, peer: str, message: ProbeRequest) -> None:
         answers = self._is_answering(message.target, message.address)
@@ -174,6 +228,8 @@
             case Received(peer=peer, message=ProbeResult() as message):
                 if message.target in self._results:
                     self._results[message.target][peer.id] = message.answers
+            case Received(message=TargetNews() as message):
+                self._take_news(message)
             case LinkUp(peer=peer):
                 logger.info("peer connected", extra={"peer": peer.id})
             case LinkDown(peer=peer):
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -17,7 +17,13 @@
     UnreachableError,
 )
 from ..forwarding.exchange import call_target
-from ..groups.formation import FleetView, FormationPlanner, GiveOrder, summarize
+from ..groups.formation import (
+    FleetView,
+    FormationPlanner,
+    GiveOrder,
+    find_missing_heads,
+    summarize,
+)
 from ..groups.orders_to_targets import Close, Order
 from ..platform import (
     ORDER_PATH,
@@ -44,6 +50,10 @@
 LEASE_MARGIN_S = 0.5
 EPOCHS_PER_REVISION = 1000
 SUMMARY_INTERVAL_S = 1.0
+# Weight of the newest measure of demand, at a plan each 50 to 100 ms.
+NEWEST_DEMAND = 0.05
+# Interval at which targets are asked for their state while the store is silent.
+REPORT_INTERVAL_S = 0.15
 
 logger = logging.getLogger(__name__)
 
@@ -72,7 +82,9 @@
         progress: ProgressBook,
         zones: int,
         count_waiting: Callable[[str, str], int],
-        ask_peers: Callable[[KnownTarget], bool],
+        ask_peers: Callable[[str, str], bool],
+        is_store_silent: Callable[[], bool],
+        announce: Callable[[str, int, TargetReport], None],
         metrics: GatewayMetrics,
     ):
         self.zone = zone
@@ -86,6 +98,10 @@
         self._zones = zones
         self._count_waiting = count_waiting
         self._ask_peers = ask_peers
+        self._is_store_silent = is_store_silent
+        self._announce = announce
+        self._reported_at = 0.0
+        self._demand: dict[str, float] = {}
         self._metrics = metrics
         self._fence = 0
         self._summarized_at = 0.0
@@ -102,12 +118,20 @@
 
     @property
     def is_holder(self) -> bool:
-        """Whether this process may give orders in the zone now."""
+        """Whether this process may give orders in the zone now.
+
+        While the store answers no entry host, nobody else can become the holder.
+        """
+        if self._fence == 0 or self._beliefs.find_planner(self.zone) not in (
+            self._name,
+            None,
+        ):
+            return False
+        if self._is_store_silent():
+            return True
         return (
-            self._fence > 0
-            and self._lease == self._keeper.lease
+            self._lease == self._keeper.lease
             and time.monotonic() < self._keeper.valid_until - LEASE_MARGIN_S
-            and self._beliefs.find_planner(self.zone) in (self._name, None)
         )
 
     @property
@@ -170,15 +194,20 @@
         self._counter += 1
         return self._fence * EPOCHS_PER_REVISION + self._counter
 
-    def _may_load(self, now: float) -> bool:
-        """Keep this zone's part of the weight store's limits."""
+    def _may_load(self, now: float, urgent: bool) -> bool:
+        """Keep this zone's part of the weight store's limits.
+
+        Loads that only prepare a change leave room for those of targets that are of
+        no use without.
+        """
         service = next(iter(self._planners))
         engine = self._beliefs.find_service(service).engine
         longest_s = max(model.load_s for model in engine.models)
         self._load_starts = [at for at in self._load_starts if now - at < longest_s]
         recent = sum(now - at < 1.0 for at in self._load_starts)
-        at_once = max(1, -(-engine.loads_at_once // self._zones))
-        if len(self._load_starts) >= at_once:
+        at_once = -(-engine.loads_at_once // self._zones)
+        limit = at_once if urgent else max(1, at_once // 2)
+        if len(self._load_starts) >= limit:
             return False
         if recent >= max(1, int(engine.loads_per_s / self._zones)):
             return False
@@ -188,7 +217,7 @@
     def _plan(self) -> None:
         now = time.monotonic()
         cfg = self._beliefs.cfg
-        if cfg is None or now < self._beliefs.settled_at:
+        if cfg is None:
             return
         for service in cfg.services.values():
             if service.engine is None or not service.engine.models:
@@ -197,6 +226,8 @@
             if planner is None:
                 planner = FormationPlanner(self._next_epoch, self._may_load)
                 self._planners[service.name] = planner
+            if self._is_store_silent():
+                self._ask_for_reports(planner, now)
             view = self._build_view(service, now)
             if now - self._summarized_at >= SUMMARY_INTERVAL_S:
                 self._summarized_at = now
@@ -208,23 +239,25 @@
     def _build_view(self, service, now: float) -> FleetView:
         targets = {
             known.record.id: known.record
-            for known in self._beliefs.targets.values()
+            for known in self._beliefs.iter_listed()
             if known.record.service == service.name and known.record.zone == self.zone
         }
         demand, slots = self._measure(service, now)
         suspects = self._progress.list_suspects(now)
         self._probe_suspects(targets, suspects, now)
         self._probe_unreachable(now)
-        self._probe_vanished(service.name, now)
+        self._probe_missing_heads(targets, now)
         unreachable = frozenset(self._unreachable)
         return FleetView(
             spec=service.engine,
             targets=targets,
             unreachable=unreachable,
-            vanished={
-                target: (known.record, at)
-                for target, (known, at) in self._beliefs.vanished.items()
-                if known.record.zone == self.zone
+            vanished_at={
+                target: at for target, (_, at) in self._beliefs.vanished.items()
+            },
+            listed_since={
+                known.record.id: known.listed_since
+                for known in self._beliefs.iter_listed()
             },
             gone=frozenset(self._gone),
             demand=demand,
@@ -238,11 +271,32 @@
         for model in service.engine.models:
             replicas = self._beliefs.find_replicas(service.name, model.name)
             slots[model.name] = sum(replica.capacity for replica in replicas)
-            demand[model.name] = sum(
+            newest = sum(
                 self._loads.count_at(item.id, now) for item in replicas
             ) + self._count_waiting(service.name, model.name)
+            known = self._demand.get(model.name, newest)
+            demand[model.name] = known + NEWEST_DEMAND * (newest - known)
+        self._demand = demand
         return demand, slots
 
+    def _ask_for_reports(self, planner: FormationPlanner, now: float) -> None:
+        """Learn from targets themselves what the silent store can't tell."""
+        if now - self._reported_at < REPORT_INTERVAL_S:
+            return
+        self._reported_at = now
+        for target in planner.list_unsettled():
+            known = self._beliefs.targets.get(target)
+            if known is not None:
+                gevent.spawn(self._take_report, known)
+
+    def _take_report(self, known: KnownTarget) -> None:
+        report = self._probe(known.record.id, known.record.address)
+        if report is None:
+            return
+        target = known.record.id
+        if self._beliefs.note_report(target, known.version, report):
+            self._announce(target, known.version, report)
+
     def _probe_unreachable(self, now: float) -> None:
         """Ask targets that did not answer again, until the list drops them."""
         for target in list(self._unreachable):
@@ -251,43 +305,36 @@
                 del self._unreachable[target]
             elif now - self._probed_at.get(target, 0.0) >= PROBE_AGAIN_S:
                 self._probed_at[target] = now
-                gevent.spawn(self._probe, known)
+                gevent.spawn(self._probe, target, known.record.address)
 
-    def _probe_vanished(self, service: str, now: float) -> None:
+    def _probe_missing_heads(self, targets, now: float) -> None:
         """Ask heads that the list has dropped whether they still answer."""
-        vanished = self._beliefs.vanished
-        self._gone &= vanished.keys()
-        for target, (known, _) in vanished.items():
-            record = known.record
+        missing = find_missing_heads(targets)
+        self._gone &= missing.keys()
+        for target, address in missing.items():
             if (
-                record.service == service
-                and record.zone == self.zone
-                and record.membership is not None
-                and record.membership.rank == 0
-                and target not in self._gone
+                target not in self._gone
                 and now - self._probed_at.get(target, 0.0) >= PROBE_AGAIN_S
             ):
                 self._probed_at[target] = now
-                gevent.spawn(self._probe_gone, known)
+                gevent.spawn(self._probe_missing, target, address)
 
-    def _probe_gone(self, known: KnownTarget) -> None:
+    def _probe_missing(self, target: str, address: str) -> None:
         """Find out whether a head that left the list still takes requests.
 
         One that answers is told to close. One that answers no entry host is gone.
         """
-        target = known.record.id
-        report = self._probe(known)
+        report = self._probe(target, address)
         if report is None:
-            if self._ask_peers(known) or target not in self._beliefs.vanished:
-                return
-            self._gone.add(target)
+            if not self._ask_peers(target, address):
+                self._gone.add(target)
             return
         place = report.membership
         if place is None or place.state not in (MemberState.OPEN, MemberState.CLOSING):
             self._gone.add(target)
-            return
-        if self.is_holder:
-            self._send_order(known, Close(place.group, place.epoch, preempt=True))
+        elif self.is_holder:
+            order = Close(place.group, place.epoch, preempt=True)
+            self._send_order(target, address, order)
 
     def _probe_suspects(self, targets, suspects, now: float) -> None:
         """Ask each member of a suspected group whether it answers."""
@@ -297,51 +344,49 @@
                 continue
             if record.membership.epoch != epoch:
                 continue
-            members = [
-                other.id
-                for other in targets.values()
-                if other.membership is not None and other.membership.epoch == epoch
-            ]
-            for member in members:
-                if now - self._probed_at.get(member, 0.0) >= PROBE_AGAIN_S:
-                    self._probed_at[member] = now
-                    gevent.spawn(self._probe, self._beliefs.targets[member])
-
-    def _probe(self, known: KnownTarget) -> TargetReport | None:
+            for other in targets.values():
+                if (
+                    other.membership is not None
+                    and other.membership.epoch == epoch
+                    and now - self._probed_at.get(other.id, 0.0) >= PROBE_AGAIN_S
+                ):
+                    self._probed_at[other.id] = now
+                    gevent.spawn(self._probe, other.id, other.address)
+
+    def _probe(self, target: str, address: str) -> TargetReport | None:
         """Ask a target for its report; return None if it does not answer."""
-        record = known.record
         try:
             answer = call_target(
                 self._pool,
-                record.address,
+                address,
                 b"GET",
                 REPORT_PATH.encode(),
-                headers=((HeaderNames.EXPECTED_TARGET.value, record.id.encode()),),
+                headers=((HeaderNames.EXPECTED_TARGET.value, target.encode()),),
                 timeout_s=PROBE_TIMEOUT_S,
             )
             report = decode_report(answer.body)
         except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
-            self._unreachable[record.id] = time.monotonic()
+            self._unreachable[target] = time.monotonic()
             logger.info(
                 "target does not answer",
-                extra={"target": record.id, "reason": str(exc)},
+                extra={"target": target, "reason": str(exc)},
             )
             return None
         except ValueError as exc:
             logger.warning(
-                "report is unreadable",
-                extra={"target": record.id, "reason": str(exc)},
+                "report is unreadable", extra={"target": target, "reason": str(exc)}
             )
             return None
-        self._orders[record.id] = report.orders
-        self._unreachable.pop(record.id, None)
+        self._orders[target] = report.orders
+        self._unreachable.pop(target, None)
         return report
 
     def _give(self, planner: FormationPlanner, command: GiveOrder) -> None:
         known = self._beliefs.targets.get(command.target)
         if known is None or not self.is_holder:
             return
-        status, outcome = self._send_order(known, command.order)
+        address = known.record.address
+        status, outcome = self._send_order(command.target, address, command.order)
         if status not in (200, 202):
             planner.note_refused(command.target, command.order, time.monotonic())
         kind = type(command.order).__name__.lower()
@@ -356,34 +401,33 @@
             },
         )
 
-    def _send_order(self, known: KnownTarget, order: Order) -> tuple[int, str]:
+    def _send_order(self, target: str, address: str, order: Order) -> tuple[int, str]:
         """Send an order; return the status, 0 if there was no answer, and why."""
-        record = known.record
-        if self._orders.get(record.id) is None and self._probe(known) is None:
+        if self._orders.get(target) is None and self._probe(target, address) is None:
             return 0, "target does not answer"
-        body = encode_order(
-            order, fence=self._fence, expected_orders=self._orders[record.id]
-        )
-        expected = self._orders.pop(record.id)
+        expected = self._orders.pop(target, None)
+        if expected is None:
+            return 0, "another order is on its way"
+        body = encode_order(order, fence=self._fence, expected_orders=expected)
         try:
             answer = call_target(
                 self._pool,
-                record.address,
+                address,
                 b"POST",
                 ORDER_PATH.encode(),
                 headers=(
-                    (HeaderNames.EXPECTED_TARGET.value, record.id.encode()),
+                    (HeaderNames.EXPECTED_TARGET.value, target.encode()),
                     (b"Content-Type", b"application/json"),
                 ),
                 body=body,
                 timeout_s=ORDER_TIMEOUT_S,
             )
         except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
-            gevent.spawn(self._probe, known)
+            gevent.spawn(self._probe, target, address)
             return 0, str(exc)
         status = answer.head.status
         if status == 202:
-            self._orders[record.id] = expected + 1
+            self._orders[target] = expected + 1
         elif status == 200:
-            self._orders[record.id] = expected
+            self._orders[target] = expected
         return status, f"expected {expected} orders"
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -279,8 +279,10 @@
             case _Broken():
                 attempts.may_have_run = True
                 attempts.runs += not attempts.began
-            case _Stalled() if replica.epoch and now < ctx.deadline:
-                self._on_suspect(replica.id, replica.epoch)
+            case _Stalled():
+                attempts.may_have_run = True
+                if replica.epoch and now < ctx.deadline:
+                    self._on_suspect(replica.id, replica.epoch)
         return outcome
 
     def _exchange(
@@ -507,7 +509,7 @@
             self._break_off(ctx, resp, refused.reason)
         elif attempts.failure is not None:
             self._pass_failure(ctx, resp, attempts.failure)
-        elif attempts.may_have_run and not ctx.route.is_repeatable:
+        elif attempts.may_have_run:
             self._fail(
                 ctx.id,
                 resp,
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -11,11 +11,12 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence, Set
 from dataclasses import dataclass, field
 
 from ..configuration.routes import EngineSpec, ModelSpec
 from ..targets.records import MemberState, TargetRecord
+from .naming import HeadPlace, name_group, parse_head
 from .orders_to_targets import Close, Join, Leave, Open, Order, Stage
 
 # Time for an order's effect to show in the target's record, in seconds.
@@ -27,10 +28,17 @@
 CROWDED = 0.7
 REBALANCE_PART = 0.75
 REBALANCE_INTERVAL_S = 2.0
+# Share of slots by which a change must relieve the most pressed model.
+WORTH_A_CHANGE = 0.02
 # Longest time for requests in progress when a group is closed for a planned change.
 CLOSING_S = 6.0
-# Time after which a head that is missing from the list, and of which nothing else is
-# known, counts as gone. A cut between targets and the list lasts seconds.
+# Time within which a target that the list dropped by mistake is in it again.
+RETURN_S = 2.5
+# Time for which a head must be missing from the list, beside a member that is in it,
+# before proof that it answers nobody counts: targets that could not reach the list are
+# in it again within two heartbeats.
+PROVED_ABSENCE_S = 4.0
+# The same without any proof. A cut between targets and the list lasts seconds.
 HEAD_ABSENCE_S = 15.0
 # Time without a new target after which a new domain counts as complete.
 ARRIVALS_S = 1.5
@@ -46,10 +54,12 @@
         Records by id.
     unreachable
         Targets that do not answer although the list still has them.
-    vanished
-        Records of targets that the list has dropped, and the monotonic time of that.
+    listed_since
+        Monotonic time since which each target has been in the list.
+    vanished_at
+        Monotonic time at which targets left the list, where that was seen.
     gone
-        Those of them that certainly take no more requests.
+        Heads outside the list that certainly take no more requests.
     demand
         Requests in progress and waiting, by model, over all zones.
     slots
@@ -61,7 +71,8 @@
     spec: EngineSpec
     targets: Mapping[str, TargetRecord]
     unreachable: frozenset[str] = frozenset()
-    vanished: Mapping[str, tuple[TargetRecord, float]] = field(default_factory=dict)
+    listed_since: Mapping[str, float] = field(default_factory=dict)
+    vanished_at: Mapping[str, float] = field(default_factory=dict)
     gone: frozenset[str] = frozenset()
     demand: Mapping[str, float] = field(default_factory=dict)
     slots: Mapping[str, int] = field(default_factory=dict)
@@ -117,11 +128,12 @@
     next_epoch
         Returns a number higher than all before, at any planner.
     may_load
-        Returns whether one more load from the weight store may begin now.
+        Returns whether one more load from the weight store may begin at a time; the
+        second argument says whether the target is of no use without it.
     """
 
     def __init__(
-        self, next_epoch: Callable[[], int], may_load: Callable[[float], bool]
+        self, next_epoch: Callable[[], int], may_load: Callable[[float, bool], bool]
     ):
         self._next_epoch = next_epoch
         self._may_load = may_load
@@ -129,10 +141,11 @@
         self._pending: dict[str, _Pending] = {}
         self._closing_since: dict[tuple[str, int], float] = {}
         self._laid_out: set[str] = set()
+        self._lacking_since: dict[tuple[str, int], float] = {}
+        self._headless_since: dict[tuple[str, int], float] = {}
         self._rebalanced_at = 0.0
         self._given_up: set[tuple[str, int]] = set()
         self._reserved: dict[str, tuple[str, float]] = {}
-        self._appeared: dict[str, float] = {}
         self._arrivals: dict[str, tuple[int, float]] = {}
 
     @property
@@ -146,6 +159,17 @@
         """Return the groups that are being formed, by model."""
         return Counter(forming.model.name for forming in self._forming.values())
 
+    def list_unsettled(self) -> set[str]:
+        """Return the targets whose state decides what comes next."""
+        found = {
+            target
+            for target, pending in self._pending.items()
+            if not isinstance(pending.order, Stage)
+        }
+        for forming in self._forming.values():
+            found.update(forming.members)
+        return found
+
     def note_refused(self, target: str, order: Order, now: float) -> None:
         """Note that a target refused an order, or did not answer."""
         pending = self._pending.get(target)
@@ -154,13 +178,13 @@
 
     def plan(self, view: FleetView, now: float) -> list[GiveOrder]:
         """Return the orders to give now."""
-        self._note_arrivals(view, now)
         self._drop_settled(view, now)
         orders = list(self._advance_forming(view, now))
         by_domain: dict[str, list[TargetRecord]] = defaultdict(list)
         for record in view.targets.values():
             by_domain[record.domain].append(record)
         seen = _find_groups(view.targets.values())
+        self._note_headless(seen, now)
         for domain in sorted(by_domain):
             members = sorted(by_domain[domain], key=lambda record: record.id)
             if self._is_laid_out(domain, members):
@@ -168,7 +192,10 @@
             elif self._is_settled(domain, len(members), now):
                 self._laid_out.add(domain)
                 orders += self._lay_out(view, members, now)
-        orders += self._stage_hosts(view, now)
+        serving = {
+            key for key, group in seen.items() if group.state is MemberState.OPEN
+        }
+        orders += self._stage_hosts(view, serving, now)
         orders += self._rebalance(view, by_domain, seen, now)
         return orders
 
@@ -185,27 +212,33 @@
         self._arrivals[domain] = (known, since)
         return now - since >= ARRIVALS_S
 
-    def _note_arrivals(self, view: FleetView, now: float) -> None:
-        """Note since when each target has been in the list."""
-        for target in view.targets:
-            self._appeared.setdefault(target, now)
-        for target in self._appeared.keys() - view.targets.keys():
-            del self._appeared[target]
+    def _note_headless(
+        self, seen: Mapping[tuple[str, int], _SeenGroup], now: float
+    ) -> None:
+        """Note since when each group has had members in the list, but no head."""
+        headless = {key for key, group in seen.items() if group.head is None}
+        for key in headless:
+            self._headless_since.setdefault(key, now)
+        for key in self._headless_since.keys() - headless:
+            del self._headless_since[key]
 
     def _is_headless(self, view: FleetView, record: TargetRecord, now: float) -> bool:
         """Return whether the head of a target's group is certainly gone.
 
         A head that only can't reach the list may still take requests. It is gone if
-        that was proved, and if this member stayed in the list when it vanished.
+        that was proved, and if this member stayed in the list without it.
         """
-        appeared_at = self._appeared[record.id]
-        head = _find_vanished_head(view, record)
-        if head is not None:
-            vanished_at = view.vanished[head][1]
-            if head in view.gone and appeared_at < vanished_at - EFFECT_S:
-                return True
-            appeared_at = max(appeared_at, vanished_at)
-        return now - appeared_at >= HEAD_ABSENCE_S
+        place = record.membership
+        key = (place.group, place.epoch)
+        listed_since = view.listed_since.get(record.id, now)
+        absent_since = max(listed_since, self._headless_since.get(key, now))
+        head = parse_head(place.group)
+        if head is None or head.id not in view.gone:
+            return now - absent_since >= HEAD_ABSENCE_S
+        vanished_at = view.vanished_at.get(head.id)
+        if vanished_at is not None and listed_since < vanished_at - EFFECT_S:
+            return True
+        return now - absent_since >= PROVED_ABSENCE_S
 
     def _drop_settled(self, view: FleetView, now: float) -> None:
         for target, pending in list(self._pending.items()):
@@ -276,6 +309,7 @@
         free = [
             record for record in members if self._is_free(view, record, in_domain, now)
         ]
+        yield from self._complete(view, free, in_domain, now)
         yield from self._form(view, free, now)
 
     def _tend(
@@ -286,11 +320,8 @@
             return
         model = view.spec.find_model(head.model)
         size = model.size if model is not None else len(group.members)
-        lost = [
-            rank
-            for rank in range(size)
-            if rank not in group.members or group.members[rank].id in view.unreachable
-        ]
+        silent = any(record.id in view.unreachable for record in group.members.values())
+        lost = silent or self._lacks_members(key, group, size, now)
         leaving = any(record.leaving for record in group.members.values())
         match group.state:
             case MemberState.OPEN if lost:
@@ -308,6 +339,7 @@
             case MemberState.READY if (
                 key not in self._given_up
                 and not lost
+                and len(group.members) == size
                 and not leaving
                 and model is not None
                 and all(
@@ -325,6 +357,16 @@
                 order = Open(group.group, group.epoch)
                 yield from self._give(head, order, EFFECT_S, now)
 
+    def _lacks_members(self, key, group: _SeenGroup, size: int, now: float) -> bool:
+        """Return whether members are missing from the list, and not for a moment.
+
+        Targets that the list dropped while it was out of order come back to it.
+        """
+        if len(group.members) >= size:
+            self._lacking_since.pop(key, None)
+            return False
+        return now - self._lacking_since.setdefault(key, now) >= RETURN_S
+
     def _is_free(
         self,
         view: FleetView,
@@ -390,33 +432,119 @@
         kept_for, until = self._reserved.get(record.domain, ("", 0.0))
         return now >= until or kept_for == model.name
 
+    def _complete(
+        self,
+        view: FleetView,
+        free: Sequence[TargetRecord],
+        seen: Mapping[tuple[str, int], _SeenGroup],
+        now: float,
+    ) -> Iterator[GiveOrder]:
+        """Give up a small group to complete a large one that lost a member.
+
+        Its survivors could form small groups instead; what leaves the most pressed
+        model better off is done.
+        """
+        if not free or self._reserved.get(free[0].domain, ("", 0.0))[1] > now:
+            return
+        for model in view.spec.models:
+            ready = sum(_find_join_s(model, record) is not None for record in free)
+            if not model.size / 2 < ready < model.size:
+                continue
+            for donor in view.spec.models:
+                heads = self._find_completing(seen, model, donor, model.size - ready)
+                if donor.size >= model.size or not heads:
+                    continue
+                instead = len(free) // donor.size
+                left_as_is = max(
+                    self._find_pressure(view, model),
+                    self._find_pressure(view, donor, extra=instead),
+                )
+                completed = max(
+                    self._find_pressure(view, model, extra=1),
+                    self._find_pressure(view, donor, extra=-len(heads)),
+                )
+                if completed < left_as_is - WORTH_A_CHANGE:
+                    yield from self._give_up(heads, model, now)
+                    return
+
+    def _find_completing(
+        self,
+        seen: Mapping[tuple[str, int], _SeenGroup],
+        model: ModelSpec,
+        donor: ModelSpec,
+        missing: int,
+    ) -> list[TargetRecord]:
+        """Return heads of groups whose members fill up another group."""
+        heads = []
+        for group in seen.values():
+            head = group.head
+            if (
+                missing > 0
+                and head is not None
+                and head.model == donor.name
+                and group.state is MemberState.OPEN
+                and not isinstance(self._find_pending(head.id), Close)
+            ):
+                added = sum(
+                    _find_join_s(model, record) is not None
+                    for record in group.members.values()
+                )
+                if added:
+                    missing -= added
+                    heads.append(head)
+        return heads if missing <= 0 else []
+
+    def _give_up(
+        self, heads: Sequence[TargetRecord], model: ModelSpec, now: float
+    ) -> Iterator[GiveOrder]:
+        """Close groups without cutting requests off, and keep their domain."""
+        self._reserved[heads[0].domain] = (model.name, now + CLOSING_S)
+        for head in heads:
+            place = head.membership
+            self._given_up.add((place.group, place.epoch))
+            order = Close(place.group, place.epoch, preempt=False)
+            yield from self._give(head, order, CLOSING_S, now)
+
     def _find_pressure(
-        self, view: FleetView, model: ModelSpec, *, without: int = 0
+        self, view: FleetView, model: ModelSpec, *, extra: int = 0
     ) -> float:
         """Return the share of a model's slots that is taken.
 
         Parameters
         ----------
-        without
-            Groups that are thought away.
+        extra
+            Groups that are thought to be there too; negative for fewer.
         """
         coming = sum(
             forming.model.name == model.name for forming in self._forming.values()
         )
-        groups = coming - without
+        groups = coming + extra
         slots = view.slots.get(model.name, 0) + groups * view.spec.capacity
         demand = view.demand.get(model.name, 0.0)
         if slots <= 0:
             return 1.0 + demand + model.share
         return demand / slots
 
-    def _stage_hosts(self, view: FleetView, now: float) -> Iterator[GiveOrder]:
+    def _stage_hosts(
+        self, view: FleetView, serving: Set[tuple[str, int]], now: float
+    ) -> Iterator[GiveOrder]:
         """Load onto each host the model that its target would need next.
 
         Targets that can join nothing come first. Then those in a group, so that they
         can change to another model in the time of a join from the host.
         """
-        for record in sorted(view.targets.values(), key=_count_models):
+        idle = {
+            record.id
+            for record in view.targets.values()
+            if record.membership is None
+            or record.membership.state in (MemberState.READY, MemberState.BROKEN)
+            and (record.membership.group, record.membership.epoch) not in serving
+        }
+        ranked = sorted(
+            view.targets.values(),
+            key=lambda record: (_count_models(record), record.id not in idle),
+        )
+        for record in ranked:
             if (
                 record.leaving
                 or record.id in view.unreachable
@@ -424,17 +552,18 @@
                 or record.id in self._pending
             ):
                 continue
-            model = self._choose_to_stage(view, record)
+            model = self._choose_to_stage(view, record, idle)
             if model is None:
                 continue
-            if view.has_traffic and not self._may_load(now):
+            if view.has_traffic and not self._may_load(now, record.id in idle):
                 return
             effect_s = model.load_s * 2 + EFFECT_S
             yield from self._give(record, Stage(model.name), effect_s, now)
 
     def _choose_to_stage(
-        self, view: FleetView, record: TargetRecord
+        self, view: FleetView, record: TargetRecord, idle: Set[str]
     ) -> ModelSpec | None:
+        """Return the model that would make a target useful soonest, or None."""
         if _count_models(record) > 1:
             return None
         forming = any(
@@ -447,11 +576,27 @@
             for model in view.spec.models
             if model.name != record.model and model.name not in record.staged
         ]
-        return max(
-            lacking,
-            key=lambda model: (self._find_pressure(view, model), -model.size),
-            default=None,
-        )
+
+        def _rate(model: ModelSpec) -> float:
+            missing = self._count_missing(view, record.domain, model, idle)
+            cost_s = max(model.load_s, REJOIN_S) * missing
+            return self._find_pressure(view, model) / cost_s
+
+        return max(lacking, key=_rate, default=None)
+
+    def _count_missing(
+        self, view: FleetView, domain: str, model: ModelSpec, idle: Set[str]
+    ) -> int:
+        """Return the idle targets of a domain that a group of a model still lacks."""
+        held = 0
+        for target in idle:
+            record = view.targets[target]
+            order = self._find_pending(target)
+            held += record.domain == domain and (
+                _find_join_s(model, record) is not None
+                or (isinstance(order, Stage) and order.model == model.name)
+            )
+        return model.size - held % model.size
 
     def _rebalance(
         self,
@@ -471,7 +616,7 @@
             return
         for donor in models[:-1]:
             count = math.ceil(crowded.size / donor.size)
-            after = self._find_pressure(view, donor, without=count)
+            after = self._find_pressure(view, donor, extra=-count)
             slots = view.slots.get(donor.name, 0)
             limit = self._find_pressure(view, crowded) * REBALANCE_PART
             if after > limit or slots <= count * view.spec.capacity:
@@ -479,13 +624,7 @@
             heads = self._find_donors(view, by_domain, seen, crowded, donor, now)
             if heads:
                 self._rebalanced_at = now
-                self._reserved[heads[0].domain] = (crowded.name, now + CLOSING_S)
-            for head in heads:
-                place = head.membership
-                self._given_up.add((place.group, place.epoch))
-                order = Close(place.group, place.epoch, preempt=False)
-                yield from self._give(head, order, CLOSING_S, now)
-            if heads:
+                yield from self._give_up(heads, crowded, now)
                 return
 
     def _find_donors(
@@ -541,7 +680,8 @@
         join_s: float,
     ) -> Iterator[GiveOrder]:
         epoch = self._next_epoch()
-        group = f"g{epoch}"
+        head = chosen[0]
+        group = name_group(epoch, HeadPlace(head.id, head.address))
         members = tuple(record.id for record in chosen)
         deadline = now + join_s + view.spec.open_s + 2 * EFFECT_S
         self._forming[group] = _Forming(group, epoch, model, members, deadline)
@@ -613,13 +753,15 @@
     return found
 
 
-def _find_vanished_head(view: FleetView, record: TargetRecord) -> str | None:
-    place = record.membership
-    key = (place.group, place.epoch)
-    for target, (other, _) in view.vanished.items():
-        if _is_member(other, key) and other.membership.rank == 0:
-            return target
-    return None
+def find_missing_heads(targets: Mapping[str, TargetRecord]) -> dict[str, str]:
+    """Return the heads that members name and the list lacks, with their addresses."""
+    found = {}
+    for record in targets.values():
+        place = record.membership
+        head = None if place is None else parse_head(place.group)
+        if head is not None and head.id not in targets:
+            found[head.id] = head.address
+    return found
 
 
 def _count_models(record: TargetRecord) -> int:
--- /dev/null
+++ b/waxwingpitch/groups/naming.py
@@ -0,0 +1,46 @@
+"""Names of replica groups, which tell any process where a group's head is.
+
+A process that has just started then knows whom to ask whether a group still serves,
+although the head has left the list before it came.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+_NAME = re.compile(r"^g(\d+)_(.+)_([0-9.]+)_(\d+)$")
+
+
+@dataclass(frozen=True, slots=True)
+class HeadPlace:
+    """A group's head and its address as ``IP:port``."""
+
+    id: str
+    address: str
+
+
+def name_group(epoch: int, head: HeadPlace) -> str:
+    """Return the name of a group.
+
+    Examples
+    --------
+    >>> name_group(7, HeadPlace("i-1", "10.0.0.1:80"))
+    'g7_i-1_10.0.0.1_80'
+    """
+    host, _, port = head.address.rpartition(":")
+    return f"g{epoch}_{head.id}_{host}_{port}"
+
+
+def parse_head(group: str) -> HeadPlace | None:
+    """Return the head that a group's name tells, or None for another's name.
+
+    Examples
+    --------
+    >>> parse_head("g7_i-1_10.0.0.1_80")
+    HeadPlace(id='i-1', address='10.0.0.1:80')
+    """
+    found = _NAME.match(group)
+    if found is None:
+        return None
+    return HeadPlace(found[2], f"{found[3]}:{found[4]}")
--- a/waxwingpitch/mesh/messages.py
+++ b/waxwingpitch/mesh/messages.py
@@ -260,6 +260,27 @@
     answers: bool
 
 
+class TargetNews(_Message, tag=18):
+    """A target's own report, while the store is silent.
+
+    Attributes
+    ----------
+    version
+        Version of the target's entry that the report is newer than.
+    state
+        State of the membership; empty if there is none.
+    """
+
+    target: str
+    version: int
+    model: str
+    staged: tuple[str, ...]
+    group: str = ""
+    epoch: int = 0
+    rank: int = 0
+    state: str = ""
+
+
 Message = (
     Hello
     | Challenge
@@ -278,4 +299,5 @@
     | StoreItems
     | ProbeRequest
     | ProbeResult
+    | TargetNews
 )
--- a/waxwingpitch/platform/orders.py
+++ b/waxwingpitch/platform/orders.py
@@ -56,10 +56,16 @@
     state: MemberState | None = None
 
 
+class _Model(msgspec.Struct):
+    name: str
+
+
 class _Report(msgspec.Struct):
     seq: int = 0
     pace: float = 1.0
     group: _Group | None = None
+    models: list[_Model] = []
+    staged: list[str] = []
 
 
 def decode_report(data: bytes) -> TargetReport:
@@ -69,4 +75,10 @@
     place = None
     if group is not None and group.name and group.state is not None:
         place = Membership(group.name, group.epoch, group.rank, group.state)
-    return TargetReport(orders=found.seq, pace=found.pace, membership=place)
+    return TargetReport(
+        orders=found.seq,
+        pace=found.pace,
+        membership=place,
+        model=found.models[0].name if found.models else "",
+        staged=tuple(found.staged),
+    )
--- a/waxwingpitch/targets/records.py
+++ b/waxwingpitch/targets/records.py
@@ -85,3 +85,5 @@
     orders: int
     pace: float
     membership: Membership | None
+    model: str = ""
+    staged: tuple[str, ...] = ()
