--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -9,12 +9,15 @@
 from .answers import AnswerHead
 from .parsing import AnswerReader
 
-CONNECT_TIMEOUT_S = 0.4
+# A connection within a region takes milliseconds; a lost packet is sent again after a
+# second, when another target has long answered.
+CONNECT_TIMEOUT_S = 0.2
 # Longest time that sent bytes may stay unacknowledged before the kernel gives up.
 UNACKNOWLEDGED_MS = 3000
 IDLE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.0
 READ_BYTES = 65536
+SEND_TIMEOUT_S = 2.0
 
 
 class UnreachableError(Exception):
@@ -51,7 +54,7 @@
         """
         self._reader.start()
         try:
-            self._sock.settimeout(CONNECT_TIMEOUT_S * 5)
+            self._sock.settimeout(SEND_TIMEOUT_S)
             sent = self._sock.send(data)
         except OSError as exc:
             raise UnreachableError(f"{self.address}: {exc}") from exc
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -43,7 +43,6 @@
 STALL_SHARE_OF_AIM = 0.8
 # Factor on the above while other streams of the same target move.
 STALL_FACTOR_ALIVE = 6.0
-CONNECT_TIMEOUT_S = 0.4
 # Part of the time left after which an idempotent call is tried elsewhere.
 CALL_PATIENCE_SHARE = 0.4
 MAX_SENDS = 4
@@ -291,7 +290,10 @@
         data = self._format(ctx, attempts, replica)
         try:
             conn = send_request(
-                self._pool, replica.address, data, timeout_s=CONNECT_TIMEOUT_S
+                self._pool,
+                replica.address,
+                data,
+                timeout_s=ctx.deadline - time.monotonic(),
             )
         except UnreachableError as exc:
             if replica.epoch:
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -27,6 +27,9 @@
 # and the part of that share which they may have themselves afterwards.
 CROWDED = 0.7
 REBALANCE_PART = 0.75
+# Share of its slots that the giving model may have taken afterwards. Where all models
+# are short, a change only costs the time that it takes.
+ROOM = 0.8
 REBALANCE_INTERVAL_S = 2.0
 # Share of slots by which a change must relieve the most pressed model.
 WORTH_A_CHANGE = 0.02
@@ -618,7 +621,9 @@
             count = math.ceil(crowded.size / donor.size)
             after = self._find_pressure(view, donor, extra=-count)
             slots = view.slots.get(donor.name, 0)
-            limit = self._find_pressure(view, crowded) * REBALANCE_PART
+            limit = min(ROOM, self._find_pressure(view, crowded) * REBALANCE_PART)
+            if view.slots.get(crowded.name, 0) == 0:
+                limit = math.inf
             if after > limit or slots <= count * view.spec.capacity:
                 continue
             heads = self._find_donors(view, by_domain, seen, crowded, donor, now)
