--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -87,6 +87,12 @@
         Returns the monotonic time.
     on_change
         Called after what is believed has changed.
+
+    Attributes
+    ----------
+    on_target
+        Called with a target that started anew, and its start in Unix milliseconds,
+        or that left the list without a word, and None.
     """
 
     def __init__(self, clock: Callable[[], float], on_change: Callable[[], None]):
@@ -97,6 +103,7 @@
         self.lapsed: dict[str, tuple[KnownTarget, float]] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.settled_at = 0.0
+        self.on_target: Callable[[str, int | None], None] = lambda target, start: None
         self._clock = clock
         self._on_change = on_change
         self._replicas: dict[tuple[str, str], tuple[Replica, ...]] = {}
@@ -238,6 +245,8 @@
                 return False
             del self.targets[target]
             self.vanished[target] = (known, now)
+            if not known.record.leaving:
+                self.on_target(target, None)
             if now < self.settled_at and not known.record.leaving:
                 self.lapsed[target] = (known, self.settled_at)
             logger.info("target gone from the list", extra={"target": target})
@@ -256,6 +265,8 @@
             now + record.cold_s,
             now if known is None else known.listed_since,
         )
+        if known is not None and known.record.started_ms != record.started_ms:
+            self.on_target(target, record.started_ms)
         return known is None or _is_other(known.record, record)
 
     def _rebuild(self) -> None:
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -39,6 +39,7 @@
 from .planning import ZonePlanner
 from .serving import RequestServer
 from .store_tasks import LeaseKeeper, PrefixWatcher, StoreContact
+from .suspect_task import SuspectTask
 from .web import GatewayWeb
 
 LEASE_S = 3.0
@@ -98,6 +99,8 @@
             self.dispatcher.pump,
             self._is_answering,
         )
+        self._suspects = SuspectTask(self.beliefs, self._peers.announce_suspects)
+        self._peers.on_suspects = self._suspects.merge
         self._server = RequestServer(
             self.beliefs,
             self.dispatcher,
@@ -106,6 +109,7 @@
             self._find_budget,
             self._on_suspect,
             self.metrics,
+            self._suspects,
         )
         self._planners = [
             ZonePlanner(
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -18,6 +18,8 @@
     ProbeResult,
     StalledTarget,
     StoreItems,
+    SuspectItem,
+    Suspects,
     TargetNews,
 )
 from ..mesh.node import LinkDown, LinkUp, MeshEvent, Received
@@ -67,6 +69,7 @@
         self._contact = contact
         self._on_loads = on_loads
         self._is_answering = is_answering
+        self.on_suspects: Callable[[tuple[SuspectItem, ...], float], None] = _ignore
         self._results: dict[str, dict[str, bool]] = {}
         self._store_ages: dict[str, tuple[float, float]] = {}
         self._sent: dict[str, int] = {}
@@ -135,6 +138,10 @@
             return False
         return all(age_s >= SILENT_S for age_s in ages)
 
+    def announce_suspects(self, items: tuple[SuspectItem, ...]) -> None:
+        """Tell all peers of requests that were in flight when a target crashed."""
+        self._node.broadcast(Suspects(items))
+
     def announce_report(self, target: str, version: int, report: TargetReport) -> None:
         """Tell all peers what a target said of itself."""
         place = report.membership
@@ -228,6 +235,8 @@
             case Received(peer=peer, message=ProbeResult() as message):
                 if message.target in self._results:
                     self._results[message.target][peer.id] = message.answers
+            case Received(message=Suspects(items=items), at=at):
+                self.on_suspects(items, at)
             case Received(message=TargetNews() as message):
                 self._take_news(message)
             case LinkUp(peer=peer):
@@ -259,3 +268,7 @@
                 ),
             )
         )
+
+
+def _ignore(items: tuple[SuspectItem, ...], at: float) -> None:
+    """Drop suspects while nobody keeps them."""
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -27,11 +27,13 @@
 from ..forwarding.listener import CallerGoneError
 from ..platform import HeaderNames
 from ..platform.headers import KEY_SCHEME
+from ..requests.suspects import fingerprint_request
 from ..routing.routes import choose_service
 from ..targets.progress import ProgressBook
 from ..telemetry import GatewayMetrics
 from .beliefs import Beliefs, Replica
 from .dispatch import Demand, Dispatcher, Refused
+from .suspect_task import SuspectTask
 
 # Time before the caller's own deadline at which the final answer is sent.
 ANSWER_MARGIN_S = 0.03
@@ -47,6 +49,7 @@
 CALL_PATIENCE_SHARE = 0.4
 MAX_SENDS = 4
 RETRY_AFTER_START_S = 0.5
+BLOCKED_RETRY_S = 2.0
 
 logger = logging.getLogger(__name__)
 
@@ -138,6 +141,7 @@
         budget: Callable[[str], RetryBudget],
         on_suspect: Callable[[str, int], None],
         metrics: GatewayMetrics,
+        suspects: SuspectTask,
     ):
         self._beliefs = beliefs
         self._dispatcher = dispatcher
@@ -146,6 +150,7 @@
         self._budget = budget
         self._on_suspect = on_suspect
         self._metrics = metrics
+        self._suspects = suspects
         self.in_progress = 0
 
     def handle(self, req: CallerRequest, resp: Responder) -> None:
@@ -217,6 +222,14 @@
     def _serve(self, ctx: RequestContext, resp: Responder) -> None:
         attempts = _Attempts()
         attempts.last_event = _read_last_event(ctx.req)
+        fingerprint = _fingerprint(ctx)
+        if self._suspects.is_blocked(fingerprint):
+            code = ResultCode.SUSPECT_BLOCKED
+            reason = "like requests crashed targets"
+            self._fail(
+                ctx.id, resp, code, reason, BLOCKED_RETRY_S, route=ctx.route.name
+            )
+            return
         budget = self._budget(ctx.service)
         budget.earn()
         while True:
@@ -240,7 +253,10 @@
                 return
             outcome = self._send_to(ctx, resp, attempts, granted)
             if isinstance(outcome, _Done):
+                self._suspects.clear(fingerprint)
                 return
+            if isinstance(outcome, _Broken):
+                self._suspects.note_broken(fingerprint, granted.id)
             self._log_attempt(ctx, attempts, granted, outcome)
             if not self._may_go_on(ctx, attempts, outcome, budget):
                 self._finish_failed(ctx, resp, attempts, outcome)
@@ -654,6 +670,12 @@
         )
 
 
+def _fingerprint(ctx: RequestContext) -> str:
+    """Return what a caller's repeats of a request have in common."""
+    parts = (ctx.req.target, (ctx.workspace or "").encode(), ctx.req.body)
+    return fingerprint_request(ctx.service, b"\0".join(parts))
+
+
 def _read_key(req: CallerRequest) -> str:
     value = req.find(HeaderNames.AUTHORIZATION) or b""
     if not value.startswith(KEY_SCHEME):
--- /dev/null
+++ b/waxwingpitch/tests/test_crash_watch.py
@@ -0,0 +1,32 @@
+"""Which requests are suspected after a target's crash."""
+
+from __future__ import annotations
+
+from ..requests.crash_watch import SHOWS_WITHIN_S, CrashWatch
+
+
+def test_restart_makes_requests_in_flight_suspects():
+    watch = CrashWatch()
+    watch.note_broken("a", "t1", 5, now=1.0)
+    watch.note_broken("b", "t2", 5, now=1.0)
+    found = watch.note_target("t1", 6, now=2.0)
+    assert [crash.fingerprint for crash in found] == ["a"]
+    assert watch.note_target("t1", 7, now=2.5) == ()
+
+
+def test_target_that_lives_on_makes_no_suspects():
+    watch = CrashWatch()
+    watch.note_broken("a", "t1", 5, now=1.0)
+    assert watch.note_target("t1", 5, now=2.0) == ()
+
+
+def test_target_that_vanishes_makes_suspects():
+    watch = CrashWatch()
+    watch.note_broken("a", "t1", 5, now=1.0)
+    assert len(watch.note_target("t1", None, now=4.0)) == 1
+
+
+def test_late_restart_says_nothing():
+    watch = CrashWatch()
+    watch.note_broken("a", "t1", 5, now=1.0)
+    assert watch.note_target("t1", 6, now=1.5 + SHOWS_WITHIN_S) == ()
