Ask again over a new connection before a target counts as unreachable

Cause: kept connections may fall silent while new ones work; one silent report made the planner close a healthy group. Test fails without the change.

--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -11,6 +11,7 @@
 
 from ..errors import StoreError
 from ..forwarding import (
+    Answer,
     ConnectionPool,
     TargetBrokenError,
     TargetTimeoutError,
@@ -42,7 +43,7 @@
 BUSY_TICK_S = 0.05
 CALM_TICK_S = 0.1
 ORDER_TIMEOUT_S = 0.6
-PROBE_TIMEOUT_S = 0.3
+PROBE_TIMEOUT_S = 0.25
 PROBE_AGAIN_S = 1.0
 # Time that a candidate from another zone waits before it takes a zone's key.
 FOREIGN_WAIT_S = 2.0
@@ -356,15 +357,7 @@
     def _probe(self, target: str, address: str) -> TargetReport | None:
         """Ask a target for its report; return None if it does not answer."""
         try:
-            answer = call_target(
-                self._pool,
-                address,
-                b"GET",
-                REPORT_PATH.encode(),
-                headers=((HeaderNames.EXPECTED_TARGET.value, target.encode()),),
-                timeout_s=PROBE_TIMEOUT_S,
-            )
-            report = decode_report(answer.body)
+            report = decode_report(self._fetch_report(target, address).body)
         except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
             self._unreachable[target] = time.monotonic()
             logger.info(
@@ -381,6 +374,25 @@
         self._unreachable.pop(target, None)
         return report
 
+    def _fetch_report(self, target: str, address: str) -> Answer:
+        """Ask for a report, over a new connection if a kept one is silent."""
+
+        def _call() -> Answer:
+            return call_target(
+                self._pool,
+                address,
+                b"GET",
+                REPORT_PATH.encode(),
+                headers=((HeaderNames.EXPECTED_TARGET.value, target.encode()),),
+                timeout_s=PROBE_TIMEOUT_S,
+            )
+
+        try:
+            return _call()
+        except (TargetTimeoutError, TargetBrokenError):
+            self._pool.drop(address)
+            return _call()
+
     def _give(self, planner: FormationPlanner, command: GiveOrder) -> None:
         known = self._beliefs.targets.get(command.target)
         if known is None or not self.is_holder:
--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -215,6 +215,8 @@
         Requests that it runs, whose connection it then resets.
     hang
         Whether it answers nothing any more.
+    silent_before
+        Connections accepted before this monotonic time fall silent.
     """
 
     cut_after: int | None = None
@@ -222,6 +224,7 @@
     foreign: int = 0
     reset: int = 0
     hang: bool = False
+    silent_before: float = 0.0
 
 
 @dataclass
@@ -421,7 +424,7 @@
 
     def _serve(self, target: str, sock) -> None:
         reader = sock.makefile("rb")
-        faults = self.targets[target].faults
+        accepted_at = time.monotonic()
         try:
             while (line := reader.readline()).strip():
                 method, path, _ = line.decode().split()
@@ -430,7 +433,8 @@
                     name, _, value = line.decode().partition(":")
                     headers[name.lower()] = value.strip()
                 body = reader.read(int(headers.get("content-length", 0)))
-                while faults.hang:
+                faults = self.targets[target].faults
+                while faults.hang or accepted_at < faults.silent_before:
                     gevent.sleep(0.05)
                 self._answer(target, sock, method, path, headers, body)
         except OSError:
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -8,6 +8,7 @@
 import pytest
 import urllib3
 
+from ..groups.orders_to_targets import Close
 from ..targets.records import MemberState
 from .fleet_fake import PAIR, QUAD
 from .gateway_client import Caller, call, chat, start_gateway
@@ -114,6 +115,22 @@
     wait_for(is_whole)
 
 
+def test_silent_connections_break_no_group(platform, gateway):
+    """Kept connections may fall silent while new ones work."""
+    front = gateway.settings.front
+    for number in range(6):
+        chat(front, f"q{number}", model=PAIR.name, events=3)
+    before = platform.fleet.count_open()
+    platform.fleet.orders.clear()
+    for target in platform.targets.values():
+        target.faults.silent_before = time.monotonic()
+    answers = [chat(front, f"w{n}", model=PAIR.name, events=10) for n in range(6)]
+    gevent.sleep(1.5)
+    assert all(answer.whole for answer in answers)
+    assert not any(isinstance(order, Close) for _, order in platform.fleet.orders)
+    assert platform.fleet.count_open() == before
+
+
 def _open(platform):
     return [
         item
