Close the mesh's listening socket without leaving a watcher behind

Cause: the library's accept loop waits in a selector that it never closes; under gevent its watcher outlives the descriptor, and a later fork in the same process aborts (the test run did, at its first subprocess after the gateway's tests). Ruled out: callers' and targets' connections, by listing active watchers after each test.

--- a/waxwingpitch/mesh/node.py
+++ b/waxwingpitch/mesh/node.py
@@ -149,17 +149,16 @@
 
     def start(self) -> None:
         """Accept links."""
-        self._acceptor = gevent.spawn(self._server.serve_forever)
+        self._acceptor = gevent.spawn(self._accept_forever)
 
     def stop(self) -> None:
         """Close all links and the listening socket."""
         gevent.killall(list(self._dialers.values()), block=False)
         for link in list(self._links.values()):
             link.close()
-        if self._acceptor is None:
-            self._server.socket.close()
-        else:
-            self._server.shutdown()
+        if self._acceptor is not None:
+            self._acceptor.kill(block=False)
+        self._server.socket.close()
 
     def dial(self, addresses: Iterable[str]) -> None:
         """Keep links to these addresses and stop dialling all others.
@@ -203,6 +202,20 @@
             logger.warning("mesh queue is full", extra={"peer": link.peer.id})
             link.close()
 
+    def _accept_forever(self) -> None:
+        """Accept connections until the socket is closed.
+
+        The library's own loop waits in a selector that it never closes, which leaves
+        a watcher on a closed descriptor behind under gevent.
+        """
+        while True:
+            try:
+                sock, address = self._server.socket.accept()
+            except OSError:
+                return
+            sock.settimeout(None)
+            gevent.spawn(self._server.handler, sock, address)
+
     def _accept(self, conn: Connection) -> None:
         try:
             peer = accept_handshake(
--- a/waxwingpitch/tests/test_mesh.py
+++ b/waxwingpitch/tests/test_mesh.py
@@ -1,9 +1,12 @@
 from __future__ import annotations
 
+import gc
+
 import gevent
 import hypothesis.strategies as st
 import pytest
 from gevent.queue import Queue
+from gevent.selectors import GeventSelector
 from hypothesis import given
 
 from ..entry.evidence_sets import OWN_SET, IncomingSets, OutgoingSets
@@ -200,3 +203,21 @@
     assert offsets.delay_s("p", 1000, 50.0) == 0.0
     assert offsets.delay_s("p", 2000, 51.0) == 0.0
     assert offsets.delay_s("p", 3000, 58.0) == pytest.approx(6.0)
+
+
+def test_stop_leaves_no_watcher_on_a_closed_descriptor():
+    """A process that starts another one later would be aborted by it."""
+    node = MeshNode(
+        Identity("a", "1", "z"),
+        "k" * 16,
+        host="127.0.0.1",
+        port=0,
+        frame_bytes=1000,
+        deliver=lambda event: None,
+    )
+    node.start()
+    gevent.sleep(0.05)
+    node.stop()
+    gevent.sleep(0.05)
+    selectors = [item for item in gc.get_objects() if type(item) is GeventSelector]
+    assert not any(item._active_watchers for item in selectors)
