--- a/benchmarks/group_planning.py
+++ b/benchmarks/group_planning.py
@@ -17,7 +17,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from waxwingpitch.groups import formation
+from waxwingpitch.groups import balance
 from waxwingpitch.groups.formation import FormationPlanner
 from waxwingpitch.targets.records import MemberState
 from waxwingpitch.tests.fleet_fake import PAIR, QUAD, SPEC, FleetFake
@@ -45,14 +45,14 @@
 
 def play(seed: int, **constants: float) -> Outcome:
     """Play one seed with some of the planner's constants changed."""
-    saved = {name: getattr(formation, name) for name in constants}
+    saved = {name: getattr(balance, name) for name in constants}
     for name, value in constants.items():
-        setattr(formation, name, value)
+        setattr(balance, name, value)
     try:
         return _summarize(list(_play(seed)))
     finally:
         for name, value in saved.items():
-            setattr(formation, name, value)
+            setattr(balance, name, value)
 
 
 def _play(seed: int) -> Iterator[tuple[int, int, float, int]]:
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -18,13 +18,9 @@
     UnreachableError,
 )
 from ..forwarding.exchange import call_target
-from ..groups.formation import (
-    FleetView,
-    FormationPlanner,
-    GiveOrder,
-    find_missing_heads,
-    summarize,
-)
+from ..groups.fleet import FleetView, find_missing_heads, summarize
+from ..groups.formation import FormationPlanner
+from ..groups.ledger import GiveOrder
 from ..groups.orders_to_targets import Close, Order
 from ..platform import (
     ORDER_PATH,
@@ -139,7 +135,7 @@
     def is_busy(self) -> bool:
         """Whether orders are under way whose effect should be seen soon."""
         return self.is_holder and any(
-            planner.is_busy for planner in self._planners.values()
+            planner.ledger.is_busy for planner in self._planners.values()
         )
 
     def start(self) -> None:
@@ -232,7 +228,7 @@
             view = self._build_view(service, now)
             if now - self._summarized_at >= SUMMARY_INTERVAL_S:
                 self._summarized_at = now
-                summary = asdict(summarize(view, planner))
+                summary = asdict(summarize(view, planner.ledger.count_forming()))
                 logger.info("fleet", extra={"zone": self.zone, **summary})
             for command in planner.plan(view, now):
                 gevent.spawn(self._give, planner, command)
@@ -285,7 +281,7 @@
         if now - self._reported_at < REPORT_INTERVAL_S:
             return
         self._reported_at = now
-        for target in planner.list_unsettled():
+        for target in planner.ledger.list_unsettled():
             known = self._beliefs.targets.get(target)
             if known is not None:
                 gevent.spawn(self._take_report, known)
@@ -400,7 +396,7 @@
         address = known.record.address
         status, outcome = self._send_order(command.target, address, command.order)
         if status not in (200, 202):
-            planner.note_refused(command.target, command.order, time.monotonic())
+            planner.ledger.note_refused(command.target, command.order, time.monotonic())
         kind = type(command.order).__name__.lower()
         self._metrics.count_order(kind, status)
         logger.info(
--- /dev/null
+++ b/waxwingpitch/groups/fleet.py
@@ -0,0 +1,156 @@
+"""A zone's fleet as its planner sees it, and the groups that its records show."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from ..configuration.routes import EngineSpec, ModelSpec
+from ..targets.records import MemberState, TargetRecord
+from .naming import parse_head
+
+# Joining again for the model of the last group takes 0.2 s.
+REJOIN_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """What is known of a service's targets in one availability zone.
+
+    Attributes
+    ----------
+    targets
+        Records by id.
+    unreachable
+        Targets that do not answer although the list still has them.
+    listed_since
+        Monotonic time since which each target has been in the list.
+    vanished_at
+        Monotonic time at which targets left the list, where that was seen.
+    gone
+        Heads outside the list that certainly take no more requests.
+    demand
+        Requests in progress and waiting, by model, over all zones.
+    slots
+        Requests that all open groups run at once, by model, over all zones.
+    has_traffic
+        Whether requests have come; before that, loads cost nothing.
+    """
+
+    spec: EngineSpec
+    targets: Mapping[str, TargetRecord]
+    unreachable: frozenset[str] = frozenset()
+    listed_since: Mapping[str, float] = field(default_factory=dict)
+    vanished_at: Mapping[str, float] = field(default_factory=dict)
+    gone: frozenset[str] = frozenset()
+    demand: Mapping[str, float] = field(default_factory=dict)
+    slots: Mapping[str, int] = field(default_factory=dict)
+    has_traffic: bool = True
+
+
+@dataclass(slots=True)
+class SeenGroup:
+    """A group as its members' records show it."""
+
+    group: str
+    epoch: int
+    members: dict[int, TargetRecord] = field(default_factory=dict)
+
+    @property
+    def head(self) -> TargetRecord | None:
+        return self.members.get(0)
+
+    @property
+    def state(self) -> MemberState | None:
+        head = self.head
+        return None if head is None else head.membership.state
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSummary:
+    """Counts of a service's targets in one zone, for logs and the dump.
+
+    Attributes
+    ----------
+    open_groups
+        Groups that take requests, by model.
+    idle
+        Targets in no group, by the model that lies on their hosts.
+    """
+
+    targets: int
+    open_groups: Mapping[str, int]
+    forming: Mapping[str, int]
+    idle: Mapping[str, int]
+    unreachable: int
+
+
+def summarize(view: FleetView, forming: Mapping[str, int]) -> FleetSummary:
+    """Count what a planner sees.
+
+    Parameters
+    ----------
+    forming
+        Groups that are being formed, by model.
+    """
+    groups = find_groups(view.targets.values())
+    serving = {key for key, group in groups.items() if group.state is MemberState.OPEN}
+    open_groups = Counter(groups[key].head.model for key in serving)
+    idle = Counter(
+        record.model or (record.staged[0] if record.staged else "")
+        for record in view.targets.values()
+        if record.membership is None
+        or (record.membership.group, record.membership.epoch) not in serving
+    )
+    return FleetSummary(
+        len(view.targets),
+        dict(open_groups),
+        dict(forming),
+        dict(idle),
+        len(view.unreachable),
+    )
+
+
+def find_groups(
+    records: Iterable[TargetRecord],
+) -> dict[tuple[str, int], SeenGroup]:
+    found: dict[tuple[str, int], SeenGroup] = {}
+    for record in records:
+        place = record.membership
+        if place is None:
+            continue
+        key = (place.group, place.epoch)
+        group = found.setdefault(key, SeenGroup(place.group, place.epoch))
+        group.members[place.rank] = record
+    return found
+
+
+def find_missing_heads(targets: Mapping[str, TargetRecord]) -> dict[str, str]:
+    """Return the heads that members name and the list lacks, with their addresses."""
+    found = {}
+    for record in targets.values():
+        place = record.membership
+        head = None if place is None else parse_head(place.group)
+        if head is not None and head.id not in targets:
+            found[head.id] = head.address
+    return found
+
+
+def count_models(record: TargetRecord) -> int:
+    """Return the models for which a target can join without the weight store."""
+    return len({*record.staged, record.model} - {""})
+
+
+def is_member(record: TargetRecord, key: tuple[str, int]) -> bool:
+    place = record.membership
+    return place is not None and (place.group, place.epoch) == key
+
+
+def find_join_s(model: ModelSpec, record: TargetRecord) -> float | None:
+    """Return the time to join with what lies on the host, or None."""
+    if record.model == model.name:
+        return REJOIN_S
+    if model.name in record.staged:
+        return model.staged_s
+    return None
--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, replace
 
 from ..configuration.routes import EngineSpec, ModelSpec
-from ..groups.formation import FleetView, FormationPlanner
+from ..groups.fleet import FleetView
+from ..groups.formation import FormationPlanner
 from ..groups.orders_to_targets import Close, Join, Leave, Open, Order, Stage
 from ..targets.records import Membership, MemberState, TargetRecord
 
@@ -133,7 +134,7 @@
         for _ in range(round(seconds / 0.05)):
             for command in planner.plan(self.view(), self.now):
                 if not self.carry_out(command.target, command.order):
-                    planner.note_refused(command.target, command.order, self.now)
+                    planner.ledger.note_refused(command.target, command.order, self.now)
             self.advance(0.05)
 
     def advance(self, seconds: float) -> None:
--- a/waxwingpitch/tests/test_formation.py
+++ b/waxwingpitch/tests/test_formation.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from ..groups.formation import FormationPlanner, find_missing_heads, summarize
+from ..groups.fleet import find_missing_heads, summarize
+from ..groups.formation import FormationPlanner
 from ..groups.naming import HeadPlace, name_group, parse_head
 from ..groups.orders_to_targets import Close, Join, Open, Stage
 from ..targets.records import MemberState
@@ -43,7 +44,7 @@
 
 def test_every_target_serves_before_traffic(fleet, planner):
     assert fleet.count_open() == {QUAD.name: 2, PAIR.name: 6}
-    summary = summarize(fleet.view(), planner)
+    summary = summarize(fleet.view(), planner.ledger.count_forming())
     assert summary.idle == {}
 
 
--- a/waxwingpitch/tests/test_formation_machine.py
+++ b/waxwingpitch/tests/test_formation_machine.py
@@ -52,9 +52,9 @@
                 given += 1
                 if target in self.cut or (lose_every and given % lose_every == 0):
                     self.late.append((target, order, self._count_orders(target)))
-                    self.planner.note_refused(target, order, self.fleet.now)
+                    self.planner.ledger.note_refused(target, order, self.fleet.now)
                 elif not self.fleet.carry_out(target, order):
-                    self.planner.note_refused(target, order, self.fleet.now)
+                    self.planner.ledger.note_refused(target, order, self.fleet.now)
             self.fleet.advance(TICK_S)
 
     @rule(seconds=st.floats(0.1, 3.0))
