--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -35,6 +35,7 @@
 from ..telemetry import GatewayMetrics
 from .beliefs import OWN_PREFIX, Beliefs
 from .dispatch import Dispatcher
+from .exchange import TargetExchange
 from .peers import PeerTask
 from .planning import ZonePlanner
 from .serving import RequestServer
@@ -104,8 +105,7 @@
         self._server = RequestServer(
             self.beliefs,
             self.dispatcher,
-            self.pool,
-            self.progress,
+            TargetExchange(self.pool, self.progress, self.metrics, self._on_suspect),
             self._find_budget,
             self._on_suspect,
             self.metrics,
--- /dev/null
+++ b/waxwingpitch/gateway/exchange.py
@@ -0,0 +1,265 @@
+"""One send of a request to one target: what arrives is passed on as it comes."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+
+from ..configuration.routes import RouteKind
+from ..forwarding import (
+    Answer,
+    AnswerHead,
+    ConnectionPool,
+    EventSplitter,
+    Responder,
+    TargetBrokenError,
+    TargetConnection,
+    TargetTimeoutError,
+    UnreachableError,
+)
+from ..forwarding.answers import strip_hop_headers
+from ..forwarding.exchange import format_request, send_request
+from ..platform import HeaderNames
+from ..targets.progress import ProgressBook
+from ..telemetry import GatewayMetrics
+from .attempts import Attempts, Broken, Done, Failed, NotRun, Outcome, Stalled
+from .beliefs import Replica
+from .routed import RequestContext
+
+# Time without a sign of life after which a stream goes on elsewhere: a pass of a busy
+# engine takes up to 0.1 s.
+MIN_STALL_S = 0.2
+STALL_SHARE_OF_AIM = 0.8
+# Factor on the above while other streams of the same target move.
+STALL_FACTOR_ALIVE = 6.0
+# Part of the time left after which an idempotent call is tried elsewhere.
+CALL_PATIENCE_SHARE = 0.4
+# Time for the body of a refusal, which targets send at once.
+REFUSAL_BODY_S = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class TargetExchange:
+    """Sends requests to replicas and passes their answers on.
+
+    Parameters
+    ----------
+    on_suspect
+        Called with a replica's id and epoch when it can't be reached.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        progress: ProgressBook,
+        metrics: GatewayMetrics,
+        on_suspect: Callable[[str, int], None],
+    ):
+        self._pool = pool
+        self._progress = progress
+        self._metrics = metrics
+        self._on_suspect = on_suspect
+
+    def run(
+        self,
+        ctx: RequestContext,
+        resp: Responder,
+        attempts: Attempts,
+        replica: Replica,
+    ) -> Outcome:
+        """Send a request once and return what became of it."""
+        data = self._format(ctx, attempts, replica)
+        try:
+            conn = send_request(
+                self._pool,
+                replica.address,
+                data,
+                timeout_s=ctx.deadline - time.monotonic(),
+            )
+        except UnreachableError as exc:
+            if replica.epoch:
+                self._on_suspect(replica.id, replica.epoch)
+            return NotRun(str(exc))
+        except TargetBrokenError as exc:
+            return Broken(str(exc))
+        keep = False
+        try:
+            if ctx.route.kind is RouteKind.STREAM:
+                outcome = self._pass_stream(ctx, resp, attempts, replica, conn)
+            else:
+                outcome = self._pass_call(ctx, resp, attempts, replica, conn)
+            keep = conn.is_complete
+        except TargetBrokenError as exc:
+            outcome = Broken(str(exc))
+        except TargetTimeoutError as exc:
+            outcome = Stalled(str(exc))
+        finally:
+            if keep:
+                self._pool.put_back(conn, conn.read_head(0.0), time.monotonic())
+            else:
+                conn.close()
+        return outcome
+
+    def _format(self, ctx: RequestContext, attempts, replica: Replica) -> bytes:
+        own = {
+            HeaderNames.DEADLINE_MS.value,
+            HeaderNames.WORKSPACE.value,
+            HeaderNames.EXPECTED_TARGET.value,
+            HeaderNames.AUTHORIZATION.value,
+            HeaderNames.LAST_EVENT.value,
+        }
+        headers = [
+            (name, value)
+            for name, value in strip_hop_headers(ctx.req.headers)
+            if name.lower() not in own
+        ]
+        left_ms = max(1, int(1000 * (ctx.deadline - time.monotonic())))
+        headers.append((HeaderNames.DEADLINE_MS.value, b"%d" % left_ms))
+        headers.append((HeaderNames.EXPECTED_TARGET.value, replica.id.encode()))
+        if ctx.workspace is not None:
+            headers.append((HeaderNames.WORKSPACE.value, ctx.workspace.encode()))
+        if attempts.last_event is not None:
+            headers.append((HeaderNames.LAST_EVENT.value, b"%d" % attempts.last_event))
+        return format_request(
+            ctx.req.method, ctx.req.target, replica.address, headers, ctx.req.body
+        )
+
+    def _read_own_head(
+        self, ctx: RequestContext, conn: TargetConnection, until: float
+    ) -> AnswerHead:
+        """Read the head of this request's answer, past answers to others."""
+        while True:
+            head = conn.read_head(until)
+            echoed = head.find(HeaderNames.REQUEST_ID)
+            if echoed is None or echoed.decode("latin-1") == ctx.id:
+                return head
+            logger.warning(
+                "answer to another request dropped",
+                extra={"request": ctx.id, "answered": echoed.decode("latin-1")},
+            )
+            conn.skip_answer(until)
+
+    def _pass_call(
+        self, ctx: RequestContext, resp: Responder, attempts, replica, conn
+    ) -> Outcome:
+        until = ctx.deadline
+        if ctx.route.is_repeatable and attempts.sends < ctx.route.max_attempts:
+            left_s = ctx.deadline - time.monotonic()
+            until = time.monotonic() + left_s * CALL_PATIENCE_SHARE
+        attempts.may_have_run = True
+        head = self._read_own_head(ctx, conn, until)
+        body = b"".join(iter(lambda: conn.read_body(until), b""))
+        answer = Answer(head, body)
+        outcome = self._judge(answer)
+        if isinstance(outcome, NotRun):
+            attempts.may_have_run = attempts.runs > 0
+            return outcome
+        attempts.runs += 1
+        attempts.began = True
+        if outcome is None:
+            self._progress.note_progress(replica.id, replica.epoch, time.monotonic())
+            resp.send_answer(answer)
+            return Done()
+        return outcome
+
+    def _judge(self, answer: Answer) -> Outcome | None:
+        """Return what is wrong with an answer, or None."""
+        head = answer.head
+        if head.find(HeaderNames.NOT_RUN) is not None or head.status == 421:
+            return NotRun(f"target refused with {head.status}")
+        if head.find(b"content-encoding") is not None:
+            return Broken("the answer is encoded")
+        sealed = head.find(HeaderNames.SEAL) is not None
+        if 200 <= head.status < 300:
+            return None if sealed else Broken("the answer has no seal")
+        return Failed(answer) if sealed else Broken(f"status {head.status}")
+
+    def _pass_stream(
+        self, ctx: RequestContext, resp: Responder, attempts, replica, conn
+    ) -> Outcome:
+        sent_at = time.monotonic()
+        stall_s = self._find_stall_s(ctx)
+        first_s = max(stall_s, ctx.route.aim_s * STALL_SHARE_OF_AIM)
+        head = self._wait_for(
+            lambda until: self._read_own_head(ctx, conn, until),
+            ctx,
+            replica,
+            sent_at,
+            first_s,
+        )
+        if not 200 <= head.status < 300 or head.find(HeaderNames.SEAL) is None:
+            until = min(ctx.deadline, time.monotonic() + REFUSAL_BODY_S)
+            body = b"".join(iter(lambda: conn.read_body(until), b""))
+            return self._judge(Answer(head, body)) or Broken("no seal")
+        splitter = EventSplitter()
+        moved_at = time.monotonic()
+        ran = False
+        while True:
+            data = self._wait_for(
+                conn.read_body, ctx, replica, moved_at, stall_s if ran else first_s
+            )
+            if not data:
+                break
+            moved_at = time.monotonic()
+            self._progress.note_progress(replica.id, replica.epoch, moved_at)
+            events = list(self._select_events(attempts, splitter.feed(data)))
+            if not ran and events:
+                ran = attempts.began = True
+                if not resp.started:
+                    self._metrics.note_first_event(
+                        ctx.route.name, moved_at - ctx.arrived_at
+                    )
+                attempts.runs += 1
+                attempts.may_have_run = True
+            if events:
+                self._forward(resp, head, events)
+                attempts.last_event = events[-1].id or attempts.last_event
+        if splitter.has_rest:
+            return Broken("the stream ended within an event")
+        if not resp.started:
+            resp.start_stream(head, strip_hop_headers(head.headers))
+        resp.end_stream()
+        return Done()
+
+    def _forward(self, resp: Responder, head: AnswerHead, events) -> None:
+        if not resp.started:
+            resp.start_stream(head, strip_hop_headers(head.headers))
+        resp.send_part(b"".join(event.data for event in events))
+
+    @staticmethod
+    def _select_events(attempts, events):
+        """Drop events that the caller already has; a gap breaks the stream."""
+        last = attempts.last_event
+        for event in events:
+            if event.id is not None and last is not None:
+                if event.id <= last:
+                    continue
+                if event.id != last + 1:
+                    raise TargetBrokenError(f"event {event.id} follows {last}")
+            if event.id is not None:
+                last = event.id
+            yield event
+
+    def _find_stall_s(self, ctx: RequestContext) -> float:
+        return max(MIN_STALL_S, ctx.route.gap_aim_s * STALL_SHARE_OF_AIM)
+
+    def _wait_for(self, read, ctx, replica: Replica, moved_at: float, stall_s: float):
+        """Read until something arrives, the target seems stuck, or time is up."""
+        while True:
+            now = time.monotonic()
+            if now >= ctx.deadline:
+                raise TargetTimeoutError("deadline passed")
+            alive_at = max(moved_at, self._progress.find_progress(replica.id))
+            stuck_at = alive_at + stall_s
+            late_at = moved_at + stall_s * STALL_FACTOR_ALIVE
+            until = min(stuck_at, late_at)
+            if not ctx.route.is_repeatable:
+                until = ctx.deadline
+            if now >= until:
+                raise TargetTimeoutError(f"nothing for {now - moved_at:.2f} s")
+            try:
+                return read(min(until, ctx.deadline))
+            except TargetTimeoutError:
+                continue
--- /dev/null
+++ b/waxwingpitch/gateway/routed.py
@@ -0,0 +1,148 @@
+"""A caller's request with its route, workspace, model and deadlines."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..configuration.routes import Route
+from ..errors import RequestError, ResultCode
+from ..forwarding import CallerRequest
+from ..platform import HeaderNames
+from ..platform.headers import KEY_SCHEME
+from ..requests.suspects import fingerprint_request
+from ..routing.routes import choose_service
+from .beliefs import Beliefs
+
+# Time before the caller's own deadline at which the final answer is sent.
+ANSWER_MARGIN_S = 0.03
+RETRY_AFTER_START_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class RequestContext:
+    """A routed request.
+
+    Attributes
+    ----------
+    deadline
+        Monotonic time of the final answer.
+    caller_deadline
+        Monotonic time until which the caller waits.
+    """
+
+    id: str
+    req: CallerRequest
+    route: Route
+    service: str
+    model: str
+    workspace: str | None
+    priority: int
+    cost: float
+    prompt_tokens: int
+    arrived_at: float
+    deadline: float
+    caller_deadline: float
+
+    @property
+    def fingerprint(self) -> str:
+        """What a caller's repeats of a request have in common."""
+        parts = (self.req.target, (self.workspace or "").encode(), self.req.body)
+        return fingerprint_request(self.service, b"\0".join(parts))
+
+
+def read_request_id(req: CallerRequest) -> str:
+    """Return the id of a request; empty if it has none."""
+    return (req.find(HeaderNames.REQUEST_ID) or b"").decode("latin-1")
+
+
+def route_request(
+    req: CallerRequest, arrived_at: float, beliefs: Beliefs
+) -> RequestContext:
+    """Return a request with all that follows from the configuration in force.
+
+    Raises
+    ------
+    RequestError
+        No configuration is known yet, or none allows the request.
+    """
+    request = read_request_id(req)
+    table = beliefs.table
+    if table is None:
+        raise RequestError(
+            ResultCode.NO_CONFIGURATION,
+            "no configuration yet",
+            retry_after_s=RETRY_AFTER_START_S,
+        )
+    host = (req.find(b"host") or b"").decode("latin-1")
+    route = table.find(host, req.path.decode("latin-1"))
+    if route is None:
+        raise RequestError(ResultCode.NOT_FOUND, "no such route")
+    workspace, priority = _identify(req, route, beliefs)
+    caller_s = _read_number(req, HeaderNames.DEADLINE_MS, 1000 * route.timeout_s)
+    caller_deadline = arrived_at + caller_s / 1000
+    prompt, answer = _read_tokens(req)
+    service = choose_service(route, request)
+    spec = beliefs.find_service(service)
+    has_models = spec is not None and spec.engine is not None
+    model = (req.find(HeaderNames.MODEL) or b"").decode("latin-1")
+    return RequestContext(
+        id=request,
+        req=req,
+        route=route,
+        service=service,
+        model=model if has_models else "",
+        workspace=workspace,
+        priority=priority,
+        cost=prompt + 10 * answer if has_models else 1.0,
+        prompt_tokens=prompt,
+        arrived_at=arrived_at,
+        deadline=min(arrived_at + route.timeout_s, caller_deadline - ANSWER_MARGIN_S),
+        caller_deadline=caller_deadline,
+    )
+
+
+def _identify(
+    req: CallerRequest, route: Route, beliefs: Beliefs
+) -> tuple[str | None, int]:
+    """Return the workspace that holds the request's key, and the priority."""
+    keys = beliefs.cfg.keys
+    if keys is None:
+        return None, route.priority
+    holder = keys.get(_read_key(req))
+    if holder is None:
+        if not route.public:
+            raise RequestError(ResultCode.UNAUTHENTICATED, "unknown key")
+        return None, route.priority
+    if holder.priority is None:
+        return holder.workspace, route.priority
+    return holder.workspace, holder.priority
+
+
+def _read_key(req: CallerRequest) -> str:
+    value = req.find(HeaderNames.AUTHORIZATION) or b""
+    if not value.startswith(KEY_SCHEME):
+        return ""
+    return value.removeprefix(KEY_SCHEME).strip().decode("latin-1")
+
+
+def _read_number(req: CallerRequest, name: bytes, default: float) -> float:
+    value = req.find(name)
+    try:
+        return float(value) if value is not None else default
+    except ValueError:
+        return default
+
+
+def _read_tokens(req: CallerRequest) -> tuple[int, int]:
+    value = req.find(HeaderNames.TOKEN_COUNTS) or b""
+    prompt, _, answer = value.partition(b",")
+    try:
+        return int(prompt), int(answer)
+    except ValueError:
+        return 0, 0
+
+
+def read_last_event(req: CallerRequest) -> int | None:
+    """Return the last event that the caller has; None if it has none."""
+    value = req.find(HeaderNames.LAST_EVENT)
+    return int(value) if value is not None and value.isdigit() else None
