--- /dev/null
+++ b/waxwingpitch/tests/test_process_gateway.py
@@ -0,0 +1,163 @@
+"""The gateway as a process: its settings file, its stop, its logs."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import gevent
+import pytest
+
+from ..settings.gateway import Address
+from ..telemetry.explain import explain, parse_lines
+from .fleet_fake import PAIR
+from .gateway_client import Caller, call, chat, find_port
+from .platform_standin import PlatformFake
+
+ROOT = Path(__file__).parents[2]
+START_S = 20.0
+
+pytestmark = pytest.mark.processes
+
+SETTINGS = """
+node_name = "gw-1"
+zone = "z"
+bind_ip = "127.0.0.1"
+port_range = [{peers}, {peers}]
+[zones]
+z = "r"
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[bounds]
+contact_ms = 3000
+drain_ms = 2000
+grace_period_s = 8
+retry_ratio = 0.2
+budget_slack = 100
+budget_window_s = 10
+cold_over = 1.5
+stall_ms = 6000
+pass_ms = 120
+[provider]
+address = "{store}"
+ttl_min_ms = 1000
+"""
+
+
+def start(path: Path, output) -> subprocess.Popen:
+    """Start a gateway process on a settings file."""
+    return subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "gevent.monkey",
+            "--module",
+            "waxwingpitch.gateway.main",
+        ],
+        cwd=ROOT,
+        env={**os.environ, "WAXWINGPITCH_CONFIG": str(path)},
+        stdout=output,
+        stderr=subprocess.PIPE,
+    )
+
+
+@pytest.fixture
+def platform():
+    platform = PlatformFake(event_s=0.04)
+    platform.configure()
+    yield platform
+    platform.stop()
+
+
+@pytest.fixture
+def gateway(platform, tmp_path):
+    """A running gateway: its process, its address for callers and its log."""
+    front = find_port()
+    path = tmp_path / "settings.toml"
+    path.write_text(
+        SETTINGS.format(
+            peers=find_port(),
+            front=front,
+            ready=find_port(),
+            store=platform.store.address,
+        )
+    )
+    log = tmp_path / "gateway.log"
+    with log.open("wb") as output:
+        process = start(path, output)
+        address = Address("127.0.0.1", front)
+        try:
+            _wait_until_it_serves(address)
+            yield process, address, log
+        finally:
+            if process.poll() is None:
+                process.kill()
+            process.wait(10)
+
+
+def _wait_until_it_serves(address: Address) -> None:
+    deadline = time.monotonic() + START_S
+    while time.monotonic() < deadline:
+        try:
+            if chat(address, "probe", model=PAIR.name, events=1).status == 200:
+                return
+        except OSError:
+            pass
+        gevent.sleep(0.1)
+    raise AssertionError("the gateway does not serve")
+
+
+def test_stop_cuts_nothing_off(platform, gateway):
+    process, address, log = gateway
+    streams = [Caller(address) for _ in range(8)]
+    for number, caller in enumerate(streams):
+        caller.send_chat(f"s{number}", model=PAIR.name, events=60)
+    gevent.sleep(0.5)
+    process.send_signal(signal.SIGTERM)
+    late = call(address, "/file/x", "late")
+    assert late.status == 200
+    assert late.headers["connection"] == "close"
+    answers = [caller.read() for caller in streams]
+    assert all(answer.whole for answer in answers)
+    assert all(answer.events == list(range(1, 61)) for answer in answers)
+    assert process.wait(9) == 0
+    last = [json.loads(line) for line in log.read_text().splitlines()][-1]
+    assert (last["message"], last["in_progress"]) == ("gateway stopped", 0)
+
+
+def test_log_leads_from_an_id_to_its_cause(platform, gateway):
+    process, address, log = gateway
+    for target in platform.plain:
+        platform.targets[target].faults.refuse = 99
+    assert call(address, "/file/x", "lost-1").status == 503
+    gevent.sleep(0.3)
+    found = explain("lost-1", parse_lines("gw", log.read_text().splitlines()))
+    messages = [line.message for line in found.decisions]
+    assert messages[0] == "request placed"
+    assert "attempt failed" in messages
+    assert messages[-1] == "request refused"
+    assert found.missing == {}
+
+
+def test_wrong_setting_is_named(tmp_path):
+    path = tmp_path / "settings.toml"
+    text = SETTINGS.format(peers=1, front=2, ready=3, store="here")
+    path.write_text(text)
+    process = start(path, subprocess.DEVNULL)
+    _, errors = process.communicate(timeout=START_S)
+    assert process.returncode == 2
+    line = errors.decode().strip()
+    assert "provider.address" in line and "'here'" in line and "IP:port" in line
+
+
+def test_requirements_of_the_build_are_the_packages_own():
+    """The build reads pyproject.toml, so that there is one list."""
+    script = (ROOT / "deploy" / "build.sh").read_text()
+    assert "pyproject.toml" in script
+    assert not list((ROOT / "deploy").glob("*requirements*"))
