--- a/waxwingpitch/agreed/mirror.py
+++ b/waxwingpitch/agreed/mirror.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 from ..ports import StoredChange, StoredDeletion, StoredEntry
 
@@ -88,13 +88,3 @@
     def _evict_tombstones(deleted: dict[str, int]) -> None:
         while len(deleted) > MAX_TOMBSTONES:
             del deleted[next(iter(deleted))]
-
-
-def merge_changes(changes: Iterable[StoredChange]) -> StoredChange:
-    """Return changes of several prefixes as one."""
-    listed = list(changes)
-    return StoredChange(
-        min((change.version for change in listed), default=0),
-        tuple(entry for change in listed for entry in change.entries),
-        tuple(item for change in listed for item in change.deletions),
-    )
--- a/waxwingpitch/forwarding/listener.py
+++ b/waxwingpitch/forwarding/listener.py
@@ -26,7 +26,6 @@
 BACKLOG = 1024
 # Requests that a caller may send ahead before the connection is no longer read.
 MAX_PIPELINED = 8
-SEND_TIMEOUT_S = 5.0
 
 logger = logging.getLogger(__name__)
 
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -20,12 +20,9 @@
     TargetTimeoutError,
     UnreachableError,
 )
-from ..forwarding.exchange import call_target
 from ..platform import (
     OPERATOR_PREFIX,
-    REPORT_PATH,
     TARGET_PREFIX,
-    HeaderNames,
     PlatformStore,
 )
 from ..ports import KeyValueStore
@@ -38,6 +35,7 @@
 from .exchange import TargetExchange
 from .peers import PeerTask
 from .planning import ZonePlanner
+from .probing import fetch_report
 from .serving import RequestServer
 from .store_tasks import LeaseKeeper, PrefixWatcher, StoreContact
 from .suspect_task import SuspectTask
@@ -50,7 +48,6 @@
 # Part of the repeats that all entry hosts together may send that is used.
 RETRY_PART = 0.8
 HOUSEKEEPING_S = 0.25
-PROBE_TIMEOUT_S = 0.3
 # The balancer takes a process out after two questions, one a second.
 UNREADY_S = 2.6
 STOP_MARGIN_S = 0.8
@@ -88,7 +85,6 @@
             settings.name,
             str(settings.peers),
             max(LEASE_S, settings.min_lease_s),
-            self.beliefs,
         )
         self._peers = PeerTask(
             settings,
@@ -217,15 +213,8 @@
     def _is_answering(self, target: str, address: str) -> bool:
         """Return whether a target answers this process."""
         try:
-            call_target(
-                self.pool,
-                address,
-                b"GET",
-                REPORT_PATH.encode(),
-                headers=((HeaderNames.EXPECTED_TARGET.value, target.encode()),),
-                timeout_s=PROBE_TIMEOUT_S,
-            )
-        except (UnreachableError, TargetTimeoutError, TargetBrokenError):
+            fetch_report(self.pool, target, address)
+        except (UnreachableError, TargetTimeoutError, TargetBrokenError, ValueError):
             return False
         return True
 
--- a/waxwingpitch/gateway/dispatch.py
+++ b/waxwingpitch/gateway/dispatch.py
@@ -19,7 +19,6 @@
 # Weight of the newest figure in a running mean.
 NEWEST_WEIGHT = 0.05
 FIRST_SERVICE_S = 1.0
-PLAIN_EXTRA = 2
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -10,37 +10,20 @@
 import gevent
 
 from ..errors import StoreError
-from ..forwarding import (
-    Answer,
-    ConnectionPool,
-    TargetBrokenError,
-    TargetTimeoutError,
-    UnreachableError,
-)
-from ..forwarding.exchange import call_target
-from ..groups.fleet import FleetView, find_missing_heads, summarize
+from ..forwarding import ConnectionPool
+from ..groups.fleet import FleetView, summarize
 from ..groups.formation import FormationPlanner
 from ..groups.ledger import GiveOrder
-from ..groups.orders_to_targets import Close, Order
-from ..platform import (
-    ORDER_PATH,
-    REPORT_PATH,
-    HeaderNames,
-    decode_report,
-    encode_order,
-)
 from ..targets.loads import LoadBook
 from ..targets.progress import ProgressBook
-from ..targets.records import MemberState, TargetReport
+from ..targets.records import TargetReport
 from ..telemetry import GatewayMetrics
 from .beliefs import PLANNER_PREFIX, Beliefs, KnownTarget
+from .probing import TargetProbes
 from .store_tasks import LeaseKeeper
 
 BUSY_TICK_S = 0.05
 CALM_TICK_S = 0.1
-ORDER_TIMEOUT_S = 0.6
-PROBE_TIMEOUT_S = 0.25
-PROBE_AGAIN_S = 1.0
 # Time that a candidate from another zone waits before it takes a zone's key.
 FOREIGN_WAIT_S = 2.0
 # Part of the lease that is left unused, against a paused process.
@@ -89,12 +72,10 @@
         self._at_home = at_home
         self._beliefs = beliefs
         self._keeper = keeper
-        self._pool = pool
         self._loads = loads
         self._progress = progress
         self._zones = zones
         self._count_waiting = count_waiting
-        self._ask_peers = ask_peers
         self._is_store_silent = is_store_silent
         self._announce = announce
         self._reported_at = 0.0
@@ -107,10 +88,7 @@
         self._vacant_since: float | None = None
         self._planners: dict[str, FormationPlanner] = {}
         self._load_starts: list[float] = []
-        self._unreachable: dict[str, float] = {}
-        self._orders: dict[str, int] = {}
-        self._gone: set[str] = set()
-        self._probed_at: dict[str, float] = {}
+        self._probes = TargetProbes(pool, beliefs, ask_peers)
         self._greenlet: gevent.Greenlet | None = None
 
     @property
@@ -184,7 +162,7 @@
         self._lease = lease
         self._counter = 0
         self._planners.clear()
-        self._orders.clear()
+        self._probes.forget_orders()
         logger.info("plans zone", extra={"zone": self.zone, "fence": version})
 
     def _next_epoch(self) -> int:
@@ -241,14 +219,14 @@
         }
         demand, slots = self._measure(service, now)
         suspects = self._progress.list_suspects(now)
-        self._probe_suspects(targets, suspects, now)
-        self._probe_unreachable(now)
-        self._probe_missing_heads(targets, now)
-        unreachable = frozenset(self._unreachable)
+        self._probes.ask_suspects(targets, suspects, now)
+        self._probes.ask_unreachable(now)
+        fence = self._fence if self.is_holder else 0
+        self._probes.ask_missing_heads(targets, fence, now)
         return FleetView(
             spec=service.engine,
             targets=targets,
-            unreachable=unreachable,
+            unreachable=self._probes.unreachable,
             vanished_at={
                 target: at for target, (_, at) in self._beliefs.vanished.items()
             },
@@ -256,7 +234,7 @@
                 known.record.id: known.listed_since
                 for known in self._beliefs.iter_listed()
             },
-            gone=frozenset(self._gone),
+            gone=self._probes.gone,
             demand=demand,
             slots=slots,
             has_traffic=self._loads.has_seen_requests,
@@ -287,114 +265,21 @@
                 gevent.spawn(self._take_report, known)
 
     def _take_report(self, known: KnownTarget) -> None:
-        report = self._probe(known.record.id, known.record.address)
+        report = self._probes.ask(known.record.id, known.record.address)
         if report is None:
             return
         target = known.record.id
         if self._beliefs.note_report(target, known.version, report):
             self._announce(target, known.version, report)
 
-    def _probe_unreachable(self, now: float) -> None:
-        """Ask targets that did not answer again, until the list drops them."""
-        for target in list(self._unreachable):
-            known = self._beliefs.targets.get(target)
-            if known is None:
-                del self._unreachable[target]
-            elif now - self._probed_at.get(target, 0.0) >= PROBE_AGAIN_S:
-                self._probed_at[target] = now
-                gevent.spawn(self._probe, target, known.record.address)
-
-    def _probe_missing_heads(self, targets, now: float) -> None:
-        """Ask heads that the list has dropped whether they still answer."""
-        missing = find_missing_heads(targets)
-        self._gone &= missing.keys()
-        for target, address in missing.items():
-            if (
-                target not in self._gone
-                and now - self._probed_at.get(target, 0.0) >= PROBE_AGAIN_S
-            ):
-                self._probed_at[target] = now
-                gevent.spawn(self._probe_missing, target, address)
-
-    def _probe_missing(self, target: str, address: str) -> None:
-        """Find out whether a head that left the list still takes requests.
-
-        One that answers is told to close. One that answers no entry host is gone.
-        """
-        report = self._probe(target, address)
-        if report is None:
-            if not self._ask_peers(target, address):
-                self._gone.add(target)
-            return
-        place = report.membership
-        if place is None or place.state not in (MemberState.OPEN, MemberState.CLOSING):
-            self._gone.add(target)
-        elif self.is_holder:
-            order = Close(place.group, place.epoch, preempt=True)
-            self._send_order(target, address, order)
-
-    def _probe_suspects(self, targets, suspects, now: float) -> None:
-        """Ask each member of a suspected group whether it answers."""
-        for head, epoch in suspects:
-            record = targets.get(head)
-            if record is None or record.membership is None:
-                continue
-            if record.membership.epoch != epoch:
-                continue
-            for other in targets.values():
-                if (
-                    other.membership is not None
-                    and other.membership.epoch == epoch
-                    and now - self._probed_at.get(other.id, 0.0) >= PROBE_AGAIN_S
-                ):
-                    self._probed_at[other.id] = now
-                    gevent.spawn(self._probe, other.id, other.address)
-
-    def _probe(self, target: str, address: str) -> TargetReport | None:
-        """Ask a target for its report; return None if it does not answer."""
-        try:
-            report = decode_report(self._fetch_report(target, address).body)
-        except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
-            self._unreachable[target] = time.monotonic()
-            logger.info(
-                "target does not answer",
-                extra={"target": target, "reason": str(exc)},
-            )
-            return None
-        except ValueError as exc:
-            logger.warning(
-                "report is unreadable", extra={"target": target, "reason": str(exc)}
-            )
-            return None
-        self._orders[target] = report.orders
-        self._unreachable.pop(target, None)
-        return report
-
-    def _fetch_report(self, target: str, address: str) -> Answer:
-        """Ask for a report, over a new connection if a kept one is silent."""
-
-        def _call() -> Answer:
-            return call_target(
-                self._pool,
-                address,
-                b"GET",
-                REPORT_PATH.encode(),
-                headers=((HeaderNames.EXPECTED_TARGET.value, target.encode()),),
-                timeout_s=PROBE_TIMEOUT_S,
-            )
-
-        try:
-            return _call()
-        except (TargetTimeoutError, TargetBrokenError):
-            self._pool.drop(address)
-            return _call()
-
     def _give(self, planner: FormationPlanner, command: GiveOrder) -> None:
         known = self._beliefs.targets.get(command.target)
         if known is None or not self.is_holder:
             return
         address = known.record.address
-        status, outcome = self._send_order(command.target, address, command.order)
+        status, outcome = self._probes.send_order(
+            command.target, address, command.order, self._fence
+        )
         if status not in (200, 202):
             planner.ledger.note_refused(command.target, command.order, time.monotonic())
         kind = type(command.order).__name__.lower()
@@ -408,34 +293,3 @@
                 "outcome": outcome,
             },
         )
-
-    def _send_order(self, target: str, address: str, order: Order) -> tuple[int, str]:
-        """Send an order; return the status, 0 if there was no answer, and why."""
-        if self._orders.get(target) is None and self._probe(target, address) is None:
-            return 0, "target does not answer"
-        expected = self._orders.pop(target, None)
-        if expected is None:
-            return 0, "another order is on its way"
-        body = encode_order(order, fence=self._fence, expected_orders=expected)
-        try:
-            answer = call_target(
-                self._pool,
-                address,
-                b"POST",
-                ORDER_PATH.encode(),
-                headers=(
-                    (HeaderNames.EXPECTED_TARGET.value, target.encode()),
-                    (b"Content-Type", b"application/json"),
-                ),
-                body=body,
-                timeout_s=ORDER_TIMEOUT_S,
-            )
-        except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
-            gevent.spawn(self._probe, target, address)
-            return 0, str(exc)
-        status = answer.head.status
-        if status == 202:
-            self._orders[target] = expected + 1
-        elif status == 200:
-            self._orders[target] = expected
-        return status, f"expected {expected} orders"
--- /dev/null
+++ b/waxwingpitch/gateway/probing.py
@@ -0,0 +1,229 @@
+"""Asks targets for reports and gives them orders, one zone's planner at a time."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable, Mapping
+
+import gevent
+
+from ..forwarding import (
+    ConnectionPool,
+    TargetBrokenError,
+    TargetTimeoutError,
+    UnreachableError,
+)
+from ..forwarding.exchange import call_target
+from ..groups.fleet import find_missing_heads
+from ..groups.orders_to_targets import Close, Order
+from ..platform import (
+    ORDER_PATH,
+    REPORT_PATH,
+    HeaderNames,
+    decode_report,
+    encode_order,
+)
+from ..targets.records import MemberState, TargetRecord, TargetReport
+from .beliefs import Beliefs
+
+ORDER_TIMEOUT_S = 0.6
+REPORT_TIMEOUT_S = 0.25
+# Time between two questions to the same target.
+ASK_AGAIN_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+def fetch_report(pool: ConnectionPool, target: str, address: str) -> TargetReport:
+    """Ask a target for its report, over a new connection if a kept one is silent.
+
+    Raises
+    ------
+    UnreachableError, TargetTimeoutError, TargetBrokenError
+        It does not answer.
+    ValueError
+        The report is unreadable.
+    """
+
+    def _call() -> TargetReport:
+        answer = call_target(
+            pool,
+            address,
+            b"GET",
+            REPORT_PATH.encode(),
+            headers=((HeaderNames.EXPECTED_TARGET.value, target.encode()),),
+            timeout_s=REPORT_TIMEOUT_S,
+        )
+        return decode_report(answer.body)
+
+    try:
+        return _call()
+    except (TargetTimeoutError, TargetBrokenError):
+        pool.drop(address)
+        return _call()
+
+
+class TargetProbes:
+    """What a planner learns from targets themselves.
+
+    Parameters
+    ----------
+    may_be_alive
+        Asks the peers whether a target may answer any of them.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        beliefs: Beliefs,
+        may_be_alive: Callable[[str, str], bool],
+    ):
+        self._pool = pool
+        self._beliefs = beliefs
+        self._may_be_alive = may_be_alive
+        self._unreachable: set[str] = set()
+        self._gone: set[str] = set()
+        self._orders: dict[str, int] = {}
+        self._asked_at: dict[str, float] = {}
+
+    @property
+    def unreachable(self) -> frozenset[str]:
+        """Targets that do not answer although the list still has them."""
+        return frozenset(self._unreachable)
+
+    @property
+    def gone(self) -> frozenset[str]:
+        """Heads outside the list that certainly take no more requests."""
+        return frozenset(self._gone)
+
+    def forget_orders(self) -> None:
+        """Forget how many orders targets have begun: another planner gave some."""
+        self._orders.clear()
+
+    def ask_unreachable(self, now: float) -> None:
+        """Ask targets that did not answer again, until the list drops them."""
+        for target in list(self._unreachable):
+            known = self._beliefs.targets.get(target)
+            if known is None:
+                self._unreachable.discard(target)
+            elif now - self._asked_at.get(target, 0.0) >= ASK_AGAIN_S:
+                self._asked_at[target] = now
+                gevent.spawn(self.ask, target, known.record.address)
+
+    def ask_missing_heads(
+        self, targets: Mapping[str, TargetRecord], fence: int, now: float
+    ) -> None:
+        """Ask heads that the list has dropped whether they still answer.
+
+        Parameters
+        ----------
+        fence
+            Fencing number with which they are told to close; 0 if they are not.
+        """
+        missing = find_missing_heads(targets)
+        self._gone &= missing.keys()
+        for target, address in missing.items():
+            if (
+                target not in self._gone
+                and now - self._asked_at.get(target, 0.0) >= ASK_AGAIN_S
+            ):
+                self._asked_at[target] = now
+                gevent.spawn(self._ask_missing, target, address, fence)
+
+    def ask_suspects(
+        self,
+        targets: Mapping[str, TargetRecord],
+        suspects: Iterable[tuple[str, int]],
+        now: float,
+    ) -> None:
+        """Ask each member of a suspected group whether it answers."""
+        for head, epoch in suspects:
+            record = targets.get(head)
+            if record is None or record.membership is None:
+                continue
+            if record.membership.epoch != epoch:
+                continue
+            for other in targets.values():
+                if (
+                    other.membership is not None
+                    and other.membership.epoch == epoch
+                    and now - self._asked_at.get(other.id, 0.0) >= ASK_AGAIN_S
+                ):
+                    self._asked_at[other.id] = now
+                    gevent.spawn(self.ask, other.id, other.address)
+
+    def _ask_missing(self, target: str, address: str, fence: int) -> None:
+        """Find out whether a head that left the list still takes requests.
+
+        One that answers is told to close. One that answers no entry host is gone.
+        """
+        report = self.ask(target, address)
+        if report is None:
+            if not self._may_be_alive(target, address):
+                self._gone.add(target)
+            return
+        place = report.membership
+        if place is None or place.state not in (MemberState.OPEN, MemberState.CLOSING):
+            self._gone.add(target)
+        elif fence:
+            order = Close(place.group, place.epoch, preempt=True)
+            self.send_order(target, address, order, fence)
+
+    def ask(self, target: str, address: str) -> TargetReport | None:
+        """Ask a target for its report; return None if it does not answer."""
+        try:
+            report = fetch_report(self._pool, target, address)
+        except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
+            self._unreachable.add(target)
+            logger.info(
+                "target does not answer",
+                extra={"target": target, "reason": str(exc)},
+            )
+            return None
+        except ValueError as exc:
+            logger.warning(
+                "report is unreadable", extra={"target": target, "reason": str(exc)}
+            )
+            return None
+        self._orders[target] = report.orders
+        self._unreachable.discard(target)
+        return report
+
+    def send_order(
+        self, target: str, address: str, order: Order, fence: int
+    ) -> tuple[int, str]:
+        """Send an order; return the status, 0 if there was no answer, and why.
+
+        Parameters
+        ----------
+        fence
+            Fencing number of the planner that gives it.
+        """
+        if self._orders.get(target) is None and self.ask(target, address) is None:
+            return 0, "target does not answer"
+        expected = self._orders.pop(target, None)
+        if expected is None:
+            return 0, "another order is on its way"
+        body = encode_order(order, fence=fence, expected_orders=expected)
+        try:
+            answer = call_target(
+                self._pool,
+                address,
+                b"POST",
+                ORDER_PATH.encode(),
+                headers=(
+                    (HeaderNames.EXPECTED_TARGET.value, target.encode()),
+                    (b"Content-Type", b"application/json"),
+                ),
+                body=body,
+                timeout_s=ORDER_TIMEOUT_S,
+            )
+        except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
+            gevent.spawn(self.ask, target, address)
+            return 0, str(exc)
+        status = answer.head.status
+        if status == 202:
+            self._orders[target] = expected + 1
+        elif status == 200:
+            self._orders[target] = expected
+        return status, f"expected {expected} orders"
--- a/waxwingpitch/gateway/store_tasks.py
+++ b/waxwingpitch/gateway/store_tasks.py
@@ -147,7 +147,6 @@
         name: str,
         address: str,
         ttl_s: float,
-        beliefs: Beliefs,
     ):
         super().__init__()
         self._store = store
@@ -155,7 +154,6 @@
         self._key = MEMBER_PREFIX + name
         self._address = address
         self._ttl_s = ttl_s
-        self._beliefs = beliefs
         self.lease: str | None = None
         self.valid_until = 0.0
         self._registered = False
--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -9,7 +9,7 @@
 import json
 import socket
 import time
-from collections import Counter, defaultdict
+from collections import Counter
 from dataclasses import dataclass, field
 
 import gevent
@@ -586,11 +586,3 @@
 
 def _unquote(text: str) -> str:
     return text.replace("%2F", "/").replace("%3A", ":")
-
-
-def count_calls(calls: Counter[str]) -> dict[str, int]:
-    """Return calls by path, for tests that bound them."""
-    found: dict[str, int] = defaultdict(int)
-    for path, count in calls.items():
-        found[path] += count
-    return dict(found)
