--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -14,6 +14,7 @@
 from ..groups.fleet import FleetView, summarize
 from ..groups.formation import FormationPlanner
 from ..groups.ledger import GiveOrder
+from ..groups.orders_to_targets import Join
 from ..targets.loads import LoadBook
 from ..targets.progress import ProgressBook
 from ..targets.records import TargetReport
@@ -276,10 +277,15 @@
         known = self._beliefs.targets.get(command.target)
         if known is None or not self.is_holder:
             return
-        address = known.record.address
-        status, outcome = self._probes.send_order(
-            command.target, address, command.order, self._fence
-        )
+        record = known.record
+        if isinstance(command.order, Join) and not self._probes.is_released(
+            record, time.monotonic()
+        ):
+            status, outcome = 0, "its head still takes requests"
+        else:
+            status, outcome = self._probes.send_order(
+                command.target, record.address, command.order, self._fence
+            )
         if status not in (200, 202):
             planner.ledger.note_refused(command.target, command.order, time.monotonic())
         kind = type(command.order).__name__.lower()
--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -15,6 +15,7 @@
 )
 from ..forwarding.exchange import call_target
 from ..groups.fleet import find_missing_heads
+from ..groups.naming import HeadPlace, parse_head
 from ..groups.orders_to_targets import Close, Order
 from ..platform import (
     ORDER_PATH,
@@ -28,6 +29,8 @@
 
 ORDER_TIMEOUT_S = 0.6
 REPORT_TIMEOUT_S = 0.25
+# Age of a head's word that it takes no requests, for all members of its group.
+RELEASE_VALID_S = 0.5
 # Time between two questions to the same target.
 ASK_AGAIN_S = 1.0
 
@@ -85,6 +88,7 @@
         self._gone: set[str] = set()
         self._orders: dict[str, int] = {}
         self._asked_at: dict[str, float] = {}
+        self._released: dict[tuple[str, int], tuple[float, bool]] = {}
 
     @property
     def unreachable(self) -> frozenset[str]:
@@ -100,6 +104,38 @@
         """Forget how many orders targets have begun: another planner gave some."""
         self._orders.clear()
 
+    def is_released(self, record: TargetRecord, now: float) -> bool:
+        """Return whether a target may join another group, by its head's own word.
+
+        The list may show an earlier state of a head that can't reach the store.
+        """
+        place = record.membership
+        head = None if place is None else parse_head(place.group)
+        if head is None or head.id in self._gone:
+            return True
+        key = (place.group, place.epoch)
+        known = self._released.get(key)
+        if known is None or now - known[0] > RELEASE_VALID_S:
+            known = (now, self._ask_released(head, key))
+            self._released = {
+                other: item
+                for other, item in self._released.items()
+                if now - item[0] <= RELEASE_VALID_S
+            }
+            self._released[key] = known
+        return known[1]
+
+    def _ask_released(self, head: HeadPlace, key: tuple[str, int]) -> bool:
+        report = self.ask(head.id, head.address)
+        if report is None:
+            return head.id in self._gone
+        place = report.membership
+        return (
+            place is None
+            or (place.group, place.epoch) != key
+            or place.state not in (MemberState.OPEN, MemberState.CLOSING)
+        )
+
     def ask_unreachable(self, now: float) -> None:
         """Ask targets that did not answer again, until the list drops them."""
         for target in list(self._unreachable):
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -18,7 +18,7 @@
 from .fleet import FleetView, SeenGroup, find_groups, find_join_s, is_member
 from .ledger import EFFECT_S, Forming, GiveOrder, OrderLedger
 from .naming import HeadPlace, name_group, parse_head
-from .orders_to_targets import Close, Join, Leave, Open, Stage
+from .orders_to_targets import Close, Join, Open, Stage
 from .staging import HostStaging
 
 # Time within which a target that the list dropped by mistake is in it again.
@@ -144,7 +144,6 @@
                 for record in records
             ):
                 del self.ledger.forming[forming.group]
-                yield from self._abandon(forming, records, now)
                 continue
             key = (forming.group, forming.epoch)
             states = [
@@ -167,12 +166,6 @@
             if state is None:
                 yield from self.ledger.give(record, order, EFFECT_S, now)
 
-    def _abandon(self, forming: Forming, records, now: float) -> Iterator[GiveOrder]:
-        for record in records:
-            if record is not None and is_member(record, (forming.group, forming.epoch)):
-                order = Leave(forming.group, forming.epoch)
-                yield from self.ledger.give(record, order, EFFECT_S, now)
-
     def _plan_domain(
         self,
         view: FleetView,
--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -10,7 +10,7 @@
 import socket
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import gevent
 from gevent.server import StreamServer
@@ -18,7 +18,7 @@
 from ..groups.orders_to_targets import Close, Join, Leave, Open, Stage
 from ..http_server import HttpServer
 from ..targets.records import MemberState
-from .fleet_fake import PAIR, QUAD, SPEC, FleetFake
+from .fleet_fake import PAIR, QUAD, SPEC, FleetFake, RuleBrokenError
 
 MODEL_SERVICE = "pool"
 PLAIN_SERVICE = "plain"
@@ -251,6 +251,10 @@
         Headers of each request that ran, by request id.
     left
         Requests whose connection was closed while they ran.
+    frozen
+        Targets that can't reach the store.
+    broken_rules
+        Orders that took a target from a group that serves.
     """
 
     def __init__(self, *, size: int = 10, plain: int = 2, event_s: float = 0.02):
@@ -264,6 +268,8 @@
         self.targets: dict[str, TargetServer] = {}
         self._orders: Counter[str] = Counter()
         self._published: dict[str, bytes] = {}
+        self.frozen: set[str] = set()
+        self.broken_rules: list[str] = []
         for target in self.fleet.targets:
             self._listen(target)
         self.plain = [f"p-{number}" for number in range(plain)]
@@ -286,6 +292,13 @@
         self.fleet.kill(target)
         self.targets[target].faults.hang = True
 
+    def freeze(self, target: str, state: MemberState) -> None:
+        """Cut a target from the store, whose entry shows an earlier state."""
+        record = self.fleet.targets[target].record
+        self.frozen.add(target)
+        place = replace(record.membership, state=state)
+        self._publish(target, replace(record, membership=place))
+
     def find_group(self, model: str) -> list[str]:
         """Return the members of an open group, the head first."""
         for item in self.fleet.targets.values():
@@ -397,7 +410,7 @@
             self.fleet.advance(now - self._last_tick)
             self._last_tick = now
             for target, item in self.fleet.targets.items():
-                if item.alive:
+                if item.alive and target not in self.frozen:
                     self._publish(target, item.record)
 
     def _publish(self, target: str, record) -> None:
@@ -469,12 +482,19 @@
     def _take_order(self, target, sock, body) -> None:
         if body.get("expected", self._orders[target]) != self._orders[target]:
             _send(sock, 409, {})
-        elif self.fleet.carry_out(target, _decode_order(body)):
+        elif self._carry_out(target, body):
             self._orders[target] += 1
             _send(sock, 202, {})
         else:
             _send(sock, 409, {})
 
+    def _carry_out(self, target: str, body: dict) -> bool:
+        try:
+            return self.fleet.carry_out(target, _decode_order(body))
+        except RuleBrokenError as exc:
+            self.broken_rules.append(str(exc))
+            return False
+
     def _note_run(self, request, headers) -> None:
         self.runs[request] += 1
         self.seen[request] = headers
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -131,6 +131,19 @@
     assert platform.fleet.count_open() == before
 
 
+def test_head_whose_entry_is_stale_keeps_its_members(platform, gateway):
+    """A head that can't reach the store serves on although its entry says ready."""
+    pairs = [list(item.members) for item in _open(platform) if len(item.members) == 2]
+    first, second = pairs[:2]
+    platform.freeze(first[0], MemberState.READY)
+    platform.kill(first[1])
+    platform.kill(second[1])
+    for number in range(12):
+        chat(gateway.settings.front, f"z{number}", model=PAIR.name, events=3)
+    gevent.sleep(3.0)
+    assert platform.broken_rules == []
+
+
 def _open(platform):
     return [
         item
