Let a begun stream wait for a slot, and for a silent last target

Change: a request that has run in part is never refused for want of a slot; it waits before all others, as long as its caller does. Silence ends an answer only if it can go on elsewhere. Runs on targets that have ended do not count against the route's limit, as asked of them when the limit is reached. Three tests on sockets, each seen to fail before.

Ruled out: nothing else was tried.

--- a/waxwingpitch/admission/forecast.py
+++ b/waxwingpitch/admission/forecast.py
@@ -59,10 +59,23 @@
 
 
 def decide_admission(
-    pressure: Pressure, *, now: float, deadline: float
+    pressure: Pressure,
+    *,
+    now: float,
+    deadline: float,
+    begun_until: float | None = None,
 ) -> Wait | Refuse:
-    """Decide what happens to a request that finds no free slot."""
+    """Decide what happens to a request that finds no free slot.
+
+    Parameters
+    ----------
+    begun_until
+        Monotonic time until which the caller waits for a request to go on that has
+        run in part. It is never refused: what has run would be lost.
+    """
     left_s = deadline - now
+    if begun_until is not None:
+        return Wait(max(now, begun_until))
     if pressure.slots == 0:
         return Refuse(limit_retry_after(REFORM_S, left_s))
     expected_s = (pressure.waiting + 1) * pressure.service_s / pressure.slots
--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -2,42 +2,87 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from ..configuration.routes import Route
 from ..forwarding import Answer
 
 # Most sends of one request, those that were refused as not run included.
 MAX_SENDS = 4
+# The same once the caller has a part of the answer, all of which would be lost.
+MAX_SENDS_BEGUN = 8
 
 
-@dataclass(slots=True)
 class Attempts:
     """What has become of a request so far.
 
-    Attributes
+    Parameters
     ----------
     sends
         Targets that it was sent to.
     runs
         Targets that it ran on, as far as known.
+    last_event
+        Last event of a stream that the caller has.
+    moved_at
+        Monotonic time at which the caller got the last part of the answer, or asked.
+
+    Attributes
+    ----------
     began
         Whether it has begun to run at the current target.
     may_have_run
         Whether there is no proof that it did not run.
-    last_event
-        Last event of a stream that the caller has.
+    has_passed_events
+        Whether the caller has a part of the answer.
     failure
         A target's own failure, to be passed on if nothing better comes.
     """
 
-    sends: int = 0
-    runs: int = 0
-    began: bool = False
-    may_have_run: bool = False
-    tried: set[str] = field(default_factory=set)
-    last_event: int | None = None
-    failure: Answer | None = None
+    def __init__(
+        self,
+        *,
+        sends: int = 0,
+        runs: int = 0,
+        last_event: int | None = None,
+        moved_at: float = 0.0,
+    ):
+        self.sends = sends
+        self.runs = runs
+        self.began = False
+        self.may_have_run = False
+        self.tried: set[str] = set()
+        self.last_event = last_event
+        self.moved_at = moved_at
+        self.has_passed_events = False
+        self.failure: Answer | None = None
+        self._ran_at: dict[str, str] = {}
+
+    def note_run(self, target: str, address: str) -> None:
+        """Note that the request ran, or may have run, on a target."""
+        self.runs += 1
+        self.may_have_run = True
+        self._ran_at[target] = address
+
+    def note_passed(self, last_event: int | None, now: float) -> None:
+        """Note that the caller got events."""
+        self.last_event = last_event or self.last_event
+        self.moved_at = now
+        self.has_passed_events = True
+
+    def forget_ended(self, is_answering: Callable[[str, str], bool]) -> None:
+        """Take back the runs on targets that have ended, which bind no route's limit.
+
+        Parameters
+        ----------
+        is_answering
+            Returns whether a target, by id and address, still answers.
+        """
+        for target, address in list(self._ran_at.items()):
+            if not is_answering(target, address):
+                del self._ran_at[target]
+                self.runs -= 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +127,8 @@
     After proof that it did not run it always may; otherwise only if its kind may be
     repeated, and on no more targets than the route allows.
     """
-    if attempts.sends >= MAX_SENDS:
+    most = MAX_SENDS_BEGUN if attempts.has_passed_events else MAX_SENDS
+    if attempts.sends >= most:
         return False
     match outcome:
         case NotRun():
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -101,7 +101,13 @@
         self._server = RequestServer(
             self.beliefs,
             self.dispatcher,
-            TargetExchange(self.pool, self.progress, self.metrics, self._on_suspect),
+            TargetExchange(
+                self.pool,
+                self.progress,
+                self.metrics,
+                self._on_suspect,
+                self._is_answering,
+            ),
             self._find_budget,
             self._on_suspect,
             self.metrics,
--- a/waxwingpitch/gateway/dispatch.py
+++ b/waxwingpitch/gateway/dispatch.py
@@ -19,6 +19,8 @@
 # Weight of the newest figure in a running mean.
 NEWEST_WEIGHT = 0.05
 FIRST_SERVICE_S = 1.0
+# Queue of requests that have run in part, before all that callers ask for.
+BEGUN_PRIORITY = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +48,9 @@
         Expected work, in tokens or calls.
     avoid
         Replicas that it was already sent to.
+    begun_until
+        Monotonic time until which the caller of a request that has run in part waits
+        for it to go on.
     """
 
     request: str
@@ -56,6 +61,7 @@
     cost: float
     deadline: float
     avoid: frozenset[str] = frozenset()
+    begun_until: float | None = None
 
 
 class _ColdLimit:
@@ -99,13 +105,18 @@
         key = (demand.service, demand.model)
         queue = self._queues[key]
         now = time.monotonic()
-        if len(queue) == 0:
+        if len(queue) == 0 or demand.begun_until is not None:
             replica = self._choose(demand, now)
             if replica is not None:
                 self._take(replica, now)
                 return replica
         pressure = self._measure(key, demand, now)
-        decision = decide_admission(pressure, now=now, deadline=demand.deadline)
+        decision = decide_admission(
+            pressure,
+            now=now,
+            deadline=demand.deadline,
+            begun_until=demand.begun_until,
+        )
         if isinstance(decision, Refuse):
             self._refused[key].append(now)
             return Refused(decision.retry_after_s, "no slot in time", pressure)
@@ -170,7 +181,9 @@
         ticket = Ticket(
             request=demand.request,
             workspace=demand.workspace,
-            priority=demand.priority,
+            priority=(
+                demand.priority if demand.begun_until is None else BEGUN_PRIORITY
+            ),
             share=1.0,
             cost=demand.cost,
             deadline=until,
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -23,7 +23,16 @@
 from ..platform import HeaderNames
 from ..targets.progress import ProgressBook
 from ..telemetry import GatewayMetrics
-from .attempts import Attempts, Broken, Done, Failed, NotRun, Outcome, Stalled
+from .attempts import (
+    Attempts,
+    Broken,
+    Done,
+    Failed,
+    NotRun,
+    Outcome,
+    Stalled,
+    may_send_again,
+)
 from .beliefs import Replica
 from .routed import RequestContext
 
@@ -37,6 +46,9 @@
 CALL_PATIENCE_SHARE = 0.4
 # Time for the body of a refusal, which targets send at once.
 REFUSAL_BODY_S = 0.5
+# Interval at which targets of a stream that stands still are asked whether they have
+# ended; each question takes up to 0.5 s.
+ASK_AGAIN_S = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -48,6 +60,8 @@
     ----------
     on_suspect
         Called with a replica's id and epoch when it can't be reached.
+    is_answering
+        Returns whether a target, by id and address, answers at all.
     """
 
     def __init__(
@@ -56,7 +70,9 @@
         progress: ProgressBook,
         metrics: GatewayMetrics,
         on_suspect: Callable[[str, int], None],
+        is_answering: Callable[[str, str], bool],
     ):
+        self._is_answering = is_answering
         self._pool = pool
         self._progress = progress
         self._metrics = metrics
@@ -102,6 +118,21 @@
                 conn.close()
         return outcome
 
+    def may_follow(
+        self, ctx: RequestContext, attempts: Attempts, outcome: Outcome
+    ) -> bool:
+        """Return whether a request may be sent to another target.
+
+        Runs on targets that have ended bind no route's limit; whether they have is
+        asked for callers that have a part of the answer.
+        """
+        if may_send_again(ctx.route, attempts, outcome):
+            return True
+        if not attempts.has_passed_events or not ctx.route.is_repeatable:
+            return False
+        attempts.forget_ended(self._is_answering)
+        return may_send_again(ctx.route, attempts, outcome)
+
     def _format(self, ctx: RequestContext, attempts, replica: Replica) -> bytes:
         own = {
             HeaderNames.DEADLINE_MS.value,
@@ -156,7 +187,7 @@
         if isinstance(outcome, NotRun):
             attempts.may_have_run = attempts.runs > 0
             return outcome
-        attempts.runs += 1
+        attempts.note_run(replica.id, replica.address)
         attempts.began = True
         if outcome is None:
             self._progress.note_progress(replica.id, replica.epoch, time.monotonic())
@@ -185,6 +216,7 @@
         head = self._wait_for(
             lambda until: self._read_own_head(ctx, conn, until),
             ctx,
+            attempts,
             replica,
             sent_at,
             first_s,
@@ -198,7 +230,12 @@
         ran = False
         while True:
             data = self._wait_for(
-                conn.read_body, ctx, replica, moved_at, stall_s if ran else first_s
+                conn.read_body,
+                ctx,
+                attempts,
+                replica,
+                moved_at,
+                stall_s if ran else first_s,
             )
             if not data:
                 break
@@ -211,11 +248,10 @@
                     self._metrics.note_first_event(
                         ctx.route.name, moved_at - ctx.arrived_at
                     )
-                attempts.runs += 1
-                attempts.may_have_run = True
+                attempts.note_run(replica.id, replica.address)
             if events:
                 self._forward(resp, head, events)
-                attempts.last_event = events[-1].id or attempts.last_event
+                attempts.note_passed(events[-1].id, moved_at)
         if splitter.has_rest:
             return Broken("the stream ended within an event")
         if not resp.started:
@@ -245,8 +281,13 @@
     def _find_stall_s(self, ctx: RequestContext) -> float:
         return max(MIN_STALL_S, ctx.route.gap_aim_s * STALL_SHARE_OF_AIM)
 
-    def _wait_for(self, read, ctx, replica: Replica, moved_at: float, stall_s: float):
-        """Read until something arrives, the target seems stuck, or time is up."""
+    def _wait_for(
+        self, read, ctx, attempts, replica: Replica, moved_at: float, stall_s: float
+    ):
+        """Read until something arrives, the target seems stuck, or time is up.
+
+        Silence ends no answer that could not go on elsewhere.
+        """
         while True:
             now = time.monotonic()
             if now >= ctx.deadline:
@@ -255,10 +296,10 @@
             stuck_at = alive_at + stall_s
             late_at = moved_at + stall_s * STALL_FACTOR_ALIVE
             until = min(stuck_at, late_at)
-            if not ctx.route.is_repeatable:
-                until = ctx.deadline
             if now >= until:
-                raise TargetTimeoutError(f"nothing for {now - moved_at:.2f} s")
+                if self.may_follow(ctx, attempts, Stalled("nothing arrives")):
+                    raise TargetTimeoutError(f"nothing for {now - moved_at:.2f} s")
+                until = now + ASK_AGAIN_S
             try:
                 return read(min(until, ctx.deadline))
             except TargetTimeoutError:
--- a/waxwingpitch/gateway/routed.py
+++ b/waxwingpitch/gateway/routed.py
@@ -16,6 +16,10 @@
 # Time before the caller's own deadline at which the final answer is sent.
 ANSWER_MARGIN_S = 0.03
 RETRY_AFTER_START_S = 0.5
+# Callers leave a stream in which nothing comes for the longest of these.
+STREAM_PATIENCE_S = 2.0
+STREAM_PATIENCE_AIMS = 4.0
+STREAM_PATIENCE_GAPS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +53,21 @@
         parts = (self.req.target, (self.workspace or "").encode(), self.req.body)
         return fingerprint_request(self.service, b"\0".join(parts))
 
+    def find_patience(self, moved_at: float) -> float:
+        """Return the monotonic time until which the caller waits for the next part.
+
+        Parameters
+        ----------
+        moved_at
+            Monotonic time at which it got the last one, or asked.
+        """
+        patience_s = max(
+            STREAM_PATIENCE_S,
+            STREAM_PATIENCE_AIMS * self.route.aim_s,
+            STREAM_PATIENCE_GAPS * self.route.gap_aim_s,
+        )
+        return min(self.deadline, moved_at + patience_s)
+
 
 def read_request_id(req: CallerRequest) -> str:
     """Return the id of a request; empty if it has none."""
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -21,7 +21,6 @@
     NotRun,
     Outcome,
     Stalled,
-    may_send_again,
 )
 from .beliefs import Beliefs, Replica
 from .dispatch import Demand, Dispatcher, Refused
@@ -77,8 +76,9 @@
             self.in_progress -= 1
 
     def _serve(self, ctx: RequestContext, resp: Responder) -> None:
-        attempts = Attempts()
-        attempts.last_event = read_last_event(ctx.req)
+        attempts = Attempts(
+            last_event=read_last_event(ctx.req), moved_at=ctx.arrived_at
+        )
         fingerprint = ctx.fingerprint
         if self._suspects.is_blocked(fingerprint):
             code = ResultCode.SUSPECT_ON_TRIAL
@@ -99,6 +99,7 @@
                 ctx.cost,
                 ctx.deadline,
                 frozenset(attempts.tried),
+                ctx.find_patience(attempts.moved_at) if attempts.runs else None,
             )
             asked_at = time.monotonic()
             granted = self._dispatcher.acquire(demand)
@@ -151,11 +152,12 @@
                     },
                 )
             case Broken():
-                attempts.may_have_run = True
-                attempts.runs += not attempts.began
+                if not attempts.began:
+                    attempts.note_run(replica.id, replica.address)
             case Stalled():
                 attempts.may_have_run = True
-                attempts.runs += not replica.epoch
+                if not replica.epoch:
+                    attempts.note_run(replica.id, replica.address)
                 if replica.epoch and now < ctx.deadline:
                     self._on_suspect(replica.id, replica.epoch)
         return outcome
@@ -169,7 +171,7 @@
     ) -> bool:
         if ctx.deadline - time.monotonic() < MIN_SEND_S:
             return False
-        if not may_send_again(ctx.route, attempts, outcome):
+        if not self._exchange.may_follow(ctx, attempts, outcome):
             return False
         if budget.spend():
             return True
--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -217,6 +217,8 @@
         Whether it answers nothing any more.
     silent_before
         Connections accepted before this monotonic time fall silent.
+    pause_until
+        Monotonic time until which streams stand still.
     """
 
     cut_after: int | None = None
@@ -225,6 +227,7 @@
     reset: int = 0
     hang: bool = False
     silent_before: float = 0.0
+    pause_until: float = 0.0
 
 
 @dataclass
@@ -261,6 +264,7 @@
         self.store = StoreFake()
         self.fleet = FleetFake(domains=1, size=size)
         self.runs: Counter[str] = Counter()
+        self.ran_at: dict[str, str] = {}
         self.seen: dict[str, dict[str, str]] = {}
         self.left: list[str] = []
         self.event_s = event_s
@@ -520,6 +524,7 @@
             return
         members = item.members
         self._note_run(request, headers)
+        self.ran_at[request] = target
         count = int(headers["token-counts"].partition(",")[2]) // 5
         start = int(headers.get("last-event-id", 0)) + 1
         lines = [f"{key}: {value}" for key, value in _seal(target, request).items()]
@@ -528,6 +533,8 @@
         faults = self.targets[target].faults
         for number in range(start, count + 1):
             gevent.sleep(self.event_s)
+            while time.monotonic() < faults.pause_until:
+                gevent.sleep(0.02)
             while not all(self.fleet.targets[name].alive for name in members):
                 gevent.sleep(0.05)
             if faults.cut_after is not None and number > faults.cut_after:
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -91,6 +91,57 @@
     assert platform.runs["r4"] == 2
 
 
+def test_begun_stream_waits_for_a_replica(platform, gateway):
+    """A stream that was cut while no replica takes it is not broken off."""
+    platform.event_s = 0.1
+    shared = TargetFaults(cut_after=5)
+    for target in platform.targets.values():
+        target.faults = shared
+    caller = Caller(gateway.settings.front)
+    caller.send_chat("w1", model=PAIR.name, events=10)
+    wait_for(lambda: platform.runs["w1"])
+    platform.store.write("op/evacuate/z", {})
+    wait_for(lambda: count_slots(gateway, PAIR.name) == 0)
+    gevent.sleep(1.0)
+    assert platform.runs["w1"] == 1
+    platform.event_s = 0.02
+    platform.store.remove("op/evacuate/z")
+    answer = caller.read()
+    assert answer.whole
+    assert answer.events == list(range(1, 11))
+
+
+def test_silent_target_ends_no_stream_that_cannot_go_on_elsewhere(platform, front):
+    """The last target that a route allows may take as long as the caller waits."""
+    platform.configure(max_attempts=1)
+    gevent.sleep(0.3)
+    caller = Caller(front)
+    caller.send_chat("l1", model=PAIR.name, events=10)
+    wait_for(lambda: platform.runs["l1"])
+    gevent.sleep(0.1)
+    for target in platform.targets.values():
+        target.faults.pause_until = time.monotonic() + 1.0
+    answer = caller.read()
+    assert answer.whole
+    assert answer.events == list(range(1, 11))
+    assert platform.runs["l1"] == 1
+
+
+def test_run_at_a_target_that_ended_does_not_count(platform, front):
+    """A stream may outlive more targets than its route allows live ones."""
+    platform.configure(max_attempts=1)
+    gevent.sleep(0.3)
+    caller = Caller(front)
+    caller.send_chat("e1", model=PAIR.name, events=30)
+    head = wait_for(lambda: platform.ran_at.get("e1"))
+    gevent.sleep(0.15)
+    platform.kill(head)
+    answer = caller.read()
+    assert answer.whole
+    assert answer.events == list(range(1, 31))
+    assert platform.runs["e1"] == 2
+
+
 def test_stalled_pair_is_left_for_another(platform, front):
     head, other = platform.find_group(PAIR.name)
     platform.kill(other)
