Take members from a group only after its head has left it

Its head may still carry out an order to open, and the planner itself opened it again when the last of its members came back to the list while a join was on its way to another one, as when a cut zone returns target by target.

Change: a ready or joining group that can't be opened is first left by its head; its members are free once the head shows that, by its own word when they join. Orders to the head name the count of those that it has begun, so that a late order to open fails. A head missing from the list is told to give its group up only after the time in which lapsed targets return, and counts as gone only if a survivor beside it answers: entry hosts on one side of a cut zone can't tell. Rebalancing waits for orders under way.

--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -14,9 +14,10 @@
     UnreachableError,
 )
 from ..forwarding.exchange import call_target
-from ..groups.fleet import find_missing_heads
+from ..groups.fleet import MissingHead, find_missing_heads
+from ..groups.formation import RETURN_S
 from ..groups.naming import HeadPlace, parse_head
-from ..groups.orders_to_targets import Close, Order
+from ..groups.orders_to_targets import Close, Leave, Order
 from ..platform import (
     ORDER_PATH,
     REPORT_PATH,
@@ -88,7 +89,8 @@
         self._gone: set[str] = set()
         self._orders: dict[str, int] = {}
         self._asked_at: dict[str, float] = {}
-        self._released: dict[tuple[str, int], tuple[float, bool]] = {}
+        self._released: dict[tuple[str, int, bool], tuple[float, bool]] = {}
+        self._missing_since: dict[str, float] = {}
 
     @property
     def unreachable(self) -> frozenset[str]:
@@ -113,10 +115,10 @@
         head = None if place is None else parse_head(place.group)
         if head is None or head.id in self._gone:
             return True
-        key = (place.group, place.epoch)
+        key = (place.group, place.epoch, place.rank == 0)
         known = self._released.get(key)
         if known is None or now - known[0] > RELEASE_VALID_S:
-            known = (now, self._ask_released(head, key))
+            known = (now, self._ask_released(head, *key))
             self._released = {
                 other: item
                 for other, item in self._released.items()
@@ -125,16 +127,23 @@
             self._released[key] = known
         return known[1]
 
-    def _ask_released(self, head: HeadPlace, key: tuple[str, int]) -> bool:
+    def _ask_released(
+        self, head: HeadPlace, group: str, epoch: int, is_head: bool
+    ) -> bool:
+        """Return whether a head, or its members, may join another group.
+
+        A head that is ready may still carry out an order to open. That one fails once
+        the head has begun another, so that only its members have to wait.
+        """
         report = self.ask(head.id, head.address)
         if report is None:
             return head.id in self._gone
         place = report.membership
-        return (
-            place is None
-            or (place.group, place.epoch) != key
-            or place.state not in (MemberState.OPEN, MemberState.CLOSING)
-        )
+        if place is None or (place.group, place.epoch) != (group, epoch):
+            return True
+        if is_head:
+            return place.state not in (MemberState.OPEN, MemberState.CLOSING)
+        return place.state is MemberState.BROKEN
 
     def ask_unreachable(self, now: float) -> None:
         """Ask targets that did not answer again, until the list drops them."""
@@ -154,17 +163,22 @@
         Parameters
         ----------
         fence
-            Fencing number with which they are told to close; 0 if they are not.
+            Fencing number with which they are told to leave their groups; 0 if they
+            are not.
         """
         missing = find_missing_heads(targets)
         self._gone &= missing.keys()
-        for target, address in missing.items():
+        self._missing_since = {
+            target: self._missing_since.get(target, now) for target in missing
+        }
+        for target, head in missing.items():
             if (
                 target not in self._gone
                 and now - self._asked_at.get(target, 0.0) >= ASK_AGAIN_S
             ):
                 self._asked_at[target] = now
-                gevent.spawn(self._ask_missing, target, address, fence)
+                returns = now - self._missing_since[target] < RETURN_S
+                gevent.spawn(self._ask_missing, head, 0 if returns else fence)
 
     def ask_suspects(
         self,
@@ -188,22 +202,44 @@
                     self._asked_at[other.id] = now
                     gevent.spawn(self.ask, other.id, other.address)
 
-    def _ask_missing(self, target: str, address: str, fence: int) -> None:
-        """Find out whether a head that left the list still takes requests.
+    def _ask_missing(self, head: MissingHead, fence: int) -> None:
+        """Find out whether a head that left the list still holds its group.
 
-        One that answers is told to close. One that answers no entry host is gone.
+        One that answers is told to give it up. One that answers no entry host is gone,
+        if a survivor beside it does: otherwise its whole zone may be cut off.
         """
-        report = self.ask(target, address)
+        survivor = head.survivors[0]
+        if self.ask(survivor.id, survivor.address) is None:
+            return
+        report = self.ask(head.id, head.address)
         if report is None:
-            if not self._may_be_alive(target, address):
-                self._gone.add(target)
+            if not self._may_be_alive(head.id, head.address):
+                self._gone.add(head.id)
+                logger.info("head is gone", extra={"target": head.id})
             return
         place = report.membership
-        if place is None or place.state not in (MemberState.OPEN, MemberState.CLOSING):
-            self._gone.add(target)
-        elif fence:
-            order = Close(place.group, place.epoch, preempt=True)
-            self.send_order(target, address, order, fence)
+        if place is None or place.group not in head.groups:
+            self._gone.add(head.id)
+            return
+        match place.state:
+            case MemberState.BROKEN:
+                self._gone.add(head.id)
+                return
+            case MemberState.OPEN | MemberState.CLOSING:
+                order = Close(place.group, place.epoch, preempt=True)
+            case _:
+                order = Leave(place.group, place.epoch)
+        if fence:
+            status, outcome = self.send_order(head.id, head.address, order, fence)
+            logger.info(
+                "order given",
+                extra={
+                    "target": head.id,
+                    "order": repr(order),
+                    "status": status,
+                    "outcome": outcome,
+                },
+            )
 
     def ask(self, target: str, address: str) -> TargetReport | None:
         """Ask a target for its report; return None if it does not answer."""
--- a/waxwingpitch/groups/balance.py
+++ b/waxwingpitch/groups/balance.py
@@ -115,8 +115,11 @@
         is_free: Callable[[TargetRecord], bool],
         now: float,
     ) -> Iterator[GiveOrder]:
-        """Give up groups of a model with room for one whose slots are taken."""
-        if self._ledger.forming or now - self._rebalanced_at < REBALANCE_INTERVAL_S:
+        """Give up groups of a model with room for one whose slots are taken.
+
+        Waits until nothing is under way, whose targets may be enough.
+        """
+        if self._ledger.is_busy or now - self._rebalanced_at < REBALANCE_INTERVAL_S:
             return
         models = sorted(
             view.spec.models, key=lambda model: self.find_pressure(view, model)
--- a/waxwingpitch/groups/fleet.py
+++ b/waxwingpitch/groups/fleet.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..configuration.routes import EngineSpec, ModelSpec
 from ..targets.records import MemberState, TargetRecord
@@ -126,14 +126,38 @@
     return found
 
 
-def find_missing_heads(targets: Mapping[str, TargetRecord]) -> dict[str, str]:
-    """Return the heads that members name and the list lacks, with their addresses."""
-    found = {}
+@dataclass(frozen=True, slots=True)
+class MissingHead:
+    """A head that members name and the list lacks.
+
+    Attributes
+    ----------
+    groups
+        Groups whose members name it.
+    survivors
+        Those members.
+    """
+
+    id: str
+    address: str
+    groups: frozenset[str]
+    survivors: tuple[TargetRecord, ...]
+
+
+def find_missing_heads(targets: Mapping[str, TargetRecord]) -> dict[str, MissingHead]:
+    """Return the heads that members name and the list lacks, by id."""
+    found: dict[str, MissingHead] = {}
     for record in targets.values():
         place = record.membership
         head = None if place is None else parse_head(place.group)
-        if head is not None and head.id not in targets:
-            found[head.id] = head.address
+        if head is None or head.id in targets:
+            continue
+        known = found.get(head.id, MissingHead(head.id, head.address, frozenset(), ()))
+        found[head.id] = replace(
+            known,
+            groups=known.groups | {place.group},
+            survivors=(*known.survivors, record),
+        )
     return found
 
 
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -2,9 +2,10 @@
 
 Works on the targets' own records: a group is whatever its members say they are
 in. A group that lost a member is closed at its head, and its survivors join a new
-group with a spare. Members are taken from a group only once its head has stopped
-taking requests, or is gone. Epochs only grow, so that an order that is carried out
-late fails.
+group with a spare. Members are taken from a group only once its head has left it, is
+broken or is gone: a head that is only closed may still carry out an order to open. Each
+order names the count of orders that its target has begun, and epochs only grow, so
+that an order that is carried out late fails.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 from .fleet import FleetView, SeenGroup, find_groups, find_join_s, is_member
 from .ledger import EFFECT_S, Forming, GiveOrder, OrderLedger
 from .naming import HeadPlace, name_group, parse_head
-from .orders_to_targets import Close, Join, Open, Stage
+from .orders_to_targets import Close, Join, Leave, Open, Stage
 from .staging import HostStaging
 
 # Time within which a target that the list dropped by mistake is in it again.
@@ -122,13 +123,16 @@
         """Return whether the head of a target's group is certainly gone.
 
         A head that only can't reach the list may still take requests. It is gone if
-        that was proved, and if this member stayed in the list without it.
+        that was proved, and if this member stayed in the list without it. One that is
+        listed has left the group.
         """
         place = record.membership
         key = (place.group, place.epoch)
         listed_since = view.listed_since.get(record.id, now)
         absent_since = max(listed_since, self._headless_since.get(key, now))
         head = parse_head(place.group)
+        if head is not None and head.id in view.targets:
+            return True
         if head is None or head.id not in view.gone:
             return now - absent_since >= HEAD_ABSENCE_S
         vanished_at = view.vanished_at.get(head.id)
@@ -214,7 +218,8 @@
                     order = Close(group.group, group.epoch, preempt=True)
                     yield from self.ledger.give(head, order, EFFECT_S, now)
             case MemberState.READY if (
-                not self._balance.is_given_up(key)
+                self.ledger.find_order(head.id) is None
+                and not self._balance.is_given_up(key)
                 and not lost
                 and len(group.members) == size
                 and not leaving
@@ -233,6 +238,19 @@
                 )
                 order = Open(group.group, group.epoch)
                 yield from self.ledger.give(head, order, EFFECT_S, now)
+            case MemberState.READY | MemberState.JOINING if len(
+                group.members
+            ) > 1 and not self._will_be_ready(group, size):
+                order = Leave(group.group, group.epoch)
+                yield from self.ledger.give(head, order, EFFECT_S, now)
+
+    def _will_be_ready(self, group: SeenGroup, size: int) -> bool:
+        """Return whether a whole group is still loading its model."""
+        return (
+            group.state is MemberState.JOINING
+            and len(group.members) == size
+            and not any(record.leaving for record in group.members.values())
+        )
 
     def _lacks_members(self, key, group: SeenGroup, size: int, now: float) -> bool:
         """Return whether members are missing from the list, and not for a moment.
@@ -263,7 +281,10 @@
         group = seen[(record.membership.group, record.membership.epoch)]
         if group.head is None:
             return self._is_headless(view, record, now)
-        return group.state not in (MemberState.OPEN, MemberState.CLOSING)
+        if group.state is MemberState.BROKEN:
+            return True
+        is_alone = len(group.members) == 1
+        return is_alone and group.state in (MemberState.READY, MemberState.JOINING)
 
     def _lay_out(
         self, view: FleetView, members: Sequence[TargetRecord], now: float
--- a/waxwingpitch/tests/test_formation.py
+++ b/waxwingpitch/tests/test_formation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from dataclasses import replace
 
 import pytest
 
@@ -205,6 +206,65 @@
     assert fleet.count_open()[PAIR.name] == 5
 
 
+def test_members_of_a_group_that_is_being_opened_stay(fleet, planner):
+    """A head that is told to open may do so after its group was given up."""
+    head, other = find_group(fleet, PAIR.name)
+    lost = next(
+        target
+        for target, item in fleet.targets.items()
+        if item.members[1:] == (target,) and item.members[0] != head
+    )
+    fleet.kill(lost)
+    fleet.unlist(lost)
+    fleet.run(planner, 4.0)
+    place = close_group(fleet, head)
+    fleet.advance(0.1)
+    plan_for(fleet, planner, 0.1, holds=head)
+    fleet.leave(head)
+    plan_for(fleet, planner, 0.5, holds=head)
+    fleet.carry_out(head, Open(place.group, place.epoch))
+    fleet.run(planner, 5.0)
+    assert fleet.targets[other].members[0] != head
+
+
+def test_group_stays_shut_while_a_member_is_joining_another(fleet, planner):
+    """A zone's targets come back to the list one after the other."""
+    fleet.demand = {QUAD.name: 2.0, PAIR.name: 40.0}
+    head, *others = find_group(fleet, QUAD.name)
+    place = close_group(fleet, head)
+    fleet.targets[head].record = replace(fleet.targets[head].record, staged=())
+    fleet.unlist(others[0])
+    fleet.advance(0.1)
+    later = build_planner(start=9000)
+    on_way = plan_for(fleet, later, 0.3, holds="")
+    fleet.relist(others[0])
+    fleet.run(later, 0.5)
+    for command in on_way:
+        if fleet.targets[command.target].highest_epoch == place.epoch:
+            fleet.carry_out(command.target, command.order)
+    fleet.run(later, 8.0)
+    assert sum(fleet.count_open().values()) >= 8
+
+
+def close_group(fleet: FleetFake, head: str):
+    place = fleet.targets[head].record.membership
+    fleet.carry_out(head, Close(place.group, place.epoch, preempt=True))
+    return place
+
+
+def plan_for(fleet, planner, seconds: float, *, holds: str) -> list:
+    """Return the orders that a planner gives, while those to a target wait."""
+    held = []
+    for _ in range(round(seconds / 0.05)):
+        for command in planner.plan(fleet.view(), fleet.now):
+            if holds in ("", command.target):
+                held.append(command)
+            else:
+                fleet.carry_out(command.target, command.order)
+        fleet.advance(0.05)
+    return held
+
+
 def test_group_names_tell_the_head():
     head = HeadPlace("i-1_x", "10.0.0.1:80")
     assert parse_head(name_group(7, head)) == head
--- a/waxwingpitch/tests/test_formation_machine.py
+++ b/waxwingpitch/tests/test_formation_machine.py
@@ -29,6 +29,8 @@
         self.epochs = itertools.count(1000)
         self.planner = self._build_planner()
         self.late: list[tuple[str, object, int]] = []
+        self.on_way: list[tuple[float, str, object, int]] = []
+        self.delay_s = 0.0
         self.cut: set[str] = set()
         self.cut_at = 0.0
         self.lost = 0
@@ -44,6 +46,7 @@
     def _run(self, seconds: float, *, lose_every: int = 0) -> None:
         given = 0
         for _ in range(round(seconds / TICK_S)):
+            self._deliver()
             if self.cut and self.fleet.now - self.cut_at > LONGEST_CUT_S:
                 self.heal()
             view = self.fleet.view()
@@ -53,10 +56,27 @@
                 if target in self.cut or (lose_every and given % lose_every == 0):
                     self.late.append((target, order, self._count_orders(target)))
                     self.planner.ledger.note_refused(target, order, self.fleet.now)
+                elif self.delay_s:
+                    due = self.fleet.now + self.delay_s
+                    count = self._count_orders(target)
+                    self.on_way.append((due, target, order, count))
                 elif not self.fleet.carry_out(target, order):
                     self.planner.ledger.note_refused(target, order, self.fleet.now)
             self.fleet.advance(TICK_S)
 
+    def _deliver(self) -> None:
+        """Carry out the orders that have arrived by now."""
+        due = [item for item in self.on_way if item[0] <= self.fleet.now]
+        self.on_way = [item for item in self.on_way if item[0] > self.fleet.now]
+        for _, target, order, count in due:
+            if target not in self.cut and self._count_orders(target) == count:
+                self.fleet.carry_out(target, order)
+
+    @rule(delay_s=st.sampled_from([0.0, 0.1, 0.3, 0.6]))
+    def slow_orders(self, delay_s):
+        """Orders take a while to reach their targets."""
+        self.delay_s = delay_s
+
     @rule(seconds=st.floats(0.1, 3.0))
     def pass_time(self, seconds):
         self._run(seconds)
@@ -103,6 +123,14 @@
             self.fleet.relist(target)
         self.cut.clear()
 
+    @precondition(lambda self: self.cut)
+    @rule(data=st.data())
+    def heal_one(self, data):
+        """Targets come back to the list one by one."""
+        target = data.draw(st.sampled_from(sorted(self.cut)))
+        self.cut.discard(target)
+        self.fleet.relist(target)
+
     @rule()
     def replace_planner(self):
         self.planner = self._build_planner()
@@ -117,8 +145,8 @@
 
 
 FormationMachine.TestCase.settings = settings(
-    max_examples=40,
-    stateful_step_count=20,
+    max_examples=100,
+    stateful_step_count=30,
     deadline=None,
     derandomize=True,
     suppress_health_check=list(HealthCheck),
