Know a version only up to where every watch has come

Cause: found by reading, while looking for entries that are too old at a gateway that comes back from a cut. The mirror took the highest version that any watch had brought for the one up to which all is known, so that a gateway which the store turns away never asked its peers for changes that a slower watch had not brought yet.

Change: the mirror keeps a version for each prefix and knows all up to the lowest; what a peer sent raises all. Test on sockets, failing before.

--- a/waxwingpitch/agreed/mirror.py
+++ b/waxwingpitch/agreed/mirror.py
@@ -12,16 +12,33 @@
 class StoreMirror:
     """Keys with the version of their last change; only higher versions replace.
 
-    Attributes
-    ----------
-    version
-        Version up to which everything is known.
+    Examples
+    --------
+    >>> mirror = StoreMirror()
+    >>> mirror.note_followed("a/", 7)
+    >>> mirror.note_followed("b/", 5)
+    >>> mirror.version
+    5
     """
 
     def __init__(self):
         self._entries: dict[str, StoredEntry] = {}
         self._deleted: dict[str, int] = {}
-        self.version = 0
+        self._followed: dict[str, int] = {}
+
+    @property
+    def version(self) -> int:
+        """Version up to which everything is known below all prefixes followed."""
+        return min(self._followed.values(), default=0)
+
+    def note_followed(self, prefix: str, version: int) -> None:
+        """Note that everything below a prefix is known up to a version."""
+        self._followed[prefix] = max(version, self._followed.get(prefix, 0))
+
+    def note_complete(self, version: int) -> None:
+        """Note that everything is known up to a version."""
+        for prefix in self._followed:
+            self.note_followed(prefix, version)
 
     def get(self, key: str) -> StoredEntry | None:
         """Return the entry of a key."""
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -268,6 +268,7 @@
                 ),
             )
         )
+        self._beliefs.mirror.note_complete(message.version)
 
 
 def _ignore(items: tuple[SuspectItem, ...], at: float) -> None:
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -360,6 +360,26 @@
         second.stop()
 
 
+def test_what_one_watch_missed_comes_from_a_peer(platform):
+    """A watch that is ahead hides no change that another one has not brought yet."""
+    first = start_gateway(platform.store.address, "gw-1")
+    second = start_gateway(platform.store.address, "gw-2")
+    try:
+        wait_for(lambda: second.dump()["peers"] and first.dump()["peers"])
+        wait_for(lambda: second.find_unready() is None)
+        for watcher in second._watchers[:2]:
+            watcher.stop()
+        platform.configure(keys=("key-4",))
+        platform.store.write("waxwingpitch/another", {})
+        gevent.sleep(0.5)
+        second._store._client = _Refusing()
+        front = second.settings.front
+        wait_for(lambda: call(front, "/file/x", "p", key="key-4").status == 200, 5.0)
+    finally:
+        first.stop()
+        second.stop()
+
+
 class _Refusing:
     """A store that answers 503."""
 
