Trust entries that are newer than the planner's key, and ask about older ones

Change: what the list shows of a head or member counts if its entry is newer than the planner's key and no order to open is unseen; otherwise the target itself is asked, and what it says corrects the record. Absence of a head counts from when its member was placed and the head vanished. Leaving counts as an order.

Tests: two on sockets, failing before. Ruled out: nothing.

--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -45,14 +45,15 @@
     ----------
     cold_until
         Monotonic time until which the target is cold.
-    listed_since
-        Monotonic time since which it has been in the list without a break.
+    placed_since
+        Monotonic time since which it has been in the list, and in its group, without
+        a break.
     """
 
     record: TargetRecord
     version: int
     cold_until: float
-    listed_since: float
+    placed_since: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,7 +264,11 @@
             record,
             entry.version,
             now + record.cold_s,
-            now if known is None else known.listed_since,
+            (
+                now
+                if known is None or not _is_same_group(known.record, record)
+                else known.placed_since
+            ),
         )
         if known is not None and known.record.started_ms != record.started_ms:
             self.on_target(target, record.started_ms)
@@ -322,6 +327,13 @@
     )
 
 
+def _is_same_group(before: TargetRecord, after: TargetRecord) -> bool:
+    old, new = before.membership, after.membership
+    if old is None or new is None:
+        return old is new
+    return (old.group, old.epoch) == (new.group, new.epoch)
+
+
 def _is_other(before: TargetRecord, after: TargetRecord) -> bool:
     return (
         before.membership != after.membership
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -163,7 +163,7 @@
         self._lease = lease
         self._counter = 0
         self._planners.clear()
-        self._probes.forget_orders()
+        self._probes.begin(version)
         logger.info("plans zone", extra={"zone": self.zone, "fence": version})
 
     def _next_epoch(self) -> int:
@@ -219,6 +219,7 @@
             if known.record.service == service.name and known.record.zone == self.zone
         }
         demand, slots = self._measure(service, now)
+        self._probes.note_states(targets)
         suspects = self._progress.list_suspects(now)
         self._probes.ask_suspects(targets, suspects, now)
         self._probes.ask_unreachable(now)
@@ -231,8 +232,8 @@
             vanished_at={
                 target: at for target, (_, at) in self._beliefs.vanished.items()
             },
-            listed_since={
-                known.record.id: known.listed_since
+            placed_since={
+                known.record.id: known.placed_since
                 for known in self._beliefs.iter_listed()
             },
             gone=self._probes.gone,
--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -17,7 +17,7 @@
 from ..groups.fleet import MissingHead, find_missing_heads
 from ..groups.formation import RETURN_S
 from ..groups.naming import HeadPlace, parse_head
-from ..groups.orders_to_targets import Close, Leave, Order
+from ..groups.orders_to_targets import Close, Leave, Open, Order
 from ..platform import (
     ORDER_PATH,
     REPORT_PATH,
@@ -25,7 +25,7 @@
     decode_report,
     encode_order,
 )
-from ..targets.records import MemberState, TargetRecord, TargetReport
+from ..targets.records import Membership, MemberState, TargetRecord, TargetReport
 from .beliefs import Beliefs
 
 ORDER_TIMEOUT_S = 0.6
@@ -91,6 +91,9 @@
         self._asked_at: dict[str, float] = {}
         self._released: dict[tuple[str, int, bool], tuple[float, bool]] = {}
         self._missing_since: dict[str, float] = {}
+        self._opening: set[tuple[str, int]] = set()
+        self._verified: set[str] = set()
+        self._fence = 0
 
     @property
     def unreachable(self) -> frozenset[str]:
@@ -102,18 +105,42 @@
         """Heads outside the list that certainly take no more requests."""
         return frozenset(self._gone)
 
-    def forget_orders(self) -> None:
-        """Forget how many orders targets have begun: another planner gave some."""
+    def begin(self, fence: int) -> None:
+        """Forget what was known of targets: another planner gave them orders.
+
+        Parameters
+        ----------
+        fence
+            Version of the planner's key. Entries with a higher one show what targets
+            were in after the last order of the planner before, but for late ones.
+        """
+        self._fence = fence
         self._orders.clear()
+        self._opening.clear()
+        self._verified.clear()
+
+    def note_states(self, targets: Mapping[str, TargetRecord]) -> None:
+        """Note which heads have shown in the list that they were opened."""
+        for record in targets.values():
+            place = record.membership
+            if place is not None and place.state in (
+                MemberState.OPEN,
+                MemberState.CLOSING,
+            ):
+                self._opening.discard((place.group, place.epoch))
 
     def is_released(self, record: TargetRecord, now: float) -> bool:
-        """Return whether a target may join another group, by its head's own word.
+        """Return whether a target may join another group.
 
-        The list may show an earlier state of a head that can't reach the store.
+        The list may show an earlier state of targets that can't reach the store. What
+        it shows counts if it was written during this planner's time; otherwise the
+        target and its head are asked.
         """
+        if not self._has_shown_place(record):
+            return False
         place = record.membership
         head = None if place is None else parse_head(place.group)
-        if head is None or head.id in self._gone:
+        if head is None or head.id in self._gone or self._has_shown_release(record):
             return True
         key = (place.group, place.epoch, place.rank == 0)
         known = self._released.get(key)
@@ -127,6 +154,31 @@
             self._released[key] = known
         return known[1]
 
+    def _has_shown_place(self, record: TargetRecord) -> bool:
+        """Return whether a target is where its record says, by its own word."""
+        known = self._beliefs.targets.get(record.id)
+        if known is None:
+            return False
+        if known.version > self._fence or record.id in self._verified:
+            return True
+        report = self.ask(record.id, record.address)
+        if report is None:
+            return False
+        self._verified.add(record.id)
+        self._beliefs.note_report(record.id, known.version, report)
+        return _find_key(report.membership) == _find_key(record.membership)
+
+    def _has_shown_release(self, record: TargetRecord) -> bool:
+        """Return whether a target's head has shown in the list that it is not open."""
+        key = _find_key(record.membership)
+        known = self._beliefs.targets.get(parse_head(record.membership.group).id)
+        if known is None or known.version <= self._fence or key in self._opening:
+            return False
+        place = known.record.membership
+        if _find_key(place) != key:
+            return True
+        return record.membership.rank == 0 and place.state is MemberState.READY
+
     def _ask_released(
         self, head: HeadPlace, group: str, epoch: int, is_head: bool
     ) -> bool:
@@ -276,6 +328,8 @@
         expected = self._orders.pop(target, None)
         if expected is None:
             return 0, "another order is on its way"
+        if isinstance(order, Open):
+            self._opening.add((order.group, order.epoch))
         body = encode_order(order, fence=fence, expected_orders=expected)
         try:
             answer = call_target(
@@ -294,8 +348,12 @@
             gevent.spawn(self.ask, target, address)
             return 0, str(exc)
         status = answer.head.status
-        if status == 202:
+        if status == 202 or (status == 200 and isinstance(order, Leave)):
             self._orders[target] = expected + 1
         elif status == 200:
             self._orders[target] = expected
         return status, f"expected {expected} orders"
+
+
+def _find_key(place: Membership | None) -> tuple[str, int] | None:
+    return None if place is None else (place.group, place.epoch)
--- a/waxwingpitch/groups/fleet.py
+++ b/waxwingpitch/groups/fleet.py
@@ -24,8 +24,8 @@
         Records by id.
     unreachable
         Targets that do not answer although the list still has them.
-    listed_since
-        Monotonic time since which each target has been in the list.
+    placed_since
+        Monotonic time since which each target has been in the list, and in its group.
     vanished_at
         Monotonic time at which targets left the list, where that was seen.
     gone
@@ -41,7 +41,7 @@
     spec: EngineSpec
     targets: Mapping[str, TargetRecord]
     unreachable: frozenset[str] = frozenset()
-    listed_since: Mapping[str, float] = field(default_factory=dict)
+    placed_since: Mapping[str, float] = field(default_factory=dict)
     vanished_at: Mapping[str, float] = field(default_factory=dict)
     gone: frozenset[str] = frozenset()
     demand: Mapping[str, float] = field(default_factory=dict)
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -56,7 +56,6 @@
         self._closing_since: dict[tuple[str, int], float] = {}
         self._laid_out: set[str] = set()
         self._lacking_since: dict[tuple[str, int], float] = {}
-        self._headless_since: dict[tuple[str, int], float] = {}
         self._arrivals: dict[str, tuple[int, float]] = {}
 
     def plan(self, view: FleetView, now: float) -> list[GiveOrder]:
@@ -67,7 +66,6 @@
         for record in view.targets.values():
             by_domain[record.domain].append(record)
         seen = find_groups(view.targets.values())
-        self._note_headless(seen, now)
         self._forget_groups(seen)
         for domain in sorted(by_domain):
             members = sorted(by_domain[domain], key=lambda record: record.id)
@@ -102,16 +100,6 @@
         self._arrivals[domain] = (known, since)
         return now - since >= ARRIVALS_S
 
-    def _note_headless(
-        self, seen: Mapping[tuple[str, int], SeenGroup], now: float
-    ) -> None:
-        """Note since when each group has had members in the list, but no head."""
-        headless = {key for key, group in seen.items() if group.head is None}
-        for key in headless:
-            self._headless_since.setdefault(key, now)
-        for key in self._headless_since.keys() - headless:
-            del self._headless_since[key]
-
     def _forget_groups(self, seen: Mapping[tuple[str, int], SeenGroup]) -> None:
         """Forget groups that no record shows any more."""
         self._balance.forget_groups(seen)
@@ -127,16 +115,17 @@
         listed has left the group.
         """
         place = record.membership
-        key = (place.group, place.epoch)
-        listed_since = view.listed_since.get(record.id, now)
-        absent_since = max(listed_since, self._headless_since.get(key, now))
+        placed_since = view.placed_since.get(record.id, now)
         head = parse_head(place.group)
         if head is not None and head.id in view.targets:
             return True
-        if head is None or head.id not in view.gone:
+        if head is None:
+            return now - placed_since >= HEAD_ABSENCE_S
+        vanished_at = view.vanished_at.get(head.id, placed_since)
+        absent_since = max(placed_since, vanished_at)
+        if head.id not in view.gone:
             return now - absent_since >= HEAD_ABSENCE_S
-        vanished_at = view.vanished_at.get(head.id)
-        if vanished_at is not None and listed_since < vanished_at - EFFECT_S:
+        if placed_since < vanished_at - EFFECT_S:
             return True
         return now - absent_since >= PROVED_ABSENCE_S
 
--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -39,7 +39,7 @@
     alive: bool = True
     listed: bool = True
     vanished_at: float = 0.0
-    listed_since: float = 0.0
+    placed_since: float = 0.0
     highest_epoch: int = 0
     members: tuple[str, ...] = ()
     last_model: str = ""
@@ -97,7 +97,7 @@
     def relist(self, target: str) -> None:
         """Put a target back into the list."""
         self.targets[target].listed = True
-        self.targets[target].listed_since = self.now
+        self.targets[target].placed_since = self.now
 
     def leave(self, target: str) -> None:
         """Let a target announce that it leaves."""
@@ -122,7 +122,7 @@
                 for key, item in self.targets.items()
                 if not item.listed
             },
-            listed_since={key: item.listed_since for key, item in self.targets.items()},
+            placed_since={key: item.placed_since for key, item in self.targets.items()},
             gone=frozenset(self.gone),
             demand=self.demand,
             slots=slots,
--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -256,6 +256,8 @@
         Requests whose connection was closed while they ran.
     frozen
         Targets that can't reach the store.
+    refused_orders
+        Orders that were refused.
     broken_rules
         Orders that took a target from a group that serves.
     """
@@ -274,6 +276,7 @@
         self._published: dict[str, bytes] = {}
         self.frozen: set[str] = set()
         self.broken_rules: list[str] = []
+        self.refused_orders = 0
         for target in self.fleet.targets:
             self._listen(target)
         self.plain = [f"p-{number}" for number in range(plain)]
@@ -296,11 +299,17 @@
         self.fleet.kill(target)
         self.targets[target].faults.hang = True
 
-    def freeze(self, target: str, state: MemberState) -> None:
-        """Cut a target from the store, whose entry shows an earlier state."""
+    def freeze(self, target: str, state: MemberState | None) -> None:
+        """Cut a target from the store, whose entry shows an earlier state.
+
+        Parameters
+        ----------
+        state
+            State in its group; None for a target that was in no group.
+        """
         record = self.fleet.targets[target].record
         self.frozen.add(target)
-        place = replace(record.membership, state=state)
+        place = None if state is None else replace(record.membership, state=state)
         self._publish(target, replace(record, membership=place))
 
     def find_group(self, model: str) -> list[str]:
@@ -418,7 +427,6 @@
                     self._publish(target, item.record)
 
     def _publish(self, target: str, record) -> None:
-        place = record.membership
         entry = {
             "service": MODEL_SERVICE,
             "address": self.targets[target].address,
@@ -429,10 +437,8 @@
             "cold_left_ms": 0,
             "born": 1000,
             "stage": "colocated",
-            "models": [{"name": record.model}] if record.model else [],
             "fault_domain": record.domain,
-            "staged": list(record.staged),
-            "group": None if place is None else _encode_place(place),
+            **_encode_weights(record),
         }
         data = json.dumps(entry).encode()
         if self._published.get(target) != data:
@@ -465,13 +471,9 @@
         if headers.get("expect-instance", target) != target:
             _send(sock, 421, {"Instance-Id": target})
         elif path == "/waxwingpitch/report":
-            place = None
+            report = {"seq": self._orders[target]}
             if target in self.fleet.targets:
-                place = self.fleet.targets[target].record.membership
-            report = {
-                "seq": self._orders[target],
-                "group": None if place is None else _encode_place(place),
-            }
+                report |= _encode_weights(self.fleet.targets[target].record)
             _send(sock, 200, {}, json.dumps(report).encode())
         elif path == "/waxwingpitch/order":
             self._take_order(target, sock, json.loads(body))
@@ -485,11 +487,13 @@
 
     def _take_order(self, target, sock, body) -> None:
         if body.get("expected", self._orders[target]) != self._orders[target]:
+            self.refused_orders += 1
             _send(sock, 409, {})
         elif self._carry_out(target, body):
             self._orders[target] += 1
-            _send(sock, 202, {})
+            _send(sock, 200 if body["operation"] == "leave" else 202, {})
         else:
+            self.refused_orders += 1
             _send(sock, 409, {})
 
     def _carry_out(self, target: str, body: dict) -> bool:
@@ -560,6 +564,15 @@
     sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
+def _encode_weights(record) -> dict:
+    place = record.membership
+    return {
+        "models": [{"name": record.model}] if record.model else [],
+        "staged": list(record.staged),
+        "group": None if place is None else _encode_place(place),
+    }
+
+
 def _encode_place(place) -> dict:
     return {
         "name": place.group,
--- a/waxwingpitch/tests/test_formation.py
+++ b/waxwingpitch/tests/test_formation.py
@@ -200,7 +200,7 @@
     assert set(find_missing_heads(fleet.view().targets)) == {pairs[0][0], pairs[1][0]}
     fleet.gone |= {pairs[0][0], pairs[1][0]}
     for item in fleet.targets.values():
-        item.listed_since = fleet.now
+        item.placed_since = fleet.now
         item.vanished_at = 0.0
     fleet.run(later, 7.0)
     assert fleet.count_open()[PAIR.name] == 5
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -8,7 +8,7 @@
 import pytest
 import urllib3
 
-from ..groups.orders_to_targets import Close
+from ..groups.orders_to_targets import Close, Leave
 from ..targets.records import MemberState
 from .fleet_fake import PAIR, QUAD
 from .gateway_client import Caller, call, chat, start_gateway
@@ -166,6 +166,23 @@
     wait_for(is_whole)
 
 
+def test_no_order_is_refused_while_groups_are_formed_again(platform, gateway):
+    """An order that is done at once, as leaving is, counts as begun too."""
+    platform.kill(platform.find_group(QUAD.name)[2])
+    chat(gateway.settings.front, "s", model=QUAD.name, events=10)
+    wait_for(lambda: any(isinstance(order, Leave) for _, order in _orders(platform)))
+    wait_for(lambda: _count_members(platform) >= 8)
+    assert platform.refused_orders == 0
+
+
+def _orders(platform):
+    return platform.fleet.orders
+
+
+def _count_members(platform) -> int:
+    return sum(len(item.members) for item in _open(platform) if item.alive)
+
+
 def test_silent_connections_break_no_group(platform, gateway):
     """Kept connections may fall silent while new ones work."""
     front = gateway.settings.front
@@ -195,6 +212,27 @@
     assert platform.broken_rules == []
 
 
+def test_new_planner_asks_targets_whose_entries_are_older_than_its_key(platform):
+    """Their entries may be from before the last orders of the planner before."""
+    first = start_gateway(platform.store.address, "gw-1")
+    try:
+        wait_for(lambda: count_slots(first, PAIR.name) == 3)
+    finally:
+        first.stop()
+    group = platform.find_group(PAIR.name)
+    for target in group:
+        platform.freeze(target, None)
+    second = start_gateway(platform.store.address, "gw-2")
+    try:
+        wait_for(lambda: second.dump()["plans"])
+        wait_for(lambda: count_slots(second, PAIR.name) == 3)
+        gevent.sleep(1.0)
+    finally:
+        second.stop()
+    assert platform.broken_rules == []
+    assert platform.find_group(PAIR.name) == group
+
+
 def _open(platform):
     return [
         item
