Hand a zone's planning to a peer when its holder stops while the store is silent

Change: a holder that stops while the store answers nobody gives its right (key, epochs used, lease) to one peer, best in its zone, and plans no more. The peer plans under it until the store answers anybody, then ends the lease and takes the key as any other. It counts no entry as written in its time, so that it asks every target. The key is a class of its own (zone_key). Holders that are killed hand nothing over.

Test on sockets: a group is formed again by the peer while the store is down, and the key changes hands after.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -20,6 +20,7 @@
     TargetTimeoutError,
     UnreachableError,
 )
+from ..mesh.messages import PlanningRight
 from ..platform import (
     OPERATOR_PREFIX,
     TARGET_PREFIX,
@@ -40,6 +41,7 @@
 from .store_tasks import LeaseKeeper, PrefixWatcher, StoreContact
 from .suspect_task import SuspectTask
 from .web import GatewayWeb
+from .zone_key import ZoneKey
 
 LEASE_S = 3.0
 # Each watch has its price; a leaving target must be known well within the bound.
@@ -115,11 +117,15 @@
         )
         self._planners = [
             ZonePlanner(
-                zone,
-                name=settings.name,
-                at_home=zone == settings.zone,
+                ZoneKey(
+                    zone,
+                    name=settings.name,
+                    at_home=zone == settings.zone,
+                    beliefs=self.beliefs,
+                    keeper=self._keeper,
+                    is_store_silent=self._peers.is_store_silent,
+                ),
                 beliefs=self.beliefs,
-                keeper=self._keeper,
                 pool=self.pool,
                 loads=self.loads,
                 progress=self.progress,
@@ -132,6 +138,7 @@
             )
             for zone in settings.zones
         ]
+        self._peers.on_right = self._on_right
         self._watchers = [
             self._watch(OPERATOR_PREFIX, lambda: 0.0),
             self._watch(TARGET_PREFIX, self._find_target_pause),
@@ -253,6 +260,11 @@
             logger.info("target suspected", extra={"target": target, "epoch": epoch})
             self._peers.announce_stall(target, epoch)
 
+    def _on_right(self, right: PlanningRight) -> None:
+        for planner in self._planners:
+            if planner.zone == right.zone and not self._stopping:
+                planner.take_over(right)
+
     def _keep_house(self) -> None:
         while True:
             gevent.sleep(HOUSEKEEPING_S)
@@ -275,7 +287,12 @@
         deadline = started_at + self.settings.bounds.stop_s - STOP_MARGIN_S
         logger.info("gateway stops", extra={"in_progress": self._listener.busy})
         for planner in self._planners:
-            planner.stop()
+            right = planner.hand_over()
+            if right is not None:
+                peer = self._peers.hand_over(right)
+                logger.info(
+                    "planning handed over", extra={"zone": right.zone, "peer": peer}
+                )
         self._keeper.stop()
         gevent.spawn(self._keeper.end)
         self._listener.stop_keeping()
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -14,6 +14,7 @@
     DocumentItem,
     ItemsRequest,
     LoadCounts,
+    PlanningRight,
     ProbeRequest,
     ProbeResult,
     StalledTarget,
@@ -70,6 +71,7 @@
         self._on_loads = on_loads
         self._is_answering = is_answering
         self.on_suspects: Callable[[tuple[SuspectItem, ...], float], None] = _ignore
+        self.on_right: Callable[[PlanningRight], None] = lambda right: None
         self._results: dict[str, dict[str, bool]] = {}
         self._store_ages: dict[str, tuple[float, float]] = {}
         self._sent: dict[str, int] = {}
@@ -102,6 +104,14 @@
             self._greenlet.kill(block=False)
         self._node.stop()
 
+    def hand_over(self, right: PlanningRight) -> str | None:
+        """Give a zone's planning to a peer, best in that zone; return its name."""
+        near = self._node.list_peers_in(right.zone)
+        peer = next(iter(near or sorted(self._node.peers)), None)
+        if peer is not None:
+            self._node.send(peer, right)
+        return peer
+
     def announce_stall(self, target: str, epoch: int) -> None:
         """Tell all peers that nothing moves at a target."""
         self._node.broadcast(StalledTarget(target, epoch))
@@ -237,6 +247,8 @@
                     self._results[message.target][peer.id] = message.answers
             case Received(message=Suspects(items=items), at=at):
                 self.on_suspects(items, at)
+            case Received(message=PlanningRight() as message):
+                self.on_right(message)
             case Received(message=TargetNews() as message):
                 self._take_news(message)
             case LinkUp(peer=peer):
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import sys
 import time
 from collections.abc import Callable
 from dataclasses import asdict
@@ -15,21 +16,20 @@
 from ..groups.formation import FormationPlanner
 from ..groups.ledger import GiveOrder
 from ..groups.orders_to_targets import Join
+from ..mesh.messages import PlanningRight
 from ..targets.loads import LoadBook
 from ..targets.progress import ProgressBook
 from ..targets.records import TargetReport
 from ..telemetry import GatewayMetrics
-from .beliefs import PLANNER_PREFIX, Beliefs, KnownTarget
+from .beliefs import Beliefs, KnownTarget
 from .probing import TargetProbes
-from .store_tasks import LeaseKeeper
+from .zone_key import ZoneKey
 
 BUSY_TICK_S = 0.05
 CALM_TICK_S = 0.1
-# Time that a candidate from another zone waits before it takes a zone's key.
-FOREIGN_WAIT_S = 2.0
-# Part of the lease that is left unused, against a paused process.
-LEASE_MARGIN_S = 0.5
-EPOCHS_PER_REVISION = 1000
+# No entry counts as written in the time of a planner that took over from another one
+# under the same key.
+NEWER_THAN_ALL = sys.maxsize
 SUMMARY_INTERVAL_S = 1.0
 # Weight of the newest measure of demand, at a plan each 50 to 100 ms.
 NEWEST_DEMAND = 0.05
@@ -44,20 +44,15 @@
 
     Parameters
     ----------
-    zone
-        Zone whose groups are planned.
-    at_home
-        Whether this process is in that zone; others wait before they step in.
+    key
+        Key of the zone whose groups are planned.
     """
 
     def __init__(
         self,
-        zone: str,
+        key: ZoneKey,
         *,
-        name: str,
-        at_home: bool,
         beliefs: Beliefs,
-        keeper: LeaseKeeper,
         pool: ConnectionPool,
         loads: LoadBook,
         progress: ProgressBook,
@@ -68,11 +63,9 @@
         announce: Callable[[str, int, TargetReport], None],
         metrics: GatewayMetrics,
     ):
-        self.zone = zone
-        self._name = name
-        self._at_home = at_home
+        self.zone = key.zone
+        self._key = key
         self._beliefs = beliefs
-        self._keeper = keeper
         self._loads = loads
         self._progress = progress
         self._zones = zones
@@ -82,11 +75,7 @@
         self._reported_at = 0.0
         self._demand: dict[str, float] = {}
         self._metrics = metrics
-        self._fence = 0
         self._summarized_at = 0.0
-        self._lease: str | None = None
-        self._counter = 0
-        self._vacant_since: float | None = None
         self._planners: dict[str, FormationPlanner] = {}
         self._load_starts: list[float] = []
         self._probes = TargetProbes(pool, beliefs, ask_peers)
@@ -94,21 +83,8 @@
 
     @property
     def is_holder(self) -> bool:
-        """Whether this process may give orders in the zone now.
-
-        While the store answers no entry host, nobody else can become the holder.
-        """
-        if self._fence == 0 or self._beliefs.find_planner(self.zone) not in (
-            self._name,
-            None,
-        ):
-            return False
-        if self._is_store_silent():
-            return True
-        return (
-            self._lease == self._keeper.lease
-            and time.monotonic() < self._keeper.valid_until - LEASE_MARGIN_S
-        )
+        """Whether this process may give orders in the zone now."""
+        return self._key.is_held
 
     @property
     def is_busy(self) -> bool:
@@ -131,8 +107,8 @@
             try:
                 if self.is_holder:
                     self._plan()
-                else:
-                    self._acquire()
+                elif self._key.try_acquire():
+                    self._begin(self._key.fence)
             except StoreError as exc:
                 logger.info(
                     "planner key not taken",
@@ -142,33 +118,19 @@
                 logger.exception("planning failed", extra={"zone": self.zone})
             gevent.sleep(BUSY_TICK_S if self.is_busy else CALM_TICK_S)
 
-    def _acquire(self) -> None:
-        now = time.monotonic()
-        if self._beliefs.find_planner(self.zone) is not None:
-            self._vacant_since = None
-            return
-        if self._vacant_since is None:
-            self._vacant_since = now
-        if not self._at_home and now - self._vacant_since < FOREIGN_WAIT_S:
-            return
-        lease = self._keeper.lease
-        if lease is None or not self._beliefs.table:
-            return
-        version = self._keeper.put(PLANNER_PREFIX + self.zone, self._name.encode())
-        if version is None:
-            self._vacant_since = now
-            gevent.sleep(0.5)
-            return
-        self._fence = version
-        self._lease = lease
-        self._counter = 0
-        self._planners.clear()
-        self._probes.begin(version)
-        logger.info("plans zone", extra={"zone": self.zone, "fence": version})
+    def take_over(self, right: PlanningRight) -> None:
+        """Plan for a holder that stopped while the store is silent."""
+        if self._key.take_over(right):
+            self._begin(NEWER_THAN_ALL)
+
+    def hand_over(self) -> PlanningRight | None:
+        """Stop to plan; return what a peer needs to go on, if one should."""
+        self.stop()
+        return self._key.hand_over()
 
-    def _next_epoch(self) -> int:
-        self._counter += 1
-        return self._fence * EPOCHS_PER_REVISION + self._counter
+    def _begin(self, fence: int) -> None:
+        self._planners.clear()
+        self._probes.begin(fence)
 
     def _may_load(self, now: float, urgent: bool) -> bool:
         """Keep this zone's part of the weight store's limits.
@@ -200,7 +162,7 @@
                 continue
             planner = self._planners.get(service.name)
             if planner is None:
-                planner = FormationPlanner(self._next_epoch, self._may_load)
+                planner = FormationPlanner(self._key.next_epoch, self._may_load)
                 self._planners[service.name] = planner
             if self._is_store_silent():
                 self._ask_for_reports(planner, now)
@@ -223,7 +185,7 @@
         suspects = self._progress.list_suspects(now)
         self._probes.ask_suspects(targets, suspects, now)
         self._probes.ask_unreachable(now)
-        fence = self._fence if self.is_holder else 0
+        fence = self._key.fence if self.is_holder else 0
         self._probes.ask_missing_heads(targets, fence, now)
         return FleetView(
             spec=service.engine,
@@ -285,7 +247,7 @@
             status, outcome = 0, "its head still takes requests"
         else:
             status, outcome = self._probes.send_order(
-                command.target, record.address, command.order, self._fence
+                command.target, record.address, command.order, self._key.fence
             )
         if status not in (200, 202):
             planner.ledger.note_refused(command.target, command.order, time.monotonic())
--- a/waxwingpitch/gateway/store_tasks.py
+++ b/waxwingpitch/gateway/store_tasks.py
@@ -197,6 +197,16 @@
             except StoreError as exc:
                 logger.info("lease not ended", extra={"reason": exc.message})
 
+    def end_other(self, lease: str) -> None:
+        """End the lease of a process that has stopped.
+
+        Raises
+        ------
+        StoreError
+            The store does not answer, or refuses.
+        """
+        self._store.end_lease(lease)
+
     def _register(self) -> None:
         known = self._store.get(self._key)
         expect = 0 if known is None else known.version
--- a/waxwingpitch/mesh/messages.py
+++ b/waxwingpitch/mesh/messages.py
@@ -281,6 +281,28 @@
     state: str = ""
 
 
+class PlanningRight(_Message, tag=19):
+    """Hands a zone's planning over, while the store is silent.
+
+    Attributes
+    ----------
+    owner
+        Process whose name the zone's key holds.
+    fence
+        Version of that key.
+    counter
+        Epochs that were used under it.
+    lease
+        Lease that the key hangs on.
+    """
+
+    zone: str
+    owner: str
+    fence: int
+    counter: int
+    lease: str
+
+
 Message = (
     Hello
     | Challenge
@@ -300,4 +322,5 @@
     | ProbeRequest
     | ProbeResult
     | TargetNews
+    | PlanningRight
 )
--- a/waxwingpitch/mesh/node.py
+++ b/waxwingpitch/mesh/node.py
@@ -138,6 +138,12 @@
         """Ids of the peers that a link is up to."""
         return frozenset(self._links)
 
+    def list_peers_in(self, zone: str) -> list[str]:
+        """Return the ids of the peers in a zone that a link is up to."""
+        return sorted(
+            link.peer.id for link in self._links.values() if link.peer.zone == zone
+        )
+
     @property
     def sent(self) -> tuple[int, int]:
         """Messages and bytes sent so far."""
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -418,6 +418,31 @@
         second.stop()
 
 
+def test_planning_is_handed_over_while_the_store_is_down(platform):
+    """Nobody could take the zone's key; a group that breaks is formed again."""
+    first = start_gateway(platform.store.address, "gw-1")
+    try:
+        wait_for(lambda: count_slots(first, PAIR.name) == 3)
+        second = start_gateway(platform.store.address, "gw-2")
+        wait_for(lambda: second.dump()["peers"] and second.find_unready() is None)
+        wait_for(lambda: len(first.beliefs.list_peers()) == 2)
+        platform.store.down = True
+        wait_for(lambda: first._peers.is_store_silent())
+        first._begin_stop()
+        wait_for(lambda: second.dump()["plans"] == ["z"], 3.0)
+        platform.kill(platform.find_group(QUAD.name)[2])
+        chat(second.settings.front, "h", model=QUAD.name, events=10)
+        wait_for(lambda: _count_members(platform) >= 8)
+        assert platform.broken_rules == []
+        platform.store.down = False
+        wait_for(lambda: platform.store.items["waxwingpitch/planners/z"])
+        wait_for(lambda: second._planners[0]._key._received is None)
+        wait_for(lambda: second.dump()["plans"] == ["z"])
+    finally:
+        first.stop()
+        second.stop()
+
+
 class _Refusing:
     """A store that answers 503."""
 
