Leave a head alone that turns requests away as misdirected

An entry host that can't follow the list gives most requests to the replica that seems empty; each request tried it first, and up to four sends were used up.

Change: a 421 makes the replica suspect at this entry host, as one that is unreachable; peers are not told. Test on sockets, failing before (5 of 9 requests went there).

Ruled out: full targets; 503 was answered to none of these.

--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -92,9 +92,16 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The request certainly did not run."""
+    """The request certainly did not run.
+
+    Attributes
+    ----------
+    is_elsewhere
+        Whether the target says that it is not the one, or heads no open group.
+    """
 
     reason: str
+    is_elsewhere: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -133,6 +133,13 @@
         attempts.forget_ended(self._is_answering)
         return may_send_again(ctx.route, attempts, outcome)
 
+    def note_elsewhere(self, replica: Replica, now: float) -> None:
+        """Send no more to a replica that is not where the list has it.
+
+        The peers are not told: the list may be old only here.
+        """
+        self._progress.suspect(replica.id, replica.epoch, now)
+
     def _format(self, ctx: RequestContext, attempts, replica: Replica) -> bytes:
         own = {
             HeaderNames.DEADLINE_MS.value,
@@ -199,7 +206,8 @@
         """Return what is wrong with an answer, or None."""
         head = answer.head
         if head.find(HeaderNames.NOT_RUN) is not None or head.status == 421:
-            return NotRun(f"target refused with {head.status}")
+            reason = f"target refused with {head.status}"
+            return NotRun(reason, is_elsewhere=head.status == 421)
         if head.find(b"content-encoding") is not None:
             return Broken("the answer is encoded")
         sealed = head.find(HeaderNames.SEAL) is not None
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -151,6 +151,8 @@
                         "took_ms": round(1000 * (now - ctx.arrived_at)),
                     },
                 )
+            case NotRun(is_elsewhere=True):
+                self._exchange.note_elsewhere(replica, now)
             case Broken():
                 if not attempts.began:
                     attempts.note_run(replica.id, replica.address)
--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -258,6 +258,8 @@
         Targets that can't reach the store.
     refused_orders
         Orders that were refused.
+    misdirected
+        Requests to targets that head no open group, by target.
     broken_rules
         Orders that took a target from a group that serves.
     """
@@ -277,6 +279,7 @@
         self.frozen: set[str] = set()
         self.broken_rules: list[str] = []
         self.refused_orders = 0
+        self.misdirected: Counter[str] = Counter()
         for target in self.fleet.targets:
             self._listen(target)
         self.plain = [f"p-{number}" for number in range(plain)]
@@ -524,6 +527,7 @@
         item = self.fleet.targets[target]
         place = item.record.membership
         if place is None or place.rank != 0 or place.state is not MemberState.OPEN:
+            self.misdirected[target] += 1
             _send(sock, 421, {"Not-Executed": "1"})
             return
         members = item.members
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -257,6 +257,18 @@
     assert platform.runs["r6"] == (answer.status == 200)
 
 
+def test_head_that_turns_requests_away_gets_no_more(platform, front):
+    """An entry host that can't follow the list learns it from the head."""
+    head = platform.find_group(PAIR.name)[0]
+    place = platform.fleet.targets[head].record.membership
+    platform.freeze(head, MemberState.OPEN)
+    platform.fleet.carry_out(head, Close(place.group, place.epoch, preempt=True))
+    gevent.sleep(0.2)
+    answers = [chat(front, f"m{n}", model=PAIR.name, events=3) for n in range(9)]
+    assert all(answer.whole for answer in answers)
+    assert platform.misdirected[head] <= 1
+
+
 def test_refusal_says_when_to_come_back(platform, front):
     for target in platform.plain:
         platform.targets[target].faults.refuse = 99
