Tell the peers what moves, so that a busy target is not taken for stuck

Each entry host has a stream or two at a group and can't tell by them; its suspicion went to all peers and emptied the group.

Change: load counts carry the ages of the sender's signs of life; what moves at a peer keeps a stream here for the longer time that a moving target has, and ends a shared suspicion. What an entry host finds by itself (unreachable, misdirected) stays. Answered requests are logged with the time to the first event and the longest pause.

Tests: one on sockets, failing before (the second of two streams was given up). Ruled out: dead groups as the only cause (7 targets never answered again).

--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -97,6 +97,8 @@
         except UnreachableError as exc:
             if replica.epoch:
                 self._on_suspect(replica.id, replica.epoch)
+                now = time.monotonic()
+                self._progress.suspect(replica.id, replica.epoch, now, is_own=True)
             return NotRun(str(exc))
         except TargetBrokenError as exc:
             return Broken(str(exc))
@@ -138,7 +140,7 @@
 
         The peers are not told: the list may be old only here.
         """
-        self._progress.suspect(replica.id, replica.epoch, now)
+        self._progress.suspect(replica.id, replica.epoch, now, is_own=True)
 
     def _format(self, ctx: RequestContext, attempts, replica: Replica) -> bytes:
         own = {
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -201,10 +201,18 @@
             self._dialled_at = now
             self._dial()
         counts = self._loads.get_own()
-        if counts != self._sent or now - self._sent_at >= QUIET_COUNTS_INTERVAL_S:
+        silent_ms = {
+            target: int(1000 * age_s)
+            for target, age_s in self._progress.list_own_recent(now).items()
+        }
+        has_news = any(
+            age_ms < 1000 * COUNTS_INTERVAL_S for age_ms in silent_ms.values()
+        )
+        is_due = now - self._sent_at >= QUIET_COUNTS_INTERVAL_S
+        if counts != self._sent or has_news or is_due:
             self._sent, self._sent_at = counts, now
             age_ms = int(1000 * min(600.0, now - self._contact.answered_at))
-            self._node.broadcast(LoadCounts(counts, age_ms))
+            self._node.broadcast(LoadCounts(counts, age_ms, silent_ms))
         silent_s = now - self._contact.answered_at
         if self._contact.failing and silent_s > STORE_SILENCE_S:
             self._ask_for_items(now)
@@ -233,6 +241,8 @@
             case Received(peer=peer, message=LoadCounts() as message, at=at):
                 self._store_ages[peer.id] = (at, message.store_age_ms / 1000)
                 self._loads.note_peer(peer.id, message.counts, at)
+                for target, silent_ms in message.silent_ms.items():
+                    self._progress.note_heard(target, at - silent_ms / 1000)
                 self._on_loads()
             case Received(message=StalledTarget() as message, at=at):
                 self._progress.suspect(message.target, message.epoch, at)
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -148,6 +148,8 @@
                         "request": ctx.id,
                         "target": replica.id,
                         "sends": attempts.sends,
+                        "first_ms": round(1000 * attempts.first_event_s),
+                        "pause_ms": round(1000 * attempts.longest_pause_s),
                         "took_ms": round(1000 * (now - ctx.arrived_at)),
                     },
                 )
--- a/waxwingpitch/mesh/messages.py
+++ b/waxwingpitch/mesh/messages.py
@@ -198,7 +198,7 @@
 
 
 class LoadCounts(_Message, tag=12):
-    """Requests in progress from the sender, and how fresh its view of the store is.
+    """Requests in progress from the sender, and how fresh its knowledge is.
 
     Attributes
     ----------
@@ -206,10 +206,13 @@
         Requests in progress by target.
     store_age_ms
         Time since the store last answered the sender.
+    silent_ms
+        Time since the sender last saw something move, by target, if that is recent.
     """
 
     counts: dict[str, int]
     store_age_ms: int
+    silent_ms: dict[str, int] = {}
 
 
 class StalledTarget(_Message, tag=13):
--- a/waxwingpitch/targets/progress.py
+++ b/waxwingpitch/targets/progress.py
@@ -1,4 +1,8 @@
-"""Signs of life of targets, as one entry host sees them in its own streams."""
+"""Signs of life of targets, in the streams of this entry host and its peers.
+
+Answers the load under which a busy target is silent for a while: one entry host has a
+stream or two at each, and can't tell by them whether a target is slow or stuck.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +11,10 @@
 # Time for which a target in which nothing moved gets no new requests. After that one
 # request may try it again, in case it only paused.
 SUSPICION_S = 2.5
+# Age of the oldest signs of life that peers are told of.
+RECENT_S = 1.0
+# Age after which a sign of life says nothing any more.
+FORGET_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,10 +25,14 @@
     ----------
     since, until
         Monotonic times.
+    is_own
+        Whether it is a matter of this entry host alone, such as a target that it can't
+        reach, so that what moves at peers says nothing against it.
     """
 
     since: float
     until: float
+    is_own: bool
 
 
 class ProgressBook:
@@ -31,23 +43,44 @@
     """
 
     def __init__(self):
-        self._progress: dict[str, float] = {}
+        self._own: dict[str, float] = {}
+        self._heard: dict[str, float] = {}
         self._suspicions: dict[tuple[str, int], Suspicion] = {}
 
     def note_progress(self, target: str, epoch: int, now: float) -> None:
         """Note that something arrived from a target."""
-        self._progress[target] = now
+        self._own[target] = now
         self._suspicions.pop((target, epoch), None)
 
+    def note_heard(self, target: str, at: float) -> None:
+        """Note that a peer had a sign of life from a target at a monotonic time."""
+        if at <= self._heard.get(target, 0.0):
+            return
+        self._heard[target] = at
+        for key, known in list(self._suspicions.items()):
+            if key[0] == target and not known.is_own and known.since < at:
+                del self._suspicions[key]
+
+    def list_own_recent(self, now: float) -> dict[str, float]:
+        """Return the ages of recent signs of life here, in seconds, by target."""
+        for known in (self._own, self._heard):
+            for target in [key for key, at in known.items() if now - at > FORGET_S]:
+                del known[target]
+        return {
+            target: now - at for target, at in self._own.items() if now - at < RECENT_S
+        }
+
     def find_progress(self, target: str) -> float:
         """Return when something last arrived from a target; 0 if never."""
-        return self._progress.get(target, 0.0)
+        return max(self._own.get(target, 0.0), self._heard.get(target, 0.0))
 
-    def suspect(self, target: str, epoch: int, now: float) -> bool:
+    def suspect(
+        self, target: str, epoch: int, now: float, *, is_own: bool = False
+    ) -> bool:
         """Suspect a target; return whether that is news."""
         known = self._suspicions.get((target, epoch))
         since = known.since if known is not None and known.until > now else now
-        self._suspicions[(target, epoch)] = Suspicion(since, now + SUSPICION_S)
+        self._suspicions[(target, epoch)] = Suspicion(since, now + SUSPICION_S, is_own)
         return known is None or known.until <= now
 
     def is_suspect(self, target: str, epoch: int, now: float) -> bool:
--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -219,6 +219,8 @@
         Connections accepted before this monotonic time fall silent.
     pause_until
         Monotonic time until which streams stand still.
+    first_s
+        Time before the first event of each request named, in seconds.
     """
 
     cut_after: int | None = None
@@ -228,6 +230,7 @@
     hang: bool = False
     silent_before: float = 0.0
     pause_until: float = 0.0
+    first_s: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass
@@ -539,6 +542,7 @@
         head = "HTTP/1.1 200 OK\r\n" + "\r\n".join(lines)
         sock.sendall(f"{head}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
         faults = self.targets[target].faults
+        gevent.sleep(faults.first_s.get(request, 0.0))
         for number in range(start, count + 1):
             gevent.sleep(self.event_s)
             while time.monotonic() < faults.pause_until:
--- a/waxwingpitch/tests/test_attempts.py
+++ b/waxwingpitch/tests/test_attempts.py
@@ -64,3 +64,21 @@
 
 def test_callers_own_error_is_not_repeated():
     assert not may_send_again(REPEATABLE, Attempts(sends=1, runs=1), CALLER_ERROR)
+
+
+def test_pauses_of_a_stream_are_measured():
+    attempts = Attempts(moved_at=10.0)
+    for event, at in enumerate([10.3, 10.4, 10.9, 11.0], start=1):
+        attempts.note_passed(event, at)
+    assert attempts.first_event_s == pytest.approx(0.3)
+    assert attempts.longest_pause_s == pytest.approx(0.5)
+    assert attempts.last_event == 4
+
+
+def test_runs_on_targets_that_ended_are_forgotten():
+    attempts = Attempts()
+    attempts.note_run("a", "10.0.0.1:1")
+    attempts.note_run("b", "10.0.0.2:1")
+    attempts.forget_ended(lambda target, address: target == "b")
+    assert attempts.runs == 1
+    assert attempts.may_have_run
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -127,6 +127,27 @@
     assert platform.runs["l1"] == 1
 
 
+def test_target_that_moves_at_a_peer_is_not_left(platform):
+    """A busy target may be silent here for longer than its aim."""
+    first = start_gateway(platform.store.address, "gw-1")
+    second = start_gateway(platform.store.address, "gw-2")
+    try:
+        for daemon in (first, second):
+            wait_for(lambda: count_slots(daemon, QUAD.name))
+        wait_for(lambda: second.dump()["peers"] and first.dump()["peers"])
+        caller = Caller(first.settings.front)
+        caller.send_chat("p1", model=QUAD.name, events=80)
+        for target in platform.targets.values():
+            target.faults.first_s["p2"] = 0.8
+        answer = chat(second.settings.front, "p2", model=QUAD.name, events=5)
+        assert answer.whole and answer.events == list(range(1, 6))
+        assert platform.runs["p2"] == 1
+        assert caller.read().whole
+    finally:
+        first.stop()
+        second.stop()
+
+
 def test_run_at_a_target_that_ended_does_not_count(platform, front):
     """A stream may outlive more targets than its route allows live ones."""
     platform.configure(max_attempts=1)
