Serve those first that can still be in time

Change: within a priority, requests whose aim can still be met (by the usual time to the first event) go before those that are late anyway and can take what is left before their deadlines. Played without a network: at 1.1 to 2 times the load that is borne, over 95% of the answers are in time, under 30% in the order before.

Ruled out: nothing.

--- a/waxwingpitch/admission/__init__.py
+++ b/waxwingpitch/admission/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .budget import RetryBudget
+from .fresh import FreshFirstQueue
 from .queue import FairQueue, Ticket
 
-__all__ = ["FairQueue", "RetryBudget", "Ticket"]
+__all__ = ["FairQueue", "FreshFirstQueue", "RetryBudget", "Ticket"]
--- a/waxwingpitch/admission/queue.py
+++ b/waxwingpitch/admission/queue.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -23,6 +24,8 @@
         Monotonic deadline for the whole answer.
     payload
         What the dispatcher needs to answer the request.
+    in_time_until
+        Monotonic time until which it can still be answered in time if it is sent.
     """
 
     request: str
@@ -32,6 +35,7 @@
     cost: float
     deadline: float
     payload: Any = None
+    in_time_until: float = math.inf
 
 
 class _PriorityQueue:
@@ -137,6 +141,11 @@
     def __len__(self) -> int:
         return sum(len(queue.heap) for queue in self._queues.values())
 
+    def __iter__(self) -> Iterator[Ticket]:
+        """Yield the tickets, in no order."""
+        for queue in self._queues.values():
+            yield from (item[2] for item in queue.heap)
+
     def _first(self) -> _PriorityQueue | None:
         waiting = [level for level, queue in self._queues.items() if queue.heap]
         return self._queues[min(waiting)] if waiting else None
--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -36,8 +36,8 @@
         Whether there is no proof that it did not run.
     has_passed_events
         Whether the caller has a part of the answer.
-    first_event_s
-        Time from the caller's question to the first event, in seconds.
+    first_event_at
+        Monotonic time of the first event; 0 if there was none.
     longest_pause_s
         Longest time between two events after that, in seconds.
     failure
@@ -60,7 +60,7 @@
         self.last_event = last_event
         self.moved_at = moved_at
         self.has_passed_events = False
-        self.first_event_s = 0.0
+        self.first_event_at = 0.0
         self.longest_pause_s = 0.0
         self.failure: Answer | None = None
         self._ran_at: dict[str, str] = {}
@@ -73,11 +73,10 @@
 
     def note_passed(self, last_event: int | None, now: float) -> None:
         """Note that the caller got events."""
-        pause_s = now - self.moved_at
         if self.has_passed_events:
-            self.longest_pause_s = max(pause_s, self.longest_pause_s)
+            self.longest_pause_s = max(now - self.moved_at, self.longest_pause_s)
         else:
-            self.first_event_s = pause_s
+            self.first_event_at = now
         self.last_event = last_event or self.last_event
         self.moved_at = now
         self.has_passed_events = True
--- a/waxwingpitch/gateway/dispatch.py
+++ b/waxwingpitch/gateway/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections import defaultdict, deque
@@ -9,7 +10,7 @@
 
 from gevent.event import AsyncResult
 
-from ..admission import FairQueue, Ticket
+from ..admission import FreshFirstQueue, Ticket
 from ..admission.forecast import Pressure, Refuse, decide_admission
 from ..routing.placement import ReplicaLoad, choose_replica
 from ..targets.loads import LoadBook
@@ -51,6 +52,8 @@
     begun_until
         Monotonic time until which the caller of a request that has run in part waits
         for it to go on.
+    aim_at
+        Monotonic time until which its answer, or the first event, is in time.
     """
 
     request: str
@@ -62,6 +65,7 @@
     deadline: float
     avoid: frozenset[str] = frozenset()
     begun_until: float | None = None
+    aim_at: float = math.inf
 
 
 class _ColdLimit:
@@ -95,7 +99,10 @@
         self._loads = loads
         self._progress = progress
         self._rng = random.Random(zone)
-        self._queues: dict[tuple[str, str], FairQueue] = defaultdict(FairQueue)
+        self._queues: dict[tuple[str, str], FreshFirstQueue] = defaultdict(
+            FreshFirstQueue
+        )
+        self._first_s: dict[tuple[str, str], float] = {}
         self._service_s: dict[tuple[str, str], float] = {}
         self._refused: dict[tuple[str, str], deque[float]] = defaultdict(deque)
         self._cold = _ColdLimit()
@@ -133,16 +140,22 @@
         known = self._service_s.get(key, FIRST_SERVICE_S)
         self._service_s[key] = known + NEWEST_WEIGHT * (took_s - known)
 
+    def note_first(self, replica: Replica, took_s: float) -> None:
+        """Note how long a replica took to the first event, or to a whole answer."""
+        key = (replica.service, replica.model)
+        known = self._first_s.get(key, took_s)
+        self._first_s[key] = known + NEWEST_WEIGHT * (took_s - known)
+
     def pump(self) -> None:
         """Give free slots to the requests that wait."""
         now = time.monotonic()
         for queue in self._queues.values():
-            while (ticket := queue.peek()) is not None:
+            while (ticket := queue.peek(now)) is not None:
                 demand, result = ticket.payload
                 replica = self._choose(demand, now)
                 if replica is None:
                     break
-                queue.pop()
+                queue.pop(now)
                 self._take(replica, now)
                 result.set(replica)
 
@@ -171,7 +184,7 @@
 
     def _wait(
         self,
-        queue: FairQueue,
+        queue: FreshFirstQueue,
         demand: Demand,
         now: float,
         until: float,
@@ -188,6 +201,7 @@
             cost=demand.cost,
             deadline=until,
             payload=(demand, result),
+            in_time_until=demand.aim_at - self._find_first_s(demand),
         )
         if not queue.push(ticket):
             return Refused(1.0, "queue is full", pressure)
@@ -202,6 +216,9 @@
             return Refused(0.5, "waited too long", pressure)
         return replica
 
+    def _find_first_s(self, demand: Demand) -> float:
+        return self._first_s.get((demand.service, demand.model), 0.0)
+
     def _choose(self, demand: Demand, now: float) -> Replica | None:
         service = self._beliefs.find_service(demand.service)
         rate = 0.0 if service is None else service.cold_per_s
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -100,6 +100,7 @@
                 ctx.deadline,
                 frozenset(attempts.tried),
                 ctx.find_patience(attempts.moved_at) if attempts.runs else None,
+                ctx.arrived_at + ctx.route.aim_s,
             )
             asked_at = time.monotonic()
             granted = self._dispatcher.acquire(demand)
@@ -142,13 +143,18 @@
                     ctx.route.name, "served", now - ctx.arrived_at
                 )
                 self._dispatcher.note_served(replica, now - started_at)
+                first_at = attempts.first_event_at or now
+                if first_at > started_at:
+                    self._dispatcher.note_first(replica, first_at - started_at)
                 logger.info(
                     "request answered",
                     extra={
                         "request": ctx.id,
                         "target": replica.id,
                         "sends": attempts.sends,
-                        "first_ms": round(1000 * attempts.first_event_s),
+                        "first_ms": round(
+                            1000 * max(0.0, attempts.first_event_at - ctx.arrived_at)
+                        ),
                         "pause_ms": round(1000 * attempts.longest_pause_s),
                         "took_ms": round(1000 * (now - ctx.arrived_at)),
                     },
--- a/waxwingpitch/tests/test_admission.py
+++ b/waxwingpitch/tests/test_admission.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given
 
-from ..admission import FairQueue, RetryBudget, Ticket
+from ..admission import FairQueue, FreshFirstQueue, RetryBudget, Ticket
 from ..errors import (
     ResultCode,
     TargetLostError,
@@ -85,6 +85,61 @@
     assert queue.push(ticket("a", priority=1))
 
 
+def test_late_ones_of_a_higher_priority_go_before_fresh_ones():
+    queue = FreshFirstQueue()
+    queue.push(Ticket("late", "w", 0, 1.0, 1.0, 9.0, in_time_until=1.0))
+    queue.push(Ticket("fresh", "w", 1, 1.0, 1.0, 9.0, in_time_until=3.0))
+    queue.push(Ticket("older", "w", 1, 1.0, 1.0, 9.0, in_time_until=1.5))
+    assert len(queue) == 3
+    assert queue.count_ahead(0) == 1
+    order = [queue.pop(2.0).request for _ in range(3)]
+    assert order == ["late", "fresh", "older"]
+    assert queue.peek(2.0) is None
+
+
+def test_dropped_ticket_is_never_served():
+    queue = FreshFirstQueue()
+    for number in range(4):
+        queue.push(Ticket(f"r{number}", "w", 0, 1.0, 1.0, 9.0, in_time_until=number))
+    queue.drop("r0")
+    assert queue.peek(1.5).request == "r2"
+    queue.drop("r1")
+    assert [queue.pop(1.5).request for _ in range(2)] == ["r2", "r3"]
+
+
+def play_overload(queue, *, excess: float, aim_s: float, seconds: float) -> float:
+    """Return the share of answers that are in time, at a slot every 10 ms."""
+    now, next_arrival, in_time, served = 0.0, 0.0, 0, 0
+    while now < seconds:
+        while next_arrival <= now:
+            ticket = Ticket(
+                f"{next_arrival:.4f}",
+                f"w{served % 3}",
+                0,
+                1.0,
+                1.0,
+                next_arrival + 2.0,
+                in_time_until=next_arrival + aim_s,
+            )
+            if len(queue) < 200:
+                queue.push(ticket)
+            next_arrival += 0.01 / excess
+        ticket = queue.pop(now) if isinstance(queue, FreshFirstQueue) else queue.pop()
+        if ticket is not None:
+            served += 1
+            in_time += now <= ticket.in_time_until
+        now += 0.01
+    return in_time / served
+
+
+@pytest.mark.parametrize("excess", [1.1, 1.3, 2.0])
+def test_most_answers_are_in_time_under_overload(excess):
+    fresh = play_overload(FreshFirstQueue(), excess=excess, aim_s=0.15, seconds=20.0)
+    fair = play_overload(FairQueue(), excess=excess, aim_s=0.15, seconds=20.0)
+    assert fresh > 0.95
+    assert fair < 0.3
+
+
 def test_waiting_too_long_or_past_the_deadline_is_dropped():
     queue = FairQueue()
     queue.push(ticket("a"))
--- a/waxwingpitch/tests/test_attempts.py
+++ b/waxwingpitch/tests/test_attempts.py
@@ -70,7 +70,7 @@
     attempts = Attempts(moved_at=10.0)
     for event, at in enumerate([10.3, 10.4, 10.9, 11.0], start=1):
         attempts.note_passed(event, at)
-    assert attempts.first_event_s == pytest.approx(0.3)
+    assert attempts.first_event_at == 10.3
     assert attempts.longest_pause_s == pytest.approx(0.5)
     assert attempts.last_event == 4
 
