Load weights up to the store's limit, over all zones

Change: a load counts for its own time, and no more once its target shows the model; the loads of the other planners are told with the load counts, and a zone may use what they leave, at least its share.

Ruled out: the choice of the model to load, which the log shows to follow the pressure.

--- a/benchmarks/group_planning.py
+++ b/benchmarks/group_planning.py
@@ -61,7 +61,7 @@
     epochs = itertools.count(1000)
     loads: list[float] = []
 
-    def may_load(now: float, urgent: bool) -> bool:
+    def may_load(spec, model, target, now: float, urgent: bool) -> bool:
         loads[:] = [at for at in loads if now - at < QUAD.load_s]
         if len(loads) >= (LOADS_AT_ONCE if urgent else 1):
             return False
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -7,6 +7,7 @@
 import time
 import uuid
 from collections.abc import Callable
+from functools import partial
 
 import gevent
 from gevent.event import Event
@@ -20,6 +21,7 @@
     TargetTimeoutError,
     UnreachableError,
 )
+from ..groups.load_limit import LoadLimit
 from ..mesh.messages import PlanningRight
 from ..platform import (
     OPERATOR_PREFIX,
@@ -115,6 +117,15 @@
             self.metrics,
             self._suspects,
         )
+        self._load_limits = {
+            zone: LoadLimit(
+                len(settings.zones), partial(self._count_loads_beside, zone)
+            )
+            for zone in settings.zones
+        }
+        self._peers.count_loads = partial(
+            self._count_loads_beside, "", with_peers=False
+        )
         self._planners = [
             ZonePlanner(
                 ZoneKey(
@@ -129,7 +140,7 @@
                 pool=self.pool,
                 loads=self.loads,
                 progress=self.progress,
-                zones=len(settings.zones),
+                load_limit=self._load_limits[zone],
                 count_waiting=self.dispatcher.estimate_unserved,
                 ask_peers=self._peers.may_be_alive,
                 is_store_silent=self._peers.is_store_silent,
@@ -231,6 +242,16 @@
             return False
         return True
 
+    def _count_loads_beside(self, zone: str, *, with_peers: bool = True) -> int:
+        """Return the loads of weights under way that other zones' planners began."""
+        now = time.monotonic()
+        own = sum(
+            limit.count_under_way(now)
+            for other, limit in self._load_limits.items()
+            if other != zone
+        )
+        return own + (self._peers.count_peer_loads(now) if with_peers else 0)
+
     def _find_target_pause(self) -> float:
         if any(planner.is_busy for planner in self._planners):
             return TARGET_PAUSE_BUSY_S
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -34,6 +34,8 @@
 
 COUNTS_INTERVAL_S = 0.1
 QUIET_COUNTS_INTERVAL_S = 0.5
+# Age after which a peer's loads of weights say nothing: three messages missing.
+PEER_LOADS_VALID_S = 1.5
 DIAL_INTERVAL_S = 1.0
 # Silence of the store after which its items are asked of a peer.
 STORE_SILENCE_S = 0.8
@@ -72,6 +74,8 @@
         self._is_answering = is_answering
         self.on_suspects: Callable[[tuple[SuspectItem, ...], float], None] = _ignore
         self.on_right: Callable[[PlanningRight], None] = lambda right: None
+        self.count_loads: Callable[[], int] = lambda: 0
+        self._peer_loads: dict[str, tuple[float, int]] = {}
         self._results: dict[str, dict[str, bool]] = {}
         self._store_ages: dict[str, tuple[float, float]] = {}
         self._sent: dict[str, int] = {}
@@ -112,6 +116,14 @@
             self._node.send(peer, right)
         return peer
 
+    def count_peer_loads(self, now: float) -> int:
+        """Return the loads of weights under way that the peers began."""
+        return sum(
+            loads
+            for at, loads in self._peer_loads.values()
+            if now - at < PEER_LOADS_VALID_S
+        )
+
     def announce_stall(self, target: str, epoch: int) -> None:
         """Tell all peers that nothing moves at a target."""
         self._node.broadcast(StalledTarget(target, epoch))
@@ -212,7 +224,8 @@
         if counts != self._sent or has_news or is_due:
             self._sent, self._sent_at = counts, now
             age_ms = int(1000 * min(600.0, now - self._contact.answered_at))
-            self._node.broadcast(LoadCounts(counts, age_ms, silent_ms))
+            loads = self.count_loads()
+            self._node.broadcast(LoadCounts(counts, age_ms, silent_ms, loads))
         silent_s = now - self._contact.answered_at
         if self._contact.failing and silent_s > STORE_SILENCE_S:
             self._ask_for_items(now)
@@ -241,6 +254,7 @@
             case Received(peer=peer, message=LoadCounts() as message, at=at):
                 self._store_ages[peer.id] = (at, message.store_age_ms / 1000)
                 self._loads.note_peer(peer.id, message.counts, at)
+                self._peer_loads[peer.id] = (at, message.loads)
                 for target, silent_ms in message.silent_ms.items():
                     self._progress.note_heard(target, at - silent_ms / 1000)
                 self._on_loads()
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -15,6 +15,7 @@
 from ..groups.fleet import FleetView, summarize
 from ..groups.formation import FormationPlanner
 from ..groups.ledger import GiveOrder
+from ..groups.load_limit import LoadLimit
 from ..groups.orders_to_targets import Join
 from ..mesh.messages import PlanningRight
 from ..targets.loads import LoadBook
@@ -56,7 +57,7 @@
         pool: ConnectionPool,
         loads: LoadBook,
         progress: ProgressBook,
-        zones: int,
+        load_limit: LoadLimit,
         count_waiting: Callable[[str, str], int],
         ask_peers: Callable[[str, str], bool],
         is_store_silent: Callable[[], bool],
@@ -68,7 +69,7 @@
         self._beliefs = beliefs
         self._loads = loads
         self._progress = progress
-        self._zones = zones
+        self._load_limit = load_limit
         self._count_waiting = count_waiting
         self._is_store_silent = is_store_silent
         self._announce = announce
@@ -77,7 +78,6 @@
         self._metrics = metrics
         self._summarized_at = 0.0
         self._planners: dict[str, FormationPlanner] = {}
-        self._load_starts: list[float] = []
         self._probes = TargetProbes(pool, beliefs, ask_peers)
         self._greenlet: gevent.Greenlet | None = None
 
@@ -132,26 +132,6 @@
         self._planners.clear()
         self._probes.begin(fence)
 
-    def _may_load(self, now: float, urgent: bool) -> bool:
-        """Keep this zone's part of the weight store's limits.
-
-        Loads that only prepare a change leave room for those of targets that are of
-        no use without.
-        """
-        service = next(iter(self._planners))
-        engine = self._beliefs.find_service(service).engine
-        longest_s = max(model.load_s for model in engine.models)
-        self._load_starts = [at for at in self._load_starts if now - at < longest_s]
-        recent = sum(now - at < 1.0 for at in self._load_starts)
-        at_once = -(-engine.loads_at_once // self._zones)
-        limit = at_once if urgent else max(1, at_once // 2)
-        if len(self._load_starts) >= limit:
-            return False
-        if recent >= max(1, int(engine.loads_per_s / self._zones)):
-            return False
-        self._load_starts.append(now)
-        return True
-
     def _plan(self) -> None:
         now = time.monotonic()
         cfg = self._beliefs.cfg
@@ -162,7 +142,9 @@
                 continue
             planner = self._planners.get(service.name)
             if planner is None:
-                planner = FormationPlanner(self._key.next_epoch, self._may_load)
+                planner = FormationPlanner(
+                    self._key.next_epoch, self._load_limit.try_begin
+                )
                 self._planners[service.name] = planner
             if self._is_store_silent():
                 self._ask_for_reports(planner, now)
@@ -182,6 +164,7 @@
         }
         demand, slots = self._measure(service, now)
         self._probes.note_states(targets)
+        self._load_limit.note_targets(targets)
         suspects = self._progress.list_suspects(now)
         self._probes.ask_suspects(targets, suspects, now)
         self._probes.ask_unreachable(now)
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -20,7 +20,7 @@
 from .ledger import EFFECT_S, Forming, GiveOrder, OrderLedger
 from .naming import HeadPlace, name_group, parse_head
 from .orders_to_targets import Close, Join, Leave, Open, Stage
-from .staging import HostStaging
+from .staging import HostStaging, MayLoad
 
 # Time within which a target that the list dropped by mistake is in it again.
 RETURN_S = 2.5
@@ -42,13 +42,11 @@
     next_epoch
         Returns a number higher than all before, at any planner.
     may_load
-        Returns whether one more load from the weight store may begin at a time; the
-        second argument says whether the target is of no use without it.
+        Returns whether a model may be loaded onto a target's host at a time; the last
+        argument says whether the target is of no use without it.
     """
 
-    def __init__(
-        self, next_epoch: Callable[[], int], may_load: Callable[[float, bool], bool]
-    ):
+    def __init__(self, next_epoch: Callable[[], int], may_load: MayLoad):
         self._next_epoch = next_epoch
         self.ledger = OrderLedger()
         self._balance = GroupBalance(self.ledger)
--- a/waxwingpitch/groups/staging.py
+++ b/waxwingpitch/groups/staging.py
@@ -4,13 +4,15 @@
 
 from collections.abc import Callable, Iterator, Set
 
-from ..configuration.routes import ModelSpec
+from ..configuration.routes import EngineSpec, ModelSpec
 from ..targets.records import MemberState, TargetRecord
 from .balance import GroupBalance
 from .fleet import REJOIN_S, FleetView, count_models, find_join_s
 from .ledger import EFFECT_S, GiveOrder, OrderLedger
 from .orders_to_targets import Stage
 
+MayLoad = Callable[[EngineSpec, ModelSpec, str, float, bool], bool]
+
 
 class HostStaging:
     """Chooses loads onto hosts, within what the weight store bears.
@@ -18,15 +20,15 @@
     Parameters
     ----------
     may_load
-        Returns whether one more load from the weight store may begin at a time; the
-        second argument says whether the target is of no use without it.
+        Returns whether a model may be loaded onto a target's host at a time; the last
+        argument says whether the target is of no use without it.
     """
 
     def __init__(
         self,
         ledger: OrderLedger,
         balance: GroupBalance,
-        may_load: Callable[[float, bool], bool],
+        may_load: MayLoad,
     ):
         self._ledger = ledger
         self._balance = balance
@@ -66,7 +68,10 @@
             model = self._choose_to_stage(view, record, idle)
             if model is None:
                 continue
-            if view.has_traffic and not self._may_load(now, record.id in idle):
+            is_urgent = record.id in idle
+            if view.has_traffic and not self._may_load(
+                view.spec, model, record.id, now, is_urgent
+            ):
                 return
             effect_s = model.load_s * 2 + EFFECT_S
             yield from self._ledger.give(record, Stage(model.name), effect_s, now)
--- a/waxwingpitch/mesh/messages.py
+++ b/waxwingpitch/mesh/messages.py
@@ -208,11 +208,14 @@
         Time since the store last answered the sender.
     silent_ms
         Time since the sender last saw something move, by target, if that is recent.
+    loads
+        Loads of weights under way that the sender began.
     """
 
     counts: dict[str, int]
     store_age_ms: int
     silent_ms: dict[str, int] = {}
+    loads: int = 0
 
 
 class StalledTarget(_Message, tag=13):
--- a/waxwingpitch/tests/test_formation.py
+++ b/waxwingpitch/tests/test_formation.py
@@ -17,7 +17,7 @@
 
 def build_planner(start: int = 1000) -> FormationPlanner:
     epochs = itertools.count(start)
-    return FormationPlanner(lambda: next(epochs), lambda now, urgent: True)
+    return FormationPlanner(lambda: next(epochs), lambda *load: True)
 
 
 @pytest.fixture
--- a/waxwingpitch/tests/test_formation_machine.py
+++ b/waxwingpitch/tests/test_formation_machine.py
@@ -38,7 +38,7 @@
         self.fleet.has_traffic = True
 
     def _build_planner(self) -> FormationPlanner:
-        return FormationPlanner(lambda: next(self.epochs), lambda now, urgent: True)
+        return FormationPlanner(lambda: next(self.epochs), lambda *load: True)
 
     def _count_orders(self, target: str) -> int:
         return sum(name == target for name, _ in self.fleet.orders)
