Let no silence end an answer that could not be paid to go on

Change: silence ends an answer only if the budget has a repeat left. Test on sockets, failing before. Ruled out: no slot (11, which waited as long as their callers), the deadline (19), broken connections (3), an unreachable target (1).

--- a/waxwingpitch/admission/budget.py
+++ b/waxwingpitch/admission/budget.py
@@ -40,9 +40,14 @@
         """Note a first try."""
         self._saved = min(self._most, self._saved + self._ratio)
 
+    @property
+    def has_some(self) -> bool:
+        """Whether a retry would be allowed now."""
+        return self._saved >= 1.0
+
     def spend(self) -> bool:
         """Return whether a retry is allowed, and count it."""
-        if self._saved < 1.0:
+        if not self.has_some:
             return False
         self._saved -= 1.0
         return True
--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..admission import RetryBudget
 from ..configuration.routes import Route
 from ..forwarding import Answer
 
@@ -27,6 +28,8 @@
         Last event of a stream that the caller has.
     moved_at
         Monotonic time at which the caller got the last part of the answer, or asked.
+    budget
+        Pays for the sends after the first.
 
     Attributes
     ----------
@@ -51,7 +54,9 @@
         runs: int = 0,
         last_event: int | None = None,
         moved_at: float = 0.0,
+        budget: RetryBudget | None = None,
     ):
+        self.budget = RetryBudget() if budget is None else budget
         self.sends = sends
         self.runs = runs
         self.began = False
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -307,7 +307,9 @@
             late_at = moved_at + stall_s * STALL_FACTOR_ALIVE
             until = min(stuck_at, late_at)
             if now >= until:
-                if self.may_follow(ctx, attempts, Stalled("nothing arrives")):
+                if attempts.budget.has_some and self.may_follow(
+                    ctx, attempts, Stalled("nothing arrives")
+                ):
                     raise TargetTimeoutError(f"nothing for {now - moved_at:.2f} s")
                 until = now + ASK_AGAIN_S
             try:
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -76,8 +76,11 @@
             self.in_progress -= 1
 
     def _serve(self, ctx: RequestContext, resp: Responder) -> None:
+        budget = self._budget(ctx.service)
         attempts = Attempts(
-            last_event=read_last_event(ctx.req), moved_at=ctx.arrived_at
+            last_event=read_last_event(ctx.req),
+            moved_at=ctx.arrived_at,
+            budget=budget,
         )
         fingerprint = ctx.fingerprint
         if self._suspects.is_blocked(fingerprint):
@@ -87,7 +90,6 @@
                 ctx.id, resp, code, reason, BLOCKED_RETRY_S, route=ctx.route.name
             )
             return
-        budget = self._budget(ctx.service)
         budget.earn()
         while True:
             demand = Demand(
@@ -119,7 +121,7 @@
             self._log_attempt(ctx, attempts, granted, outcome)
             if isinstance(outcome, Failed):
                 attempts.failure = outcome.answer
-            if not self._may_go_on(ctx, attempts, outcome, budget):
+            if not self._may_go_on(ctx, attempts, outcome):
                 self._finish_failed(ctx, resp, attempts, outcome)
                 return
 
@@ -177,13 +179,12 @@
         ctx: RequestContext,
         attempts: Attempts,
         outcome: Outcome,
-        budget: RetryBudget,
     ) -> bool:
         if ctx.deadline - time.monotonic() < MIN_SEND_S:
             return False
         if not self._exchange.may_follow(ctx, attempts, outcome):
             return False
-        if budget.spend():
+        if attempts.budget.spend():
             return True
         logger.info("retry budget is spent", extra={"request": ctx.id})
         return False
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -148,6 +148,20 @@
         second.stop()
 
 
+def test_silence_ends_no_stream_while_the_retry_budget_is_spent(platform, gateway):
+    gateway._find_budget("pool")._saved = 0.0
+    caller = Caller(gateway.settings.front)
+    caller.send_chat("b1", model=PAIR.name, events=10)
+    wait_for(lambda: platform.runs["b1"])
+    gevent.sleep(0.1)
+    for target in platform.targets.values():
+        target.faults.pause_until = time.monotonic() + 1.0
+    answer = caller.read()
+    assert answer.whole
+    assert answer.events == list(range(1, 11))
+    assert platform.runs["b1"] == 1
+
+
 def test_run_at_a_target_that_ended_does_not_count(platform, front):
     """A stream may outlive more targets than its route allows live ones."""
     platform.configure(max_attempts=1)
