--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -10,6 +10,7 @@
 import socket
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 import gevent
@@ -219,6 +220,10 @@
         Connections accepted before this monotonic time fall silent.
     pause_until
         Monotonic time until which streams stand still.
+    script
+        Answers plain calls instead; gets the socket and the request's id.
+    is_early
+        Whether the script answers before the body is read.
     first_s
         Time before the first event of each request named, in seconds.
     """
@@ -231,6 +236,8 @@
     silent_before: float = 0.0
     pause_until: float = 0.0
     first_s: dict[str, float] = field(default_factory=dict)
+    script: Callable[[socket.socket, str], None] | None = None
+    is_early: bool = False
 
 
 @dataclass
@@ -259,6 +266,8 @@
         Requests whose connection was closed while they ran.
     frozen
         Targets that can't reach the store.
+    bodies
+        Body of each request that was read, by request id.
     refused_orders
         Orders that were refused.
     misdirected
@@ -281,6 +290,7 @@
         self._published: dict[str, bytes] = {}
         self.frozen: set[str] = set()
         self.broken_rules: list[str] = []
+        self.bodies: dict[str, bytes] = {}
         self.refused_orders = 0
         self.misdirected: Counter[str] = Counter()
         for target in self.fleet.targets:
@@ -461,8 +471,14 @@
                 while (line := reader.readline()).strip():
                     name, _, value = line.decode().partition(":")
                     headers[name.lower()] = value.strip()
-                body = reader.read(int(headers.get("content-length", 0)))
                 faults = self.targets[target].faults
+                if faults.is_early:
+                    faults.script(sock, headers.get("attempt-id", ""))
+                    gevent.sleep(0.1)
+                body = reader.read(int(headers.get("content-length", 0)))
+                self.bodies[headers.get("attempt-id", "")] = body
+                if faults.is_early:
+                    continue
                 while faults.hang or accepted_at < faults.silent_before:
                     gevent.sleep(0.05)
                 self._answer(target, sock, method, path, headers, body)
@@ -517,6 +533,9 @@
         faults = self.targets[target].faults
         self._note_run(request, headers)
         gevent.sleep(self.plain_s)
+        if faults.script is not None:
+            faults.script(sock, request)
+            return
         if faults.reset:
             faults.reset -= 1
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
--- /dev/null
+++ b/waxwingpitch/tests/test_gateway_answers.py
@@ -0,0 +1,214 @@
+"""What callers get of targets' answers on real sockets: what is whole and theirs."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+import pytest
+
+from .gateway_client import Caller, call, start_gateway
+from .platform_standin import PlatformFake, TargetFaults
+from .test_gateway import wait_for
+
+SEAL = "Response-Seal: seal.x\r\n"
+
+
+@pytest.fixture(scope="module")
+def platform():
+    platform = PlatformFake()
+    platform.configure()
+    yield platform
+    platform.stop()
+
+
+@pytest.fixture(scope="module")
+def gateway(platform):
+    daemon = start_gateway(platform.store.address)
+    wait_for(lambda: len(daemon.beliefs.find_replicas("plain", "")) == 2)
+    yield daemon
+    daemon.stop()
+
+
+@pytest.fixture
+def front(platform, gateway):
+    yield gateway.settings.front
+    for target in platform.plain:
+        platform.targets[target].faults = TargetFaults()
+    gateway.pool.close_idle(time.monotonic() + 1000.0)
+
+
+def set_script(platform, script, *, is_early: bool = False) -> None:
+    for target in platform.plain:
+        platform.targets[target].faults = TargetFaults(script=script, is_early=is_early)
+
+
+def answer_with(platform, head: str, body: bytes = b"", *, ends: bool = False) -> None:
+    """Let plain targets answer with a head and a body, and perhaps close."""
+
+    def _script(sock, request: str) -> None:
+        echo = f"Attempt-Id: {request}\r\n"
+        sock.sendall(f"HTTP/1.1 {head}{echo}\r\n".encode() + body)
+        if ends:
+            raise OSError("ends")
+
+    set_script(platform, _script)
+
+
+def send_raw(front, data: bytes) -> Caller:
+    caller = Caller(front)
+    caller.sock.sendall(data)
+    return caller
+
+
+def test_answer_without_length_is_passed_whole(platform, front):
+    answer_with(platform, "200 OK\r\n" + SEAL, b"to the end", ends=True)
+    answer = call(front, "/file/x", "a1")
+    assert (answer.status, answer.body, answer.whole) == (200, b"to the end", True)
+
+
+def test_answer_in_chunks_is_passed_whole(platform, front):
+    head = f"200 OK\r\n{SEAL}Transfer-Encoding: chunked\r\n"
+    answer_with(platform, head, b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+    assert call(front, "/file/x", "a2").body == b"abcde"
+
+
+@pytest.mark.parametrize(
+    ("head", "body"),
+    [
+        (f"200 OK\r\n{SEAL}Content-Length: 9\r\n", b"short"),
+        (f"200 OK\r\n{SEAL}Transfer-Encoding: chunked\r\n", b"5\r\nab"),
+        (f"200 OK\r\n{SEAL}Content-Length: x\r\n", b"body"),
+        ("200 OK\r\nContent-Length: 2\r\n", b"no"),
+        (f"200 OK\r\n{SEAL}Content-Encoding: gzip\r\nContent-Length: 2\r\n", b"zz"),
+    ],
+)
+def test_broken_or_unsealed_success_is_no_success(platform, front, head, body):
+    answer_with(platform, head, body, ends=True)
+    for path in ("/file/x", "/read/x"):
+        answer = call(front, path, "a3" + path)
+        assert answer.status in (502, 504)
+        assert "response-seal" not in answer.headers
+
+
+def test_bytes_that_are_no_answer_are_a_failure(platform, front):
+    set_script(
+        platform, lambda sock, request: sock.sendall(b"\x16\x03 nonsense\r\n\r\n")
+    )
+    assert call(front, "/file/x", "a4").status in (502, 504)
+
+
+def test_sealed_failure_is_passed_unchanged(platform, front):
+    head = f"500 Oops\r\n{SEAL}Content-Length: 4\r\n"
+    answer_with(platform, head, b"oops")
+    answer = call(front, "/file/x", "a5")
+    assert (answer.status, answer.body) == (500, b"oops")
+    assert answer.headers["response-seal"] == "seal.x"
+
+
+def test_extra_answer_reaches_nobody(platform, front):
+    """Bytes after a whole answer belong to no request."""
+    once = f"HTTP/1.1 200 OK\r\n{SEAL}Content-Length: 4\r\n"
+
+    def _script(sock, request: str) -> None:
+        own = f"{once}Attempt-Id: {request}\r\n\r\n".encode() + request[-4:].encode()
+        sock.sendall(own + once.encode() + b"\r\nlies")
+
+    set_script(platform, _script)
+    bodies = [call(front, "/file/x", f"extra-{n:04}").body for n in range(8)]
+    assert bodies == [f"{n:04}".encode() for n in range(8)]
+
+
+def test_late_answer_to_another_request_is_not_passed(platform, front):
+    def _script(sock, request: str) -> None:
+        head = f"HTTP/1.1 200 OK\r\n{SEAL}Content-Length: 5\r\n"
+        sock.sendall(f"{head}Attempt-Id: other\r\n\r\n".encode() + b"other")
+        gevent.sleep(0.05)
+        sock.sendall(f"{head}Attempt-Id: {request}\r\n\r\n".encode() + b"right")
+
+    set_script(platform, _script)
+    assert call(front, "/file/x", "a6").body == b"right"
+
+
+def test_early_answer_to_a_long_body(platform, front):
+    """The target answers first and reads on later; what it reads is the body."""
+
+    def _script(sock, request: str) -> None:
+        head = f"HTTP/1.1 413 Long\r\n{SEAL}Content-Length: 4\r\n"
+        sock.sendall(f"{head}Attempt-Id: {request}\r\n\r\n".encode() + b"long")
+
+    set_script(platform, _script, is_early=True)
+    for number in range(3):
+        body = bytes([65 + number]) * 60_000
+        answer = call(front, "/file/x", f"early-{number}", body=body)
+        assert (answer.status, answer.body) == (413, b"long")
+        wait_for(lambda: f"early-{number}" in platform.bodies, 2.0)
+        assert platform.bodies[f"early-{number}"] == body
+
+
+def test_body_in_chunks_reaches_the_target(platform, front):
+    head = (
+        "POST /file/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: c1\r\n"
+        "Authorization: Bearer key-1\r\nDeadline-Ms: 4000\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    )
+    caller = send_raw(front, head.encode() + b"4\r\nabcd\r\n3\r\nefg\r\n")
+    gevent.sleep(0.1)
+    assert "c1" not in platform.seen
+    caller.sock.sendall(b"0\r\n\r\n")
+    assert caller.read().status == 200
+    assert platform.bodies["c1"] == b"abcdefg"
+    caller.close()
+
+
+def test_smuggled_request_is_not_run(platform, front):
+    """Two framings at once: nothing of it may become a request of its own."""
+    inner = "POST /file/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: inner\r\n\r\n"
+    head = (
+        "POST /file/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: outer\r\n"
+        "Authorization: Bearer key-1\r\nContent-Length: 4\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    )
+    caller = send_raw(front, (head + inner).encode())
+    assert caller.read().status == 400
+    gevent.sleep(0.2)
+    assert "inner" not in platform.seen
+    assert "outer" not in platform.seen
+    caller.close()
+
+
+def test_limits_on_headers_and_body(platform, front):
+    long_header = call(front, "/file/x", "l1", X_Long="y" * 20_000)
+    assert long_header.status == 431
+    assert call(front, "/file/x", "l2", body=b"z" * 70_000).status == 413
+    assert not {"l1", "l2"} & platform.seen.keys()
+
+
+def test_callers_headers_reach_the_target(platform, front):
+    call(
+        front, "/file/x", "h1", X_Own="kept", Connection="keep-alive, X-Hop", X_Hop="a"
+    )
+    seen = platform.seen["h1"]
+    assert seen["x-own"] == "kept"
+    assert "x-hop" not in seen
+    assert seen["expect-instance"] in platform.plain
+
+
+def test_connections_are_kept_on_both_sides(platform, front):
+    caller = Caller(front)
+    sources = []
+    set_script(
+        platform,
+        lambda sock, request: (
+            sources.append(sock.getpeername()[1]),
+            sock.sendall(
+                f"HTTP/1.1 200 OK\r\n{SEAL}Attempt-Id: {request}\r\n"
+                "Content-Length: 2\r\n\r\nok".encode()
+            ),
+        ),
+    )
+    for number in range(6):
+        caller.send("/file/x", f"k{number}")
+        assert caller.read().status == 200
+    assert len(set(sources)) <= 2
+    caller.close()
