Say in the stand-in why an engine crashed

For test_request_that_crashes_targets_is_blocked, which stays listed: the bound is the same, and its next failure names the causes of the crashes.

--- a/waxwingpitch/standins/engine.py
+++ b/waxwingpitch/standins/engine.py
@@ -61,6 +61,7 @@
         self.members: tuple[str, ...] = ()
         self.ready = False
         self.crashes = 0
+        self.crash_causes: list[str] = []
         self.peak_running = 0
         self.streams: dict[str, Stream] = {}
         self._fleet = fleet
@@ -108,11 +109,12 @@
         if self._server is not None:
             self._server.stop(timeout=0)
 
-    def crash(self) -> None:
+    def crash(self, cause: str = "told to") -> None:
         """End the process and start it again after a while."""
         if not self.alive:
             return
         self.crashes += 1
+        self.crash_causes.append(cause)
         gevent.spawn(self._crash_and_restart)
 
     def chill(self) -> None:
@@ -243,9 +245,10 @@
         self.streams[req.request] = stream
         self.peak_running = max(self.peak_running, self.running)
         if POISON in req.prompt:
-            gevent.spawn_later(self._model.step_s, self.crash)
+            cause = f"request {req.request} attempt {req.attempt}"
+            gevent.spawn_later(self._model.step_s, self.crash, cause)
         elif not self.is_warm and self.running > self._model.cold_cap:
-            self.crash()
+            self.crash(f"{self.running} requests while cold")
         self._work.set()
         return stream
 
--- a/waxwingpitch/tests/test_process_streams.py
+++ b/waxwingpitch/tests/test_process_streams.py
@@ -114,7 +114,8 @@
         statuses.append(resp.status)
         gevent.sleep(0.2)
     gevent.joinall(bystanders, raise_error=True)
-    assert sum(engine.crashes for engine in engines) - before <= 2
+    crashed = sum(engine.crashes for engine in engines) - before
+    assert crashed <= 2, [engine.crash_causes for engine in engines]
     assert 200 not in statuses
     assert statuses[-1] == 422
     for i, job in enumerate(bystanders):
