--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -111,12 +111,12 @@
 
     Attributes
     ----------
-    is_elsewhere
+    is_misdirected
         Whether the target says that it is not the one, or heads no open group.
     """
 
     reason: str
-    is_elsewhere: bool = False
+    is_misdirected: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -149,7 +149,7 @@
             )
             for zone in settings.zones
         ]
-        self._peers.on_right = self._on_right
+        self._peers.on_planning_right = self._take_right
         self._watchers = [
             self._watch(OPERATOR_PREFIX, lambda: 0.0),
             self._watch(TARGET_PREFIX, self._find_target_pause),
@@ -281,7 +281,7 @@
             logger.info("target suspected", extra={"target": target, "epoch": epoch})
             self._peers.announce_stall(target, epoch)
 
-    def _on_right(self, right: PlanningRight) -> None:
+    def _take_right(self, right: PlanningRight) -> None:
         for planner in self._planners:
             if planner.zone == right.zone and not self._stopping:
                 planner.take_over(right)
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -135,7 +135,7 @@
         attempts.forget_ended(self._is_answering)
         return may_send_again(ctx.route, attempts, outcome)
 
-    def note_elsewhere(self, replica: Replica, now: float) -> None:
+    def note_misdirected(self, replica: Replica, now: float) -> None:
         """Send no more to a replica that is not where the list has it.
 
         The peers are not told: the list may be old only here.
@@ -209,7 +209,7 @@
         head = answer.head
         if head.find(HeaderNames.NOT_RUN) is not None or head.status == 421:
             reason = f"target refused with {head.status}"
-            return NotRun(reason, is_elsewhere=head.status == 421)
+            return NotRun(reason, is_misdirected=head.status == 421)
         if head.find(b"content-encoding") is not None:
             return Broken("the answer is encoded")
         sealed = head.find(HeaderNames.SEAL) is not None
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -73,7 +73,7 @@
         self._on_loads = on_loads
         self._is_answering = is_answering
         self.on_suspects: Callable[[tuple[SuspectItem, ...], float], None] = _ignore
-        self.on_right: Callable[[PlanningRight], None] = lambda right: None
+        self.on_planning_right: Callable[[PlanningRight], None] = lambda right: None
         self.count_loads: Callable[[], int] = lambda: 0
         self._peer_loads: dict[str, tuple[float, int]] = {}
         self._results: dict[str, dict[str, bool]] = {}
@@ -272,7 +272,7 @@
             case Received(message=Suspects(items=items), at=at):
                 self.on_suspects(items, at)
             case Received(message=PlanningRight() as message):
-                self.on_right(message)
+                self.on_planning_right(message)
             case Received(message=TargetNews() as message):
                 self._take_news(message)
             case LinkUp(peer=peer):
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -161,8 +161,8 @@
                         "took_ms": round(1000 * (now - ctx.arrived_at)),
                     },
                 )
-            case NotRun(is_elsewhere=True):
-                self._exchange.note_elsewhere(replica, now)
+            case NotRun(is_misdirected=True):
+                self._exchange.note_misdirected(replica, now)
             case Broken():
                 if not attempts.began:
                     attempts.note_run(replica.id, replica.address)
--- a/waxwingpitch/gateway/zone_key.py
+++ b/waxwingpitch/gateway/zone_key.py
@@ -123,11 +123,12 @@
         """
         if not self.is_held or not self._is_store_silent():
             return None
-        right = self._received or PlanningRight(
-            self.zone, self._name, self.fence, self._counter, self._lease or ""
-        )
-        fence, self.fence = self.fence, 0
-        return PlanningRight(right.zone, right.owner, fence, self._counter, right.lease)
+        owner, lease = self._name, self._lease or ""
+        if self._received is not None:
+            owner, lease = self._received.owner, self._received.lease
+        right = PlanningRight(self.zone, owner, self.fence, self._counter, lease)
+        self.fence = 0
+        return right
 
     def take_over(self, right: PlanningRight) -> bool:
         """Take the right that its holder gave up; return whether it holds."""
