--- a/waxwingpitch/groups/fleet.py
+++ b/waxwingpitch/groups/fleet.py
@@ -49,7 +49,7 @@
     has_traffic: bool = True
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class SeenGroup:
     """A group as its members' records show it."""
 
--- a/waxwingpitch/groups/ledger.py
+++ b/waxwingpitch/groups/ledger.py
@@ -25,8 +25,10 @@
     order: Order
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Forming:
+    """A group that is being formed, the head first, until a monotonic deadline."""
+
     group: str
     epoch: int
     model: ModelSpec
@@ -34,8 +36,10 @@
     deadline: float
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class PendingOrder:
+    """An order whose effect should show by a monotonic deadline."""
+
     order: Order
     deadline: float
 
@@ -98,7 +102,8 @@
         """Note that a target refused an order, or did not answer."""
         pending = self._pending.get(target)
         if pending is not None and pending.order == order:
-            pending.deadline = min(pending.deadline, now + REFUSED_S)
+            deadline = min(pending.deadline, now + REFUSED_S)
+            self._pending[target] = PendingOrder(order, deadline)
 
     def drop_settled(self, view: FleetView, now: float) -> None:
         """Forget orders whose effect shows, or should have shown by now."""
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -115,16 +115,7 @@
     """The last target that a route allows may take as long as the caller waits."""
     platform.configure(max_attempts=1)
     gevent.sleep(0.3)
-    caller = Caller(front)
-    caller.send_chat("l1", model=PAIR.name, events=10)
-    wait_for(lambda: platform.runs["l1"])
-    gevent.sleep(0.1)
-    for target in platform.targets.values():
-        target.faults.pause_until = time.monotonic() + 1.0
-    answer = caller.read()
-    assert answer.whole
-    assert answer.events == list(range(1, 11))
-    assert platform.runs["l1"] == 1
+    check_stream_outlives_a_pause(platform, front, "l1")
 
 
 def test_target_that_moves_at_a_peer_is_not_left(platform):
@@ -150,16 +141,21 @@
 
 def test_silence_ends_no_stream_while_the_retry_budget_is_spent(platform, gateway):
     gateway._find_budget("pool")._saved = 0.0
-    caller = Caller(gateway.settings.front)
-    caller.send_chat("b1", model=PAIR.name, events=10)
-    wait_for(lambda: platform.runs["b1"])
+    check_stream_outlives_a_pause(platform, gateway.settings.front, "b1")
+
+
+def check_stream_outlives_a_pause(platform, front, request: str) -> None:
+    """A stream stands still for a second, and ends whole at its first target."""
+    caller = Caller(front)
+    caller.send_chat(request, model=PAIR.name, events=10)
+    wait_for(lambda: platform.runs[request])
     gevent.sleep(0.1)
     for target in platform.targets.values():
         target.faults.pause_until = time.monotonic() + 1.0
     answer = caller.read()
     assert answer.whole
     assert answer.events == list(range(1, 11))
-    assert platform.runs["b1"] == 1
+    assert platform.runs[request] == 1
 
 
 def test_run_at_a_target_that_ended_does_not_count(platform, front):
