Own each mesh socket in one greenlet

The connections of the websockets library wait in a selector. Its gevent watchers stay active on the descriptor after the socket is closed, and abort the process when another watcher of that descriptor stops, as that of a sender that is blocked by a full buffer. Seen by listing all greenlets and selectors of a process: each link had a greenlet in selectors.select with an active watcher.

Ruled out: 30 s instead of 5 s until a silent link is given up only delays it; gevent's own close cancels its own waiters, but does not know the selector.

Change: mesh/websocket.py frames with the library's sans-I/O protocol on one gevent socket. Its owner receives and is the only one that closes; a sender has ended before; all others shut the connection down, which wakes the owner. Queued messages leave in one write.

Test: no selector watches a link (fails before: two of them); links to silent peers with unsent data end without ending the process (a program of its own).

--- a/waxwingpitch/mesh/node.py
+++ b/waxwingpitch/mesh/node.py
@@ -8,23 +8,25 @@
 
 import logging
 import random
+import socket
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import gevent
 from gevent.queue import Full, Queue
-from websockets.exceptions import WebSocketException
-from websockets.sync.client import connect
-from websockets.sync.connection import Connection
-from websockets.sync.server import serve
+from gevent.server import StreamServer
 
 from ..errors import PeerError
 from .codec import decode_message, encode_message
 from .handshake import Identity, accept_handshake, connect_handshake, refuse
 from .messages import Message
+from .websocket import WebSocket, WebSocketClosedError
 
 MAX_QUEUED_MESSAGES = 256
+# Messages that are sent in one write.
+MAX_BATCH_MESSAGES = 64
+BACKLOG = 512
 RECEIVE_TIMEOUT_S = 5.0
 HANDSHAKE_TIMEOUT_S = 2.0
 MIN_RECONNECT_DELAY_S = 0.2
@@ -62,7 +64,7 @@
 class _Link:
     """An authenticated connection to one peer."""
 
-    def __init__(self, conn: Connection, peer: Identity):
+    def __init__(self, conn: WebSocket, peer: Identity):
         self.conn = conn
         self.peer = peer
         self.queue: Queue = Queue(MAX_QUEUED_MESSAGES)
@@ -71,14 +73,12 @@
 
     def send_forever(self) -> None:
         while True:
-            data = self.queue.get()
-            self.conn.send(data)
-            self.sent_bytes += len(data)
-            self.sent_messages += 1
-
-    def close(self) -> None:
-        self.conn.socket.close()
-        self.conn.close_socket()
+            batch = [self.queue.get()]
+            while not self.queue.empty() and len(batch) < MAX_BATCH_MESSAGES:
+                batch.append(self.queue.get_nowait())
+            self.conn.send(*batch)
+            self.sent_bytes += sum(map(len, batch))
+            self.sent_messages += len(batch)
 
 
 class MeshNode:
@@ -115,23 +115,15 @@
         self._links: dict[str, _Link] = {}
         self._dialers: dict[str, gevent.Greenlet] = {}
         self._sent_on_closed_links = [0, 0]
-        self._server = serve(
-            self._accept,
-            host,
-            port,
-            max_size=frame_bytes,
-            compression=None,
-            ping_interval=None,
-            open_timeout=HANDSHAKE_TIMEOUT_S,
-            logger=logging.getLogger("waxwingpitch.websockets"),
-        )
+        self._listener = socket.create_server((host, port), backlog=BACKLOG)
+        self._server = StreamServer(self._listener, self._accept)
         self._host = host
-        self._acceptor: gevent.Greenlet | None = None
+        self._port = self._listener.getsockname()[1]
 
     @property
     def address(self) -> str:
         """``IP:port`` of the listening socket."""
-        return f"{self._host}:{self._server.socket.getsockname()[1]}"
+        return f"{self._host}:{self._port}"
 
     @property
     def peers(self) -> frozenset[str]:
@@ -155,16 +147,15 @@
 
     def start(self) -> None:
         """Start accepting links."""
-        self._acceptor = gevent.spawn(self._accept_forever)
+        self._server.start()
 
     def stop(self) -> None:
         """Close all links and the listening socket."""
         gevent.killall(list(self._dialers.values()), block=False)
         for link in list(self._links.values()):
-            link.close()
-        if self._acceptor is not None:
-            self._acceptor.kill(block=False)
-        self._server.socket.close()
+            link.conn.shut_down()
+        self._server.close()
+        self._listener.close()
 
     def dial(self, addresses: Iterable[str]) -> None:
         """Keep connecting to these addresses and stop connecting to all others.
@@ -209,23 +200,27 @@
                 "mesh send queue is full; closing the link",
                 extra={"peer": link.peer.id},
             )
-            link.close()
+            link.conn.shut_down()
 
-    def _accept_forever(self) -> None:
-        """Accept connections until the socket is closed.
-
-        The accept loop of the websockets library waits in a selector that it never
-        closes, which under gevent leaves a watcher on a closed descriptor.
-        """
-        while True:
-            try:
-                sock, address = self._server.socket.accept()
-            except OSError:
-                return
-            sock.settimeout(None)
-            gevent.spawn(self._server.handler, sock, address)
+    def _accept(self, sock: socket.socket, address) -> None:
+        try:
+            conn = WebSocket.accept(
+                sock,
+                frame_bytes=self._frame_bytes,
+                open_timeout_s=HANDSHAKE_TIMEOUT_S,
+                timeout_s=RECEIVE_TIMEOUT_S,
+            )
+        except (WebSocketClosedError, OSError) as exc:
+            logger.debug("connection of a mesh peer failed: %s", exc)
+            return
+        try:
+            self._serve_accepted(conn)
+        except (WebSocketClosedError, OSError) as exc:
+            logger.debug("connection of a mesh peer failed: %s", exc)
+        finally:
+            conn.close()
 
-    def _accept(self, conn: Connection) -> None:
+    def _serve_accepted(self, conn: WebSocket) -> None:
         try:
             peer = accept_handshake(
                 conn.send,
@@ -239,8 +234,6 @@
             )
             refuse(conn.send, exc)
             return
-        except (WebSocketException, TimeoutError, OSError):
-            return
         self._run_link(conn, peer)
 
     def _dial_forever(self, address: str) -> None:
@@ -254,7 +247,7 @@
                     "connection refused by a mesh peer",
                     extra={"address": address, "reason": exc.message},
                 )
-            except (WebSocketException, TimeoutError, OSError) as exc:
+            except (WebSocketClosedError, OSError) as exc:
                 logger.debug(
                     "connecting to a mesh peer failed: %s",
                     exc,
@@ -266,15 +259,13 @@
             delay_s = min(MAX_RECONNECT_DELAY_S, delay_s * 2)
 
     def _dial_once(self, address: str) -> None:
-        with connect(
-            f"ws://{address}",
-            max_size=self._frame_bytes,
-            compression=None,
-            ping_interval=None,
-            open_timeout=HANDSHAKE_TIMEOUT_S,
-            close_timeout=0.1,
-            proxy=None,
-        ) as conn:
+        conn = WebSocket.connect(
+            address,
+            frame_bytes=self._frame_bytes,
+            open_timeout_s=HANDSHAKE_TIMEOUT_S,
+            timeout_s=RECEIVE_TIMEOUT_S,
+        )
+        try:
             peer = connect_handshake(
                 conn.send,
                 lambda: conn.recv(HANDSHAKE_TIMEOUT_S),
@@ -282,28 +273,31 @@
                 self._key,
             )
             self._run_link(conn, peer)
+        finally:
+            conn.close()
 
-    def _run_link(self, conn: Connection, peer: Identity) -> None:
+    def _run_link(self, conn: WebSocket, peer: Identity) -> None:
+        """Send and receive until the link ends; the caller then closes the socket."""
         if peer.id == self._local.id:
             return
         link = _Link(conn, peer)
         previous = self._links.pop(peer.id, None)
         if previous is not None:
-            previous.close()
+            previous.conn.shut_down()
         self._links[peer.id] = link
         sender = gevent.spawn(self._send_until_closed, link)
         self._deliver(LinkUp(peer))
         try:
             self._receive_until_closed(link)
         finally:
-            sender.kill(block=False)
             self._remove_link(link)
+            sender.kill()
 
     def _send_until_closed(self, link: _Link) -> None:
         try:
             link.send_forever()
-        except (WebSocketException, OSError):
-            link.close()
+        except (WebSocketClosedError, OSError):
+            link.conn.shut_down()
 
     def _receive_until_closed(self, link: _Link) -> None:
         try:
@@ -316,8 +310,8 @@
                 "malformed mesh message; closing the link",
                 extra={"peer": link.peer.id, "reason": exc.message},
             )
-        except (WebSocketException, TimeoutError, OSError):
-            return
+        except (WebSocketClosedError, OSError) as exc:
+            logger.debug("mesh link ended: %s", exc, extra={"peer": link.peer.id})
 
     def _remove_link(self, link: _Link) -> None:
         self._sent_on_closed_links[0] += link.sent_messages
--- a/waxwingpitch/telemetry/logs.py
+++ b/waxwingpitch/telemetry/logs.py
@@ -49,7 +49,7 @@
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
     logging.getLogger("urllib3").setLevel(logging.ERROR)
-    logging.getLogger("waxwingpitch.websockets").setLevel(logging.ERROR)
+    logging.getLogger("websockets").setLevel(logging.ERROR)
 
 
 class BoundedHandler(logging.Handler):
@@ -123,4 +123,4 @@
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
     logging.getLogger("urllib3").setLevel(logging.ERROR)
-    logging.getLogger("waxwingpitch.websockets").setLevel(logging.ERROR)
+    logging.getLogger("websockets").setLevel(logging.ERROR)
--- a/waxwingpitch/tests/test_mesh.py
+++ b/waxwingpitch/tests/test_mesh.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import gc
+import subprocess
+import sys
+from pathlib import Path
 
 import gevent
 import hypothesis.strategies as st
@@ -32,6 +35,7 @@
 from ..targets import EvidenceBook, Health
 from .cluster import wait_until
 
+PYTHON = (sys.executable, "-m", "gevent.monkey", "--module")
 TEXT = st.text(max_size=12)
 NUMBERS = st.integers(0, 2**63 - 1)
 MESSAGES = st.one_of(
@@ -216,19 +220,30 @@
     assert offsets.delay_s("p", 3000, 58.0) == pytest.approx(6.0)
 
 
-def test_stop_leaves_no_watcher_on_a_closed_descriptor():
-    """A leaked gevent watcher aborts the process when another one is started."""
-    node = MeshNode(
-        Identity("a", "1", "z"),
-        "k" * 16,
-        host="127.0.0.1",
-        port=0,
-        frame_bytes=1000,
-        deliver=lambda event: None,
-    )
-    node.start()
-    gevent.sleep(0.05)
-    node.stop()
-    gevent.sleep(0.05)
+def list_watching_selectors() -> list[GeventSelector]:
+    """Return the selectors that watch a descriptor."""
     selectors = [item for item in gc.get_objects() if type(item) is GeventSelector]
-    assert not any(item._active_watchers for item in selectors)
+    return [item for item in selectors if item._active_watchers]
+
+
+def test_no_selector_watches_a_link():
+    """A selector's watcher outlives its descriptor, and then aborts the process."""
+    alice, bob = build_node(ALICE, []), build_node(BOB, [])
+    alice.dial([bob.address])
+    wait_until(lambda: "bob" in alice.peers and "alice" in bob.peers, 5.0)
+    watching = list_watching_selectors()
+    alice.stop()
+    bob.stop()
+    gevent.sleep(0.05)
+    assert watching == list_watching_selectors() == []
+
+
+@pytest.mark.processes
+def test_silent_peers_with_unsent_data_do_not_end_the_process():
+    done = subprocess.run(
+        [*PYTHON, "waxwingpitch.tests.silent_link"],
+        cwd=Path(__file__).parents[2],
+        capture_output=True,
+        timeout=30.0,
+    )
+    assert (done.returncode, done.stdout) == (0, b"all links ended\n")
