Follow a store that comes back from an older copy

The mirror keeps an entry unless a higher revision comes, so that after a restore it would believe what the store has forgotten and refuse what it says now; fencing tokens and epochs are built on revisions that are given out again; leases and the planner's key would be gone while their holders go on.

Change: a version holds the era above the revision (agreed/versions.py), so that mirror, relays, watch positions, fencing tokens and epochs compare as before, and later eras win. The platform's store client combines and splits them, takes a watch, a write or a lease of an earlier era as lost, and lists again. A gateway then - drops what only the store of before said, after a grace period of 2.5 s for targets, evacuated zones and entry hosts; - ignores records of targets and configurations that are older than those it knows; - gets a new lease and planner's key, and gives no order under a key of an earlier era nor, for the time of a lease, under a new one; - sends a peer of an earlier era everything, so that it drops the same. Permissions that run out are measured on the boot clock: the monotonic clock stands still while a host is suspended, so that an expired lease looked valid. The HTTP client of the store has limits for the size and the time of a body.

Weighed: a pair of era and revision in all types (every message and comparison changes, and a fencing token has to be one number anyway).

--- a/waxwingpitch/agreed/mirror.py
+++ b/waxwingpitch/agreed/mirror.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from ..ports import StoredChange, StoredDeletion, StoredEntry
+from .versions import get_era
 
 MAX_TOMBSTONES = 4096
 
@@ -12,6 +13,9 @@
 class StoreMirror:
     """Entries and tombstones; an entry is replaced only by a higher version.
 
+    A version of a later era is higher than all of earlier ones. Entries of an earlier
+    era are deleted once the list of their prefix in the later era lacks them.
+
     Examples
     --------
     >>> mirror = StoreMirror()
@@ -25,6 +29,22 @@
         self._entries: dict[str, StoredEntry] = {}
         self._deleted: dict[str, int] = {}
         self._synced: dict[str, int] = {}
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Latest era of a change that was applied."""
+        return self._era
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no entry is known."""
+        return not self._entries
+
+    @property
+    def prefixes(self) -> tuple[str, ...]:
+        """Prefixes that are watched."""
+        return tuple(self._synced)
 
     @property
     def version(self) -> int:
@@ -55,6 +75,7 @@
 
     def apply(self, change: StoredChange) -> list[str]:
         """Apply changes and return the keys that were changed by them."""
+        self._era = max(self._era, get_era(change.version))
         changed = [entry.key for entry in change.entries if self._put(entry)]
         changed += [item.key for item in change.deletions if self._delete(item)]
         return changed
--- a/waxwingpitch/cli/call.py
+++ b/waxwingpitch/cli/call.py
@@ -75,13 +75,12 @@
             "stream": True,
             "messages": [message],
         }
-        resp = client.send(
+        resp = client.open_stream(
             "POST",
             "/v1/chat/completions",
             timeout_s=float(self.option("timeout")),
             body=msgspec.json.encode(body),
             headers=self._build_headers(),
-            stream=True,
         )
         if resp.status != 200:
             print(resp.data.decode("utf-8", "replace"))
--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, replace
 
 from ..agreed.mirror import StoreMirror
+from ..agreed.versions import get_era
+from ..clocks import boot_time
 from ..configuration.routes import RoutedConfiguration, ServiceSpec
 from ..errors import ConfigurationError
 from ..platform import (
@@ -31,6 +33,10 @@
 # outage may register again; until it ends they are still treated as listed.
 RELIST_GRACE_S = 2.5
 
+# Time after the store was restored for which a process that has not learned of it may
+# still give orders under a planner's key of before: its lease's time to live.
+OLDER_KEYS_S = 3.0
+
 # Time for which the removal of a target from the list is remembered, for the planner.
 REMOVED_RETENTION_S = 20.0
 
@@ -101,6 +107,13 @@
         and the monotonic time until which it is; see ``RELIST_GRACE_S``.
     relist_deadline
         Monotonic time until which removed targets are retained.
+    restore_deadline
+        Monotonic time until which zones and entry hosts that the store named before it
+        was restored from an older copy are believed without an entry.
+    older_keys_until
+        Boot time until which orders may be given under planner keys of an earlier era.
+    on_restored
+        Called when the store is found to have been restored from an older copy.
     on_target_lost
         Called with the id of a target that restarted, and its new start time in Unix
         milliseconds, or that was removed from the list without announcing that it
@@ -115,6 +128,11 @@
         self.retained: dict[str, tuple[KnownTarget, float]] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.relist_deadline = 0.0
+        self.restore_deadline = 0.0
+        self.older_keys_until = 0.0
+        self.on_restored: Callable[[], None] = lambda: None
+        self._peers_of_before: dict[str, str] = {}
+        self._evacuated_before: frozenset[str] = frozenset()
         self.on_target_lost: Callable[[str, int | None], None] = (
             lambda target, start: None
         )
@@ -142,10 +160,11 @@
 
     def list_peers(self) -> dict[str, str]:
         """Return the addresses of the entry hosts registered in the store, by name."""
-        return {
+        listed = {
             entry.key.removeprefix(MEMBER_PREFIX): entry.value.decode()
             for entry in self.mirror.iter_prefix(MEMBER_PREFIX)
         }
+        return self._peers_of_before | listed
 
     def find_planner(self, zone: str) -> str | None:
         """Return the name of the entry host that holds a zone's planner key."""
@@ -164,10 +183,12 @@
 
     def apply(self, change: StoredChange) -> None:
         """Apply changes from the store or a peer."""
+        self._check_era(change)
         self._apply_changed_keys(self.mirror.apply(change))
 
     def apply_list(self, prefix: str, listed: StoredChange) -> None:
         """Apply a complete listing of the keys below a prefix."""
+        self._check_era(listed)
         self._apply_changed_keys(self.mirror.apply_list(prefix, listed))
 
     def apply_report(self, target: str, version: int, report: MembershipReport) -> bool:
@@ -204,9 +225,31 @@
         expired = [key for key, (_, until) in self.retained.items() if until <= now]
         for target in expired:
             del self.retained[target]
+        if self._peers_of_before and self.restore_deadline <= now:
+            self._peers_of_before = {}
+            self._evacuated_before = frozenset()
+            self._load_evacuations()
+            expired.append("zones of before")
         if expired:
             self._rebuild()
 
+    def _check_era(self, change: StoredChange) -> None:
+        """Go on believing the store of before for a while if it was restored."""
+        era = get_era(change.version)
+        if era <= self.mirror.era:
+            return
+        if not self.mirror.is_empty:
+            logger.warning(
+                "store was restored from an older copy",
+                extra={"era": era, "earlier_era": self.mirror.era},
+            )
+            self.relist_deadline = self._clock() + RELIST_GRACE_S
+            self.restore_deadline = self.relist_deadline
+            self.older_keys_until = boot_time() + OLDER_KEYS_S
+            self._peers_of_before = self.list_peers()
+            self._evacuated_before = self.evacuated
+            self.on_restored()
+
     def _apply_changed_keys(self, changed: list[str]) -> None:
         if not changed:
             return
@@ -237,6 +280,10 @@
             )
             return
         if self.cfg is not None and cfg.version < self.cfg.version:
+            logger.warning(
+                "older configuration ignored",
+                extra={"version": cfg.version, "in_force": self.cfg.version},
+            )
             return
         self.route_table = RouteTable(cfg)
         logger.info(
@@ -249,7 +296,8 @@
             decode_evacuated_zone(entry.key)
             for entry in self.mirror.iter_prefix(EVACUATION_PREFIX)
         )
-        self.evacuated = frozenset(zone for zone in zones if zone)
+        listed = frozenset(zone for zone in zones if zone)
+        self.evacuated = listed | self._evacuated_before
         logger.info("zones out of service", extra={"zones": sorted(self.evacuated)})
 
     def _load_target(self, key: str) -> bool:
@@ -263,20 +311,25 @@
                 return False
             del self.targets[target]
             self.removed[target] = (known, now)
-            if not known.record.leaving:
+            if not known.record.leaving and now >= self.restore_deadline:
                 self.on_target_lost(target, None)
             if now < self.relist_deadline and not known.record.leaving:
                 self.retained[target] = (known, self.relist_deadline)
             logger.info("target gone from the list", extra={"target": target})
             return True
-        self.retained.pop(target, None)
-        self.removed.pop(target, None)
         try:
             record = decode_target_record(key, entry.value)
         except ValueError as exc:
             logger.warning("entry names no target", extra={"reason": str(exc)})
             self.targets.pop(target, None)
             return known is not None
+        if self._is_copy_of_before(record, entry.version):
+            logger.info("older record ignored", extra={"target": target})
+            if known is not None:
+                self.targets[target] = replace(known, version=entry.version)
+            return False
+        self.retained.pop(target, None)
+        self.removed.pop(target, None)
         self.targets[target] = KnownTarget(
             record,
             entry.version,
@@ -291,6 +344,17 @@
             self.on_target_lost(target, record.started_ms)
         return known is None or _affects_replicas(known.record, record)
 
+    def _is_copy_of_before(self, record: TargetRecord, version: int) -> bool:
+        """Return whether a restored store shows a target as it was earlier."""
+        known = self.targets.get(record.id)
+        if known is None and record.id in self.removed:
+            known, _ = self.removed[record.id]
+        if known is None or get_era(version) <= get_era(known.version):
+            return False
+        if record.id in self.targets:
+            return record.order < known.record.order
+        return record.order <= known.record.order
+
     def _rebuild(self) -> None:
         """Derive the replicas from the targets, their groups and the configuration."""
         found: dict[tuple[str, str], list[Replica]] = defaultdict(list)
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -13,6 +13,7 @@
 from gevent.event import Event
 
 from ..admission import RetryBudget
+from ..clocks import boot_time
 from ..configuration.routes import CallerLimits
 from ..forwarding import (
     CallerListener,
@@ -93,6 +94,7 @@
             str(settings.peers),
             max(LEASE_S, settings.min_lease_s),
         )
+        self.view.on_restored = self._on_store_restored
         self._peers = PeerTask(
             settings,
             uuid.uuid4().hex,
@@ -231,7 +233,8 @@
             "loads": self.loads.get_own(),
             "suspects": [list(key) for key in self.progress.list_suspicions(now)],
             "waiting": self.dispatcher.count_queued(),
-            "store_answered_s_ago": now - self._store_health.answered_at,
+            "store_answered_s_ago": boot_time() - self._store_health.answered_at,
+            "store_era": self.view.mirror.era,
         }
 
     def _watch(self, prefix: str, pause_s: Callable[[], float]) -> PrefixWatcher:
@@ -291,6 +294,10 @@
     def _on_view_change(self) -> None:
         self.dispatcher.assign_free_slots()
 
+    def _on_store_restored(self) -> None:
+        self.metrics.count_store_restored()
+        self._lease_keeper.wake()
+
     def _on_suspect(self, target: str, epoch: int) -> None:
         if self.progress.suspect(target, epoch, time.monotonic()):
             logger.info("target suspected", extra={"target": target, "epoch": epoch})
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -8,6 +8,9 @@
 
 import gevent
 
+from ..agreed.mirror import StoreMirror
+from ..agreed.versions import get_era
+from ..clocks import boot_time
 from ..mesh import Identity, MeshNode
 from ..mesh.messages import (
     DeletedItem,
@@ -37,6 +40,8 @@
 # Age after which a peer's count of weight loads is ignored: three times
 # ``IDLE_STATUS_INTERVAL_S``.
 PEER_WEIGHT_LOADS_TTL_S = 1.5
+# Age after which a peer's status says nothing about the store.
+STATUS_TTL_S = 2.0
 DIAL_INTERVAL_S = 1.0
 # Time without an answer of the store after which its changes are requested from a peer.
 PEER_SYNC_AFTER_S = 0.8
@@ -177,7 +182,7 @@
 
         Requires recent statuses of a quorum of the entry hosts; see ``QUORUM_SHARE``.
         """
-        now = time.monotonic()
+        now = boot_time()
         if (
             not self._store_health.failing
             or now - self._store_health.answered_at < STORE_UNAVAILABLE_AFTER_S
@@ -187,7 +192,7 @@
         ages = [
             age_s + now - at
             for peer, (at, age_s) in self._store_ages.items()
-            if peer in self._node.peers and now - at < 2.0
+            if peer in self._node.peers and now - at < STATUS_TTL_S
         ]
         if len(ages) + 1 < QUORUM_SHARE * (len(listed) + 1):
             return False
@@ -258,15 +263,18 @@
         is_due = now - self._status_sent_at >= IDLE_STATUS_INTERVAL_S
         if counts != self._sent_counts or has_recent_progress or is_due:
             self._sent_counts, self._status_sent_at = counts, now
-            store_age_ms = int(1000 * min(600.0, now - self._store_health.answered_at))
+            store_age_ms = int(1000 * min(600.0, self._store_age_s))
             weight_loads = self.count_weight_loads()
             self._node.broadcast(
                 GatewayStatus(counts, store_age_ms, progress_age_ms, weight_loads)
             )
-        store_age_s = now - self._store_health.answered_at
-        if self._store_health.failing and store_age_s > PEER_SYNC_AFTER_S:
+        if self._store_health.failing and self._store_age_s > PEER_SYNC_AFTER_S:
             self._request_store_changes(now)
 
+    @property
+    def _store_age_s(self) -> float:
+        return boot_time() - self._store_health.answered_at
+
     def _dial(self) -> None:
         """Connect to peers with a higher address, so that each pair has one link."""
         own_address = str(self._settings.peers)
@@ -276,10 +284,11 @@
     def _request_store_changes(self, now: float) -> None:
         if now - self._changes_requested_at < PEER_SYNC_INTERVAL_S:
             return
+        booted_s = boot_time()
         ages = {
-            peer: age_s + now - at
+            peer: age_s + booted_s - at
             for peer, (at, age_s) in self._store_ages.items()
-            if peer in self._node.peers and now - at < 2.0
+            if peer in self._node.peers and booted_s - at < STATUS_TTL_S
         }
         if ages:
             self._changes_requested_at = now
@@ -289,7 +298,7 @@
     def _deliver(self, event: MeshEvent) -> None:
         match event:
             case Received(peer=peer, message=GatewayStatus() as message, at=at):
-                self._store_ages[peer.id] = (at, message.store_age_ms / 1000)
+                self._store_ages[peer.id] = (boot_time(), message.store_age_ms / 1000)
                 self._loads.update_peer(peer.id, message.in_flight, at)
                 self._peer_weight_loads[peer.id] = (at, message.weight_loads)
                 for target, progress_age_ms in message.progress_age_ms.items():
@@ -300,9 +309,10 @@
             case Received(message=StalledTarget() as message, at=at):
                 self._progress.suspect(message.target, message.epoch, at)
             case Received(peer=peer, message=StoreChangesRequest(after=after)):
-                self._node.send(peer.id, self._build_store_changes(after))
+                changes = build_store_changes(self._view.mirror, after)
+                self._node.send(peer.id, changes)
             case Received(peer=peer, message=StoreChanges() as message):
-                self._apply_store_changes(message)
+                apply_store_changes(self._view, message)
             case Received(peer=peer, message=ProbeRequest() as message):
                 gevent.spawn(self._answer_probe, peer.id, message)
             case Received(peer=peer, message=ProbeResult() as message):
@@ -319,31 +329,36 @@
             case LinkDown(peer=peer):
                 logger.info("peer lost", extra={"peer": peer.id})
 
-    def _build_store_changes(self, after: int) -> StoreChanges:
-        change = self._view.mirror.list_after(after)
-        return StoreChanges(
-            change.version,
-            tuple(
-                DocumentItem(item.key, item.version, item.value)
-                for item in change.entries
-            ),
-            tuple(DeletedItem(item.key, item.version) for item in change.deletions),
-        )
 
-    def _apply_store_changes(self, message: StoreChanges) -> None:
-        self._view.apply(
-            StoredChange(
-                message.version,
-                tuple(
-                    StoredEntry(item.key, item.version, item.value)
-                    for item in message.items
-                ),
-                tuple(
-                    StoredDeletion(item.key, item.version) for item in message.deleted
-                ),
-            )
+def build_store_changes(mirror: StoreMirror, after: int) -> StoreChanges:
+    """Return what a peer lacks that knows all changes up to a version."""
+    is_complete = get_era(after) < get_era(mirror.version)
+    change = mirror.list_after(0 if is_complete else after)
+    return StoreChanges(
+        change.version,
+        tuple(
+            DocumentItem(item.key, item.version, item.value) for item in change.entries
+        ),
+        tuple(DeletedItem(item.key, item.version) for item in change.deletions),
+        is_complete,
+    )
+
+
+def apply_store_changes(view: GatewayView, message: StoreChanges) -> None:
+    """Apply a peer's answer to a request for store changes."""
+    entries = tuple(
+        StoredEntry(item.key, item.version, item.value) for item in message.items
+    )
+    if message.complete and get_era(message.version) > get_era(view.mirror.version):
+        for prefix in view.mirror.prefixes:
+            listed = tuple(item for item in entries if item.key.startswith(prefix))
+            view.apply_list(prefix, StoredChange(message.version, listed))
+    else:
+        deletions = tuple(
+            StoredDeletion(item.key, item.version) for item in message.deleted
         )
-        self._view.mirror.mark_all_synced(message.version)
+        view.apply(StoredChange(message.version, entries, deletions))
+    view.mirror.mark_all_synced(message.version)
 
 
 def _ignore(items: tuple[SuspectItem, ...], at: float) -> None:
--- a/waxwingpitch/gateway/store_tasks.py
+++ b/waxwingpitch/gateway/store_tasks.py
@@ -4,11 +4,11 @@
 
 import logging
 import random
-import time
 from collections.abc import Callable
 
 import gevent
 
+from ..clocks import boot_time
 from ..errors import (
     StoreAnswerLostError,
     StoreConflictError,
@@ -37,7 +37,7 @@
     Attributes
     ----------
     answered_at
-        Monotonic time of the last answer to any call.
+        Boot time of the last answer to any call.
     failing
         Whether a call has failed since that answer.
     """
@@ -49,7 +49,7 @@
 
     def record_answer(self) -> None:
         """Record that a call was answered."""
-        self.answered_at = time.monotonic()
+        self.answered_at = boot_time()
         if self.failing:
             self.failing = False
             logger.info("store answers again")
@@ -144,8 +144,8 @@
     lease
         Id of the lease; None while there is none.
     valid_until
-        Monotonic time before which the lease can't expire, counted from the start of
-        the last successful renewal.
+        Boot time before which the lease can't expire, counted from the start of the
+        last successful renewal.
     """
 
     interval_s = 1.0
@@ -170,7 +170,7 @@
 
     def tick(self) -> None:
         """Renew the lease and register this process."""
-        started_at = time.monotonic()
+        started_at = boot_time()
         try:
             if self.lease is None or not self._store.renew_lease(self.lease):
                 self._registered = False
@@ -201,7 +201,7 @@
         StoreError
             The store does not answer, or refuses the call.
         """
-        if self.lease is None or time.monotonic() >= self.valid_until:
+        if self.lease is None or boot_time() >= self.valid_until:
             return None
         try:
             return self._store.put(key, value, expect=0, lease=self.lease)
--- a/waxwingpitch/gateway/zone_key.py
+++ b/waxwingpitch/gateway/zone_key.py
@@ -14,6 +14,8 @@
 
 import gevent
 
+from ..agreed.versions import get_era
+from ..clocks import boot_time
 from ..errors import StoreError
 from ..mesh.messages import PlanningHandover
 from .beliefs import PLANNER_PREFIX, GatewayView
@@ -72,7 +74,9 @@
     @property
     def is_held(self) -> bool:
         """Whether this process may send orders in the zone now."""
-        if self.fence == 0:
+        if self.fence == 0 or get_era(self.fence) != self._view.mirror.era:
+            return False
+        if boot_time() < self._view.older_keys_until:
             return False
         owner = self._name if self._handover is None else self._handover.owner
         if self._view.find_planner(self.zone) not in (owner, None):
@@ -82,7 +86,7 @@
         return (
             self._handover is None
             and self._lease == self._lease_keeper.lease
-            and time.monotonic() < self._lease_keeper.valid_until - LEASE_MARGIN_S
+            and boot_time() < self._lease_keeper.valid_until - LEASE_MARGIN_S
         )
 
     def next_epoch(self) -> int:
--- a/waxwingpitch/load/runner.py
+++ b/waxwingpitch/load/runner.py
@@ -143,13 +143,12 @@
             "max_tokens": planned.max_tokens,
             "messages": [{"role": "user", "content": planned.prompt}],
         }
-        resp = client.send(
+        resp = client.open_stream(
             "POST",
             "/v1/chat/completions",
             timeout_s=self._profile.timeout_s,
             body=msgspec.json.encode(body),
             headers=_build_auth_headers(planned),
-            stream=True,
         )
         if resp.status != 200:
             return _classify_error(resp.data)
--- a/waxwingpitch/mesh/messages.py
+++ b/waxwingpitch/mesh/messages.py
@@ -246,11 +246,19 @@
 
 
 class StoreChanges(_Message, tag=15):
-    """Changed and deleted store keys, in answer to :class:`StoreChangesRequest`."""
+    """Changed and deleted store keys, in answer to :class:`StoreChangesRequest`.
+
+    Attributes
+    ----------
+    complete
+        Whether the items are all that the store holds, as the requested version is of
+        an earlier era.
+    """
 
     version: int
     items: tuple[DocumentItem, ...]
     deleted: tuple[DeletedItem, ...]
+    complete: bool = False
 
 
 class ProbeRequest(_Message, tag=16):
--- a/waxwingpitch/mesh/websocket.py
+++ b/waxwingpitch/mesh/websocket.py
@@ -1,10 +1,10 @@
 """A websocket on one gevent socket, which one greenlet owns.
 
-The owner receives and is the only one that closes the socket. Another greenlet may send;
-it must have ended before the owner closes. Everybody else calls :meth:`shut_down`, which
-wakes the owner. So no descriptor is closed while a greenlet waits for it, which would
-abort the process. The websockets library frames the messages; its own connections wait
-in a selector whose watchers outlive the descriptor.
+The owner receives and is the only one that closes the socket. Another greenlet may
+send; it must have ended before the owner closes. All others shut the connection down,
+which wakes the owner. So no descriptor is closed while a greenlet waits for it, which
+would abort the process. The websockets library frames the messages; its own
+connections wait in a selector, whose watchers outlive the descriptor.
 """
 
 from __future__ import annotations
--- a/waxwingpitch/platform/documents.py
+++ b/waxwingpitch/platform/documents.py
@@ -132,6 +132,7 @@
     models: list[_EntryModel] = []
     group: _GroupMembership | None = None
     born: int = 0
+    seq: int = 0
 
 
 def decode_routed_configuration(data: bytes) -> RoutedConfiguration:
@@ -187,6 +188,7 @@
             else Membership(group.name, group.epoch, group.rank, group.state)
         ),
         started_ms=entry.born,
+        writes=entry.seq,
     )
 
 
--- a/waxwingpitch/platform/headers.py
+++ b/waxwingpitch/platform/headers.py
@@ -16,6 +16,7 @@
     EXPECTED_TARGET = b"expect-instance"
     NOT_RUN = b"not-executed"
     RETRY_AFTER = b"retry-after"
+    LEAVING = b"server-leaving"
     TARGET = b"instance-id"
     TARGET_AT_FAULT = b"at-server"
     COLD_MS = b"cold-ms"
@@ -27,3 +28,5 @@
 
 
 BEARER_PREFIX = b"Bearer "
+# In all answers of the store; rises by one when it comes back from an older copy.
+STORE_ERA = "store-era"
--- a/waxwingpitch/platform/store.py
+++ b/waxwingpitch/platform/store.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..agreed.versions import combine_version, get_era, get_revision
 from ..errors import (
     StoreAnswerLostError,
     StoreConflictError,
@@ -21,9 +22,12 @@
     NotSentError,
     ResponseTimeoutError,
 )
+from .headers import STORE_ERA
 
 CALL_TIMEOUT_S = 1.0
 WATCH_MARGIN_S = 1.0
+# A page holds about 1 MB of values, in base64, or one value of up to 1 MB.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
 class _Item(msgspec.Struct):
@@ -64,32 +68,37 @@
     """
 
     def __init__(self, address: str, *, timeout_s: float = CALL_TIMEOUT_S):
-        self._client = HttpClient(f"http://{address}")
+        self._client = HttpClient(f"http://{address}", max_body_bytes=MAX_ANSWER_BYTES)
         self._timeout_s = timeout_s
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        return self._era
 
     def get(self, key: str) -> StoredEntry | None:
-        resp = self._read("/waxwingpitch/kv-key", {"key": key})
+        resp, era = self._read("/waxwingpitch/kv-key", {"key": key})
         if resp.status == 404:
             return None
-        return _decode_item(_decode(resp.data, _Item))
+        return _decode_item(_decode(resp.data, _Item), era)
 
     def put(
         self, key: str, value: bytes, *, expect: int, lease: str | None = None
     ) -> int:
         entry = {"key": key, "value": base64.b64encode(value).decode()}
         if lease is not None:
-            entry["lease"] = int(lease)
+            entry["lease"] = self._find_lease_id(lease)
         body = {
-            "expected": [{"key": key, "revision": expect}],
+            "expected": [{"key": key, "revision": self._find_revision(expect)}],
             "puts": [entry],
             "delete": [],
         }
-        resp = self._write("POST", "/waxwingpitch/kv-txn", body)
-        return _decode(resp.data, _WriteResult).revision
+        resp, era = self._write("POST", "/waxwingpitch/kv-txn", body)
+        return combine_version(era, _decode(resp.data, _WriteResult).revision)
 
     def delete(self, key: str, *, expect: int) -> None:
         body = {
-            "expected": [{"key": key, "revision": expect}],
+            "expected": [{"key": key, "revision": self._find_revision(expect)}],
             "puts": [],
             "delete": [key],
         }
@@ -101,9 +110,15 @@
             query = {"path_prefix": prefix}
             if after is not None:
                 query["after"] = after
-            page = _decode(self._read("/waxwingpitch/kv-range", query).data, _RangePage)
-            version = page.at if version is None else min(version, page.at)
-            entries.extend(map(_decode_item, page.items))
+            resp, era = self._read("/waxwingpitch/kv-range", query)
+            page = _decode(resp.data, _RangePage)
+            at = combine_version(era, page.at)
+            if version is not None and get_era(version) != era:
+                raise StoreUnavailableError(
+                    f"the store was restored while {prefix!r} was listed"
+                )
+            version = at if version is None else min(version, at)
+            entries.extend(_decode_item(item, era) for item in page.items)
             if not page.has_more or not page.items:
                 return StoredChange(version, tuple(entries))
             after = page.items[-1].key
@@ -111,22 +126,24 @@
     def watch(self, prefix: str, after: int, *, wait_s: float) -> StoredChange:
         query = {
             "path_prefix": prefix,
-            "after": after,
+            "after": self._find_watch_position(after),
             "wait_ms": int(wait_s * 1000),
         }
         timeout_s = wait_s + WATCH_MARGIN_S
-        resp = self._read("/waxwingpitch/kv-watch", query, timeout_s)
-        if resp.status == 410:
+        resp, era = self._read("/waxwingpitch/kv-watch", query, timeout_s)
+        if resp.status == 410 or era != get_era(after):
             raise StoreHistoryLostError(
-                f"the store has no history after revision {after}"
+                f"the store has no history after version {after}"
             )
         change = _decode(resp.data, _WatchEvents)
         latest = {item.key: item for item in change.events}
         return StoredChange(
-            change.at,
-            tuple(_decode_item(item) for item in latest.values() if not item.deleted),
+            combine_version(era, change.at),
+            tuple(
+                _decode_item(item, era) for item in latest.values() if not item.deleted
+            ),
             tuple(
-                StoredDeletion(item.key, item.revision)
+                StoredDeletion(item.key, combine_version(era, item.revision))
                 for item in latest.values()
                 if item.deleted
             ),
@@ -134,15 +151,48 @@
 
     def grant_lease(self, ttl_s: float) -> str:
         body = {"ttl_ms": int(ttl_s * 1000)}
-        resp = self._write("POST", "/waxwingpitch/kv-lease", body)
-        return str(_decode(resp.data, _GrantedLease).lease)
+        resp, era = self._write("POST", "/waxwingpitch/kv-lease", body)
+        return _format_lease(_decode(resp.data, _GrantedLease).lease, era)
 
     def renew_lease(self, lease: str) -> bool:
-        resp = self._write("POST", f"/waxwingpitch/kv-keep/{lease}", None)
-        return resp.status != 404
+        number, era = _parse_lease(lease)
+        if era != self._era:
+            return False
+        resp, answered_era = self._write(
+            "POST", f"/waxwingpitch/kv-keep/{number}", None
+        )
+        return resp.status != 404 and answered_era == era
 
     def revoke_lease(self, lease: str) -> None:
-        self._write("DELETE", f"/waxwingpitch/kv-lease-end/{lease}", None)
+        number, era = _parse_lease(lease)
+        if era == self._era:
+            self._write("DELETE", f"/waxwingpitch/kv-lease-end/{number}", None)
+
+    def _find_revision(self, version: int) -> int:
+        """Return the revision to expect; its era must not be over."""
+        if version and get_era(version) != self._era:
+            raise StoreConflictError(f"version {version} is of an earlier era")
+        return get_revision(version)
+
+    def _find_lease_id(self, lease: str) -> int:
+        number, era = _parse_lease(lease)
+        if era != self._era:
+            raise StoreConflictError(f"lease {lease} is of an earlier era")
+        return number
+
+    def _find_watch_position(self, version: int) -> int:
+        if get_era(version) != self._era:
+            raise StoreHistoryLostError(f"version {version} is of an earlier era")
+        return get_revision(version)
+
+    def _take_era(self, resp) -> int:
+        """Return the era of an answer, which becomes the known one if it is later."""
+        text = resp.headers.get(STORE_ERA, "0")
+        if not (text.isascii() and text.isdigit()):
+            raise StoreUnavailableError(f"era {text!r}; valid: a whole number")
+        era = int(text)
+        self._era = max(self._era, era)
+        return era
 
     def _read(self, path: str, query, timeout_s: float | None = None):
         try:
@@ -155,7 +205,10 @@
             raise StoreUnavailableError(str(exc)) from exc
         if resp.status not in (200, 404, 410):
             raise StoreUnavailableError(f"GET {path}: unexpected status {resp.status}")
-        return resp
+        era = self._take_era(resp)
+        if era < self._era:
+            raise StoreUnavailableError(f"GET {path}: answer of an earlier era")
+        return resp, era
 
     def _write(self, method: str, path: str, body):
         data = None if body is None else msgspec.json.encode(body)
@@ -168,6 +221,9 @@
             raise StoreUnavailableError(str(exc)) from exc
         except (ResponseTimeoutError, ConnectionLostError) as exc:
             raise StoreAnswerLostError(str(exc)) from exc
+        era = self._take_era(resp)
+        if era < self._era:
+            raise StoreAnswerLostError(f"{method} {path}: answer of an earlier era")
         if resp.status == 412:
             raise StoreConflictError(
                 f"{method} {path}: the key is not at the expected revision"
@@ -180,7 +236,7 @@
             raise StoreUnavailableError(
                 f"{method} {path}: unexpected status {resp.status}"
             )
-        return resp
+        return resp, era
 
 
 def _decode(data: bytes, struct_type):
@@ -190,9 +246,19 @@
         raise StoreUnavailableError(f"malformed answer of the store: {exc}") from exc
 
 
-def _decode_item(item: _Item) -> StoredEntry:
+def _format_lease(number: int, era: int) -> str:
+    return f"{era}.{number}" if era else str(number)
+
+
+def _parse_lease(lease: str) -> tuple[int, int]:
+    """Return the store's id of a lease, and its era."""
+    era, _, number = lease.rpartition(".")
+    return int(number), int(era or 0)
+
+
+def _decode_item(item: _Item, era: int) -> StoredEntry:
     try:
         value = base64.b64decode(item.value, validate=True)
     except (binascii.Error, ValueError):
         value = b""
-    return StoredEntry(item.key, item.revision, value)
+    return StoredEntry(item.key, combine_version(era, item.revision), value)
--- a/waxwingpitch/ports/common.py
+++ b/waxwingpitch/ports/common.py
@@ -15,7 +15,8 @@
     Attributes
     ----------
     version
-        Service-wide version of the last write to the key; never 0.
+        Service-wide version of the last write to the key; never 0. It includes the
+        era of a service that has eras; see :mod:`waxwingpitch.agreed.versions`.
     """
 
     key: str
@@ -58,8 +59,14 @@
     Every method raises :class:`~waxwingpitch.errors.StoreUnavailableError` if
     the call failed and had no effect, and
     :class:`~waxwingpitch.errors.StoreAnswerLostError` if it may have taken effect.
+    Versions and leases of an earlier era count as lost.
     """
 
+    @property
+    def era(self) -> int:
+        """Latest known era; 0 for a service that is never restored from a copy."""
+        return 0
+
     @abstractmethod
     def get(self, key: str) -> StoredEntry | None:
         """Return the entry of a key, or None if the key does not exist."""
--- a/waxwingpitch/ports/engine_http.py
+++ b/waxwingpitch/ports/engine_http.py
@@ -74,9 +74,7 @@
         progress_timeout_s: float,
         body: bytes | None = None,
     ) -> Iterator[Piece]:
-        resp = self.send(
-            method, path, timeout_s=progress_timeout_s, body=body, stream=True
-        )
+        resp = self.open_stream(method, path, timeout_s=progress_timeout_s, body=body)
         finished = False
         try:
             if resp.status != 200:
--- a/waxwingpitch/ports/http.py
+++ b/waxwingpitch/ports/http.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 
+import gevent
 import urllib3
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -14,6 +16,10 @@
 
 CONNECT_TIMEOUT_S = 0.5
 POOL_CONNECTIONS = 64
+MAX_BODY_BYTES = 64 * 1024 * 1024
+# Time for a body beyond the time for its first byte.
+MAX_BODY_S = 3.0
+READ_BYTES = 65536
 # Carries a target's report, as JSON, in its answers.
 REPORT_HEADER = "X-Target-Report"
 # "no" if the target refused the request without running it.
@@ -32,6 +38,15 @@
     """The request failed otherwise, such as by a reset; it may have been sent."""
 
 
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A response whose body has been read."""
+
+    status: int
+    headers: Mapping[str, str]
+    data: bytes
+
+
 class HttpClient:
     """Pool of connections to one base URL.
 
@@ -41,10 +56,19 @@
         URL that paths are appended to; a trailing slash is removed.
     connections
         Number of idle connections to keep.
+    max_body_bytes
+        Largest body that is read; a longer one counts as a lost connection.
     """
 
-    def __init__(self, base_url: str, *, connections: int = POOL_CONNECTIONS):
+    def __init__(
+        self,
+        base_url: str,
+        *,
+        connections: int = POOL_CONNECTIONS,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ):
         self._base_url = base_url.rstrip("/")
+        self._max_body_bytes = max_body_bytes
         self._pool = urllib3.PoolManager(num_pools=2, maxsize=connections, block=False)
 
     def send(
@@ -55,19 +79,44 @@
         timeout_s: float,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
-        stream: bool = False,
-    ) -> urllib3.BaseHTTPResponse:
-        """Send a request once, without retries or redirects.
+    ) -> HttpResponse:
+        """Send a request once, without retries or redirects, and read the body.
 
         Raises
         ------
         NotSentError
             The connection could not be established; the request was not sent.
         ResponseTimeoutError
-            No data arrived for ``timeout_s`` seconds.
+            No data arrived for ``timeout_s`` seconds, or the body did not end in time.
         ConnectionLostError
             The request failed otherwise, possibly after it was sent.
         """
+        late = ResponseTimeoutError(f"{self._base_url}: the body does not end")
+        with gevent.Timeout(timeout_s + MAX_BODY_S, late):
+            resp = self.open_stream(
+                method, path, timeout_s=timeout_s, body=body, headers=headers
+            )
+            try:
+                data = self._read_body(resp)
+            except ReadTimeoutError as exc:
+                raise ResponseTimeoutError(f"{self._base_url}: {exc}") from exc
+            except (HTTPError, OSError) as exc:
+                raise ConnectionLostError(f"{self._base_url}: {exc}") from exc
+        return HttpResponse(resp.status, resp.headers, data)
+
+    def open_stream(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request once and return the response before its body is read.
+
+        Raises the same errors as :meth:`send`.
+        """
         timeout = urllib3.Timeout(
             connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
         )
@@ -80,7 +129,7 @@
                 timeout=timeout,
                 retries=False,
                 redirect=False,
-                preload_content=not stream,
+                preload_content=False,
                 decode_content=False,
             )
         except (NewConnectionError, ConnectTimeoutError) as exc:
@@ -92,6 +141,18 @@
         except (HTTPError, OSError) as exc:
             raise ConnectionLostError(f"{self._base_url}: {exc}") from exc
 
+    def _read_body(self, resp: urllib3.BaseHTTPResponse) -> bytes:
+        parts, size = [], 0
+        for part in resp.stream(READ_BYTES):
+            parts.append(part)
+            size += len(part)
+            if size > self._max_body_bytes:
+                resp.close()
+                raise ConnectionLostError(
+                    f"{self._base_url}: body is over {self._max_body_bytes} bytes"
+                )
+        return b"".join(parts)
+
     def close(self) -> None:
         """Close all idle connections."""
         self._pool.clear()
--- a/waxwingpitch/ports/store_http.py
+++ b/waxwingpitch/ports/store_http.py
@@ -61,7 +61,8 @@
 
     def grant_lease(self, ttl_s: float) -> str:
         body = msgspec.json.encode({"ttl_s": ttl_s})
-        return self._write("POST", "/v1/leases", body, {}).json()["lease"]
+        resp = self._write("POST", "/v1/leases", body, {})
+        return msgspec.json.decode(resp.data)["lease"]
 
     def renew_lease(self, lease: str) -> bool:
         resp = self._write("POST", f"/v1/leases/{quote(lease)}/renew", b"", {})
--- a/waxwingpitch/ports/target_http.py
+++ b/waxwingpitch/ports/target_http.py
@@ -53,7 +53,7 @@
             ) from exc
 
     def send(self, method: str, path: str, **kwargs):
-        """Send a request; translate errors and pass the report to ``on_report``.
+        """Send a request and read the answer; pass the report to ``on_report``.
 
         Raises
         ------
@@ -62,8 +62,15 @@
         TargetProgressTimeoutError, TargetConnectionLostError
             The request may have run.
         """
+        return self._check(self._client.send, method, path, **kwargs)
+
+    def open_stream(self, method: str, path: str, **kwargs):
+        """Send a request like :meth:`send`, and return before its body is read."""
+        return self._check(self._client.open_stream, method, path, **kwargs)
+
+    def _check(self, call, method: str, path: str, **kwargs):
         try:
-            resp = self._client.send(method, path, **kwargs)
+            resp = call(method, path, **kwargs)
         except NotSentError as exc:
             raise TargetRefusedError(str(exc)) from exc
         except ResponseTimeoutError as exc:
--- a/waxwingpitch/targets/records.py
+++ b/waxwingpitch/targets/records.py
@@ -54,6 +54,8 @@
         Model of the group that it is a member of; empty if there is none.
     started_ms
         Unix time of its start, in milliseconds; 0 if it is not given.
+    writes
+        Number of records that it has written since its start.
     """
 
     id: str
@@ -68,6 +70,12 @@
     model: str = ""
     membership: Membership | None = None
     started_ms: int = 0
+    writes: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Number that grows with each record that a target of this id writes."""
+        return self.started_ms, self.writes
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/task.py
+++ b/waxwingpitch/task.py
@@ -6,6 +6,7 @@
 from typing import Generic, TypeVar
 
 import gevent
+from gevent.event import Event
 from gevent.queue import Empty, Queue
 
 MessageT = TypeVar("MessageT")
@@ -74,6 +75,7 @@
 
     def __init__(self):
         self._greenlet: gevent.Greenlet | None = None
+        self._woken = Event()
 
     def start(self) -> None:
         """Start the periodic calls."""
@@ -84,6 +86,10 @@
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
 
+    def wake(self) -> None:
+        """Call :meth:`tick` as soon as the current call, if any, has returned."""
+        self._woken.set()
+
     def tick(self) -> None:
         """Run one cycle of the task's work."""
         raise NotImplementedError
@@ -94,4 +100,5 @@
                 self.tick()
             except Exception:
                 logger.exception("task failed", extra={"task": type(self).__name__})
-            gevent.sleep(self.interval_s)
+            self._woken.wait(self.interval_s)
+            self._woken.clear()
--- a/waxwingpitch/telemetry/metrics.py
+++ b/waxwingpitch/telemetry/metrics.py
@@ -56,6 +56,39 @@
             "waxwingpitch_orders", description="Orders to targets by kind and status"
         )
 
+        self._store_restored = meter.create_counter(
+            "waxwingpitch_store_restored",
+            description="Times that the store came back from an older copy",
+        )
+        self._leaving_answers = meter.create_counter(
+            "waxwingpitch_leaving_answers",
+            description="Targets whose answer said that they leave",
+        )
+        self._pauses = meter.create_counter(
+            "waxwingpitch_target_pauses",
+            description="Times that a target asked for a pause, by target",
+        )
+        self._oversized = meter.create_counter(
+            "waxwingpitch_oversized_answers",
+            description="Answers of targets that were over a limit",
+        )
+
+    def count_store_restored(self) -> None:
+        """Count that the store came back from an older copy."""
+        self._store_restored.add(1)
+
+    def count_leaving_answer(self) -> None:
+        """Count that a target said in an answer that it leaves."""
+        self._leaving_answers.add(1)
+
+    def count_pause(self, target: str) -> None:
+        """Count that a target asked for a pause."""
+        self._pauses.add(1, {"target": target})
+
+    def count_oversized_answer(self) -> None:
+        """Count an answer that was over a limit."""
+        self._oversized.add(1)
+
     def count_request(self, route: str, outcome: str, took_s: float) -> None:
         """Count a request that has ended, and record its duration."""
         labels = {"route": route, "outcome": outcome}
--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -39,6 +39,8 @@
         Number of next writes that are applied but not answered.
     calls
         Number of calls by path.
+    era
+        Number of times that it was restored from a copy.
     """
 
     def __init__(self):
@@ -50,6 +52,7 @@
         self.down = False
         self.lose_answers = 0
         self.calls: Counter[str] = Counter()
+        self.era = 0
         self._changed = gevent.event.Event()
         self.server = HttpServer("127.0.0.1", 0, self._answer)
         self.server.start()
@@ -89,6 +92,17 @@
         self.compacted_revision = self.revision
         self._notify_watchers()
 
+    def take_copy(self) -> tuple:
+        """Return a copy of the present state, for :meth:`restore`."""
+        return dict(self.items), dict(self.leases), list(self.history), self.revision
+
+    def restore(self, copy: tuple) -> None:
+        """Come back from an older copy, with a new era."""
+        items, leases, history, self.revision = copy
+        self.items, self.leases, self.history = dict(items), dict(leases), list(history)
+        self.era += 1
+        self._notify_watchers()
+
     def _append_event(self, event: dict) -> None:
         self.history.append(event)
         self._notify_watchers()
@@ -113,8 +127,9 @@
     def _answer(self, environ, start_response):
         path = environ["PATH_INFO"].removeprefix("/waxwingpitch/")
         self.calls[path.partition("/")[0]] += 1
+        headers = [("Store-Era", str(self.era))] if self.era else []
         if self.down:
-            start_response("503 Service Unavailable", [])
+            start_response("503 Service Unavailable", headers)
             return [b""]
         query = dict(
             part.split("=", 1)
@@ -129,7 +144,10 @@
             self.lose_answers -= 1
             environ["waxwingpitch.socket"].close()
             return [b""]
-        start_response(f"{status} S", [("Content-Type", "application/json")])
+        headers = [("Content-Type", "application/json")]
+        if self.era:
+            headers.append(("Store-Era", str(self.era)))
+        start_response(f"{status} S", headers)
         return [json.dumps(answer).encode()]
 
     def _handle(self, path, query, body):
@@ -173,7 +191,7 @@
         after = int(query["after"])
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or after > self.revision:
                 return 410, {}
             matching = [
                 event
@@ -298,6 +316,7 @@
         self.targets: dict[str, TargetServer] = {}
         self._orders: Counter[str] = Counter()
         self._published: dict[str, bytes] = {}
+        self._writes: Counter[str] = Counter()
         self.frozen: set[str] = set()
         self.invariant_violations: list[str] = []
         self.bodies: dict[str, bytes] = {}
@@ -353,6 +372,7 @@
 
     def publish_plain(self, target: str, state: str = "ready") -> None:
         """Write a plain target's entry."""
+        self._writes[target] += 1
         entry = {
             "service": PLAIN_SERVICE,
             "address": self.targets[target].address,
@@ -360,7 +380,7 @@
             "version": "v1",
             "capacity": 6,
             "state": state,
-            "seq": 1,
+            "seq": self._writes[target],
             "cold_left_ms": 0,
             "born": 1000,
         }
@@ -469,7 +489,15 @@
         data = json.dumps(entry).encode()
         if self._published.get(target) != data:
             self._published[target] = data
-            self.store.write(f"servers/{target}", data)
+            self._writes[target] += 1
+            entry["seq"] = self._writes[target]
+            self.store.write(f"servers/{target}", entry)
+
+    def write_again(self) -> None:
+        """Let the targets write their entries again, after the store was restored."""
+        self._published.clear()
+        for target in self.plain:
+            self.publish_plain(target)
 
     def _serve_connection(self, target: str, sock) -> None:
         reader = sock.makefile("rb")
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -499,6 +499,7 @@
     """A store client whose calls all get 503."""
 
     status = 503
+    headers: dict[str, str] = {}
 
     def send(self, *args, **kwargs):
         gevent.sleep(0.01)
