Heed what targets say of themselves, and bound what they send

Change: - gateway/notices.py reads both from the head of each answer. A target that says that it leaves counts as leaving for placing, retries, resumption and the planner, here at once and at the peers with the next status; until another incarnation is listed. - targets/pauses.py: no request to a target before the end of the pause that it asked for. The forecast waits for a short pause of all replicas, and a refusal names its end. - Limits for heads, chunk sizes, trailers, interim and foreign answers, bodies of calls, reports and refusals, events, and the store's bodies; an answer over one has run and is broken off. - Bytes that complete no event no longer keep a stalled stream alive without end. - A draining gateway no longer cuts a busy connection at its next read time-out or byte, answers what arrived on an idle one, and accepts those that wait before it closes the listening socket. A pipelined request's time counts from its arrival. - The log's buffer is bounded while standard output blocks; "lines dropped" has a time. - An event with id 0 counts; negative token counts and deadlines that are no numbers don't; two probes of one target share their answers.

--- a/waxwingpitch/admission/forecast.py
+++ b/waxwingpitch/admission/forecast.py
@@ -32,11 +32,15 @@
         Requests that are queued ahead of this one.
     service_s
         Typical service time of a request, in seconds.
+    pause_s
+        Time until the first replica that asked for a pause takes requests again, in
+        seconds; None if there is none.
     """
 
     slots: int
     waiting: int
     service_s: float
+    pause_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +83,12 @@
     if resume_deadline is not None:
         return Wait(max(now, resume_deadline))
     if pressure.slots == 0:
-        return Refuse(limit_retry_after(REPLICA_REPLACEMENT_S, left_s))
+        until_s = REPLICA_REPLACEMENT_S
+        if pressure.pause_s is not None:
+            until_s = min(until_s, pressure.pause_s)
+        if until_s > left_s * MAX_WAIT_SHARE or pressure.pause_s is None:
+            return Refuse(limit_retry_after(until_s, left_s))
+        return Wait(now + left_s * MAX_WAIT_SHARE)
     expected_s = (pressure.waiting + 1) * pressure.service_s / pressure.slots
     if expected_s > left_s * MAX_WAIT_SHARE:
         return Refuse(limit_retry_after(expected_s, left_s))
--- a/waxwingpitch/forwarding/__init__.py
+++ b/waxwingpitch/forwarding/__init__.py
@@ -10,6 +10,7 @@
     ConnectionPool,
     TargetBrokenError,
     TargetConnection,
+    TargetOversizedError,
     TargetTimeoutError,
     UnreachableError,
 )
@@ -28,6 +29,7 @@
     "StreamEvent",
     "TargetBrokenError",
     "TargetConnection",
+    "TargetOversizedError",
     "TargetTimeoutError",
     "UnreachableError",
     "format_answer",
--- a/waxwingpitch/forwarding/answers.py
+++ b/waxwingpitch/forwarding/answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -52,6 +53,16 @@
     body: bytes
 
 
+def parse_retry_after(head: AnswerHead) -> float | None:
+    """Return the seconds in an answer's Retry-After; None if it has no valid one."""
+    value = head.find(b"retry-after")
+    try:
+        seconds = float(value) if value is not None else -1.0
+    except ValueError:
+        return None
+    return seconds if 0.0 <= seconds < math.inf else None
+
+
 def strip_hop_headers(headers: Headers) -> Headers:
     """Return the end-to-end headers, which are forwarded."""
     connection_options = {
--- a/waxwingpitch/forwarding/events.py
+++ b/waxwingpitch/forwarding/events.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 _EVENT_END = b"\n\n"
+MAX_EVENT_BYTES = 1024 * 1024
 _ID_FIELD = re.compile(rb"^id:\s*(\d+)\s*$", re.MULTILINE)
 
 
@@ -47,11 +48,19 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> Iterator[StreamEvent]:
-        """Add bytes to the buffer and yield the events that they complete."""
+        """Add bytes to the buffer and yield the events that they complete.
+
+        Raises
+        ------
+        ValueError
+            An event is over ``MAX_EVENT_BYTES``.
+        """
         self._buffer += data.replace(b"\r\n", b"\n") if b"\r" in data else data
         while True:
             end = self._buffer.find(_EVENT_END)
             if end < 0:
+                if len(self._buffer) > MAX_EVENT_BYTES:
+                    raise ValueError(f"event of over {MAX_EVENT_BYTES} bytes")
                 return
             event, self._buffer = self._buffer[: end + 2], self._buffer[end + 2 :]
             id_match = _ID_FIELD.search(event)
--- a/waxwingpitch/forwarding/exchange.py
+++ b/waxwingpitch/forwarding/exchange.py
@@ -12,6 +12,9 @@
     UnreachableError,
 )
 
+# Body of a report or of the answer to an order.
+MAX_CONTROL_BYTES = 1024 * 1024
+
 
 def format_request(
     method: bytes, target: bytes, address: str, headers: Headers, body: bytes
@@ -87,9 +90,9 @@
     conn = send_request(pool, address, data, timeout_s=timeout_s)
     try:
         head = conn.read_head(deadline)
-        body_parts = list(iter(lambda: conn.read_body(deadline), b""))
+        body = conn.read_whole_body(deadline, max_bytes=MAX_CONTROL_BYTES)
     except BaseException:
         conn.close()
         raise
     pool.release(conn, head, time.monotonic())
-    return Answer(head, b"".join(body_parts))
+    return Answer(head, body)
--- a/waxwingpitch/forwarding/listener.py
+++ b/waxwingpitch/forwarding/listener.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import array
+import fcntl
 import logging
 import socket
+import termios
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -40,8 +43,7 @@
     Attributes
     ----------
     arrived_at
-        Monotonic time at which handling of the request began; a pipelined request waits
-        for the answers to those before it.
+        Monotonic time at which the complete request had arrived.
     started
         Whether a part of the answer has been written.
     ended
@@ -50,9 +52,11 @@
         Whether the connection is closed after the answer.
     """
 
-    def __init__(self, sock: socket.socket, req: CallerRequest, *, close: bool):
+    def __init__(
+        self, sock: socket.socket, req: CallerRequest, arrived_at: float, *, close: bool
+    ):
         self._sock = sock
-        self.arrived_at = time.monotonic()
+        self.arrived_at = arrived_at
         self.started = False
         self.ended = False
         self.close = close or not req.keep_alive
@@ -92,16 +96,18 @@
     """One caller's connection.
 
     It is read also while a request is handled, which detects that the caller
-    disconnects.
+    disconnects. The reading greenlet is the only one that closes the socket, once the
+    handling one has ended; others shut it down.
     """
 
     def __init__(self, sock, listener: CallerListener):
         self._sock = sock
         self._listener = listener
         self._limits = listener.limits()
-        self._pending: deque[CallerRequest] = deque()
+        self._pending: deque[tuple[CallerRequest, float]] = deque()
         self._handler_greenlet: gevent.Greenlet | None = None
         self._idle_since = time.monotonic()
+        self._draining = False
         self._closing = False
 
     @property
@@ -119,7 +125,8 @@
                     continue
                 if not data:
                     break
-                self._pending.extend(reader.feed(data))
+                now = time.monotonic()
+                self._pending.extend((req, now) for req in reader.feed(data))
                 self._start_next_request()
         except MalformedRequestError as exc:
             self._reject(exc)
@@ -128,15 +135,24 @@
         finally:
             if self._handler_greenlet is not None:
                 self._handler_greenlet.kill(
-                    CallerDisconnectedError("connection closed"), block=False
+                    CallerDisconnectedError("connection closed")
                 )
             self._sock.close()
 
     def close_when_idle(self) -> None:
-        self._closing = True
-        if self.is_idle:
+        """Close now if no request has arrived, and after the last one otherwise."""
+        self._draining = True
+        if self.is_idle and not self._has_unread_bytes():
             self._shut_down()
 
+    def _has_unread_bytes(self) -> bool:
+        count = array.array("i", [0])
+        try:
+            fcntl.ioctl(self._sock.fileno(), termios.FIONREAD, count)
+        except OSError:
+            return False
+        return count[0] > 0
+
     def _receive(self, reader: RequestReader) -> bytes | None:
         while len(self._pending) > MAX_PIPELINED_REQUESTS:
             gevent.sleep(0.01)
@@ -160,11 +176,12 @@
 
     def _start_next_request(self) -> None:
         if self._handler_greenlet is None and self._pending:
-            req = self._pending.popleft()
-            self._handler_greenlet = gevent.spawn(self._handle_request, req)
+            req, arrived_at = self._pending.popleft()
+            self._handler_greenlet = gevent.spawn(self._handle_request, req, arrived_at)
 
-    def _handle_request(self, req: CallerRequest) -> None:
-        resp = Responder(self._sock, req, close=self._listener.stopping)
+    def _handle_request(self, req: CallerRequest, arrived_at: float) -> None:
+        is_last = self._listener.stopping and not self._pending
+        resp = Responder(self._sock, req, arrived_at, close=is_last)
         try:
             self._listener.handler(req, resp)
         except CallerDisconnectedError:
@@ -174,7 +191,7 @@
             logger.exception("request failed")
         self._handler_greenlet = None
         self._idle_since = time.monotonic()
-        if not resp.ended or resp.close or (self._closing and not self._pending):
+        if not resp.ended or resp.close or (self._draining and not self._pending):
             self._shut_down()
             return
         self._start_next_request()
@@ -227,12 +244,13 @@
         self.limits = limits
         self.stopping = False
         self._conns: set[_CallerConnection] = set()
-        self._server = StreamServer((host, port), self._accept, backlog=BACKLOG)
+        self._listening = socket.create_server((host, port), backlog=BACKLOG)
+        self._server = StreamServer(self._listening, self._accept)
 
     @property
     def port(self) -> int:
         """Port that the listener is bound to."""
-        return self._server.address[1]
+        return self._listening.getsockname()[1]
 
     @property
     def active_connections(self) -> int:
@@ -253,8 +271,24 @@
             conn.close_when_idle()
 
     def stop_accepting(self) -> None:
-        """Close the listening socket."""
+        """Accept the connections that already wait, and close the listening socket.
+
+        Closing it resets those that wait, whose callers may have sent requests.
+        """
+        self._server.stop_accepting()
+        self._accept_waiting()
         self._server.close()
+        self._listening.close()
+
+    def _accept_waiting(self) -> None:
+        self._listening.settimeout(0.0)
+        while True:
+            try:
+                sock, address = self._listening.accept()
+            except OSError:
+                return
+            sock.settimeout(None)
+            gevent.spawn(self._accept, sock, address)
 
     def _accept(self, sock, address) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/waxwingpitch/forwarding/parsing.py
+++ b/waxwingpitch/forwarding/parsing.py
@@ -9,6 +9,9 @@
 
 from .answers import AnswerHead, Headers
 
+# Bytes of a target that carry no body, such as a head, a chunk's size or trailers.
+MAX_FRAMING_BYTES = 65536
+
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
@@ -160,6 +163,10 @@
         self.has_partial_request = False
 
 
+class OversizedAnswerError(ValueError):
+    """An answer, or a part of one, is over its limit."""
+
+
 class _PartialAnswer:
     """The part of an answer that has arrived so far."""
 
@@ -182,6 +189,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._answers: deque[_PartialAnswer] = deque()
         self._broken = False
+        self._framing_bytes = 0
 
     @property
     def head(self) -> AnswerHead | None:
@@ -209,7 +217,16 @@
             self._answers.popleft()
 
     def feed(self, data: bytes) -> None:
-        """Parse bytes; ValueError if HTTP is violated before the answer is complete."""
+        """Parse bytes.
+
+        Raises
+        ------
+        ValueError
+            HTTP was violated before the answer was complete.
+        OversizedAnswerError
+            Too many bytes arrived that belong to no body.
+        """
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (
@@ -220,6 +237,11 @@
             self._broken = True
             if not self.complete:
                 raise ValueError(str(exc)) from exc
+        if self._framing_bytes > MAX_FRAMING_BYTES and not self.complete:
+            raise OversizedAnswerError(
+                f"{self._framing_bytes} bytes without a body; "
+                f"valid: {MAX_FRAMING_BYTES}"
+            )
 
     def feed_eof(self) -> None:
         """Record that the target closed the connection cleanly.
@@ -260,6 +282,7 @@
         answer.head = AnswerHead(status, tuple(answer.headers))
 
     def on_body(self, data: bytes) -> None:
+        self._framing_bytes = 0
         self._answers[-1].body.append(data)
 
     def on_message_complete(self) -> None:
@@ -267,5 +290,6 @@
         if answer.head is None:
             self._answers.pop()
             return
+        self._framing_bytes = 0
         answer.complete = True
         answer.keep_alive = answer.has_framing and self._parser.should_keep_alive()
--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -7,7 +7,7 @@
 from collections import defaultdict
 
 from .answers import AnswerHead
-from .parsing import AnswerReader
+from .parsing import AnswerReader, OversizedAnswerError
 
 # Connecting within a region takes milliseconds. A lost packet of the handshake is sent
 # again only after a second, by when another target would long have answered.
@@ -20,6 +20,8 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 READ_BYTES = 65536
 SEND_TIMEOUT_S = 2.0
+# Body of an answer to an earlier request, which is skipped.
+MAX_FOREIGN_BYTES = 1024 * 1024
 
 
 class UnreachableError(Exception):
@@ -34,6 +36,10 @@
     """The connection broke, or the answer is malformed."""
 
 
+class TargetOversizedError(TargetBrokenError):
+    """An answer, or a part of it, is over its limit."""
+
+
 class TargetConnection:
     """One connection to a target, which carries one request at a time.
 
@@ -80,7 +86,10 @@
 
     def skip_answer(self, deadline: float) -> None:
         """Read and discard an answer that belongs to another request."""
+        size = 0
         while not self._reader.complete:
+            size += len(self._reader.take_body())
+            self._check_size(size, MAX_FOREIGN_BYTES)
             self._receive(deadline)
         self._reader.discard_answer()
 
@@ -92,6 +101,21 @@
                 return data
             self._receive(deadline)
 
+    def read_whole_body(self, deadline: float, *, max_bytes: int) -> bytes:
+        """Return the rest of the body.
+
+        Raises
+        ------
+        TargetOversizedError
+            It is longer than ``max_bytes``.
+        """
+        parts, size = [], 0
+        while data := self.read_body(deadline):
+            parts.append(data)
+            size += len(data)
+            self._check_size(size, max_bytes)
+        return b"".join(parts)
+
     @property
     def is_complete(self) -> bool:
         """Whether the complete answer has arrived."""
@@ -142,9 +166,17 @@
             return
         try:
             self._reader.feed(data)
+        except OversizedAnswerError as exc:
+            raise TargetOversizedError(f"{self.address}: {exc}") from exc
         except ValueError as exc:
             raise TargetBrokenError(f"{self.address}: {exc}") from exc
 
+    def _check_size(self, size: int, max_bytes: int) -> None:
+        if size > max_bytes:
+            raise TargetOversizedError(
+                f"{self.address}: a body of over {max_bytes} bytes"
+            )
+
 
 class ConnectionPool:
     """Pool of idle connections by address.
--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -87,7 +87,8 @@
             )
         else:
             self.first_event_at = now
-        self.last_event = last_event or self.last_event
+        if last_event is not None:
+            self.last_event = last_event
         self.last_forwarded_at = now
         self.has_forwarded_events = True
 
--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -131,6 +131,7 @@
         self.restore_deadline = 0.0
         self.older_keys_until = 0.0
         self.on_restored: Callable[[], None] = lambda: None
+        self._said_leaving: dict[str, int] = {}
         self._peers_of_before: dict[str, str] = {}
         self._evacuated_before: frozenset[str] = frozenset()
         self.on_target_lost: Callable[[str, int | None], None] = (
@@ -216,12 +217,52 @@
         self._on_change()
         return True
 
+    def mark_leaving(self, target: str, started_ms: int | None = None) -> int | None:
+        """Treat a target as leaving, as it said so in an answer.
+
+        Parameters
+        ----------
+        started_ms
+            Start time of the incarnation that said so, in Unix milliseconds; that of
+            the known one by default.
+
+        Returns
+        -------
+        int or None
+            The incarnation's start time; None if this was known already.
+        """
+        known = self.targets.get(target)
+        if known is None and target in self.retained:
+            known, _ = self.retained[target]
+        if started_ms is None:
+            if known is None:
+                return None
+            started_ms = known.record.started_ms
+        if self._said_leaving.get(target) == started_ms:
+            return None
+        self._said_leaving[target] = started_ms
+        self.retained.pop(target, None)
+        if target in self.targets and known.record.started_ms == started_ms:
+            record = replace(known.record, leaving=True)
+            self.targets[target] = replace(known, record=record)
+        self._rebuild()
+        self._on_change()
+        return started_ms
+
+    def list_said_leaving(self) -> dict[str, int]:
+        """Return the targets that said in an answer that they leave, and their starts.
+
+        Starts are Unix times in milliseconds.
+        """
+        return self._said_leaving
+
     def expire_removed(self) -> None:
         """Forget removed targets whose retention or grace period is over."""
         now = self._clock()
         for target, (_, removed_at) in list(self.removed.items()):
             if now - removed_at > REMOVED_RETENTION_S:
                 del self.removed[target]
+                self._said_leaving.pop(target, None)
         expired = [key for key, (_, until) in self.retained.items() if until <= now]
         for target in expired:
             del self.retained[target]
@@ -323,6 +364,8 @@
             logger.warning("entry names no target", extra={"reason": str(exc)})
             self.targets.pop(target, None)
             return known is not None
+        if self._said_leaving.get(target) == record.started_ms:
+            record = replace(record, leaving=True)
         if self._is_copy_of_before(record, entry.version):
             logger.info("older record ignored", extra={"target": target})
             if known is not None:
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -37,6 +37,7 @@
 from .beliefs import GATEWAY_PREFIX, GatewayView
 from .dispatch import Dispatcher
 from .exchange import TargetExchange
+from .notices import TargetNotices
 from .peers import PeerTask
 from .planning import ZonePlanner
 from .probing import fetch_report
@@ -107,6 +108,7 @@
         )
         self._suspects = SuspectTracker(self.view, self._peers.announce_suspects)
         self._peers.on_suspects = self._suspects.merge
+        self.view.on_target_lost = self._on_target_lost
         self._server = RequestServer(
             self.view,
             self.dispatcher,
@@ -116,6 +118,12 @@
                 self.metrics,
                 self._on_suspect,
                 self._is_reachable,
+                TargetNotices(
+                    self.view,
+                    self.dispatcher.pauses,
+                    self.metrics,
+                    self._peers.announce_leaving,
+                ),
             ),
             self._find_budget,
             self._on_suspect,
@@ -298,6 +306,10 @@
         self.metrics.count_store_restored()
         self._lease_keeper.wake()
 
+    def _on_target_lost(self, target: str, started_ms: int | None) -> None:
+        self.dispatcher.pauses.forget(target)
+        self._suspects.handle_lost_target(target, started_ms)
+
     def _on_suspect(self, target: str, epoch: int) -> None:
         if self.progress.suspect(target, epoch, time.monotonic()):
             logger.info("target suspected", extra={"target": target, "epoch": epoch})
--- a/waxwingpitch/gateway/dispatch.py
+++ b/waxwingpitch/gateway/dispatch.py
@@ -14,6 +14,7 @@
 from ..admission.forecast import Pressure, Refuse, decide_admission
 from ..routing.placement import ReplicaLoad, choose_replica
 from ..targets.loads import LoadBook
+from ..targets.pauses import PauseBook
 from ..targets.progress import ProgressBook
 from .beliefs import GatewayView, Replica
 
@@ -100,6 +101,7 @@
         self._view = view
         self._loads = loads
         self._progress = progress
+        self.pauses = PauseBook()
         self._rng = random.Random(zone)
         self._queues: dict[tuple[str, str], OnTimeFirstQueue] = defaultdict(
             OnTimeFirstQueue
@@ -232,7 +234,7 @@
             for item in self._view.find_replicas(
                 slot_request.service, slot_request.model
             )
-            if not self._progress.is_suspected(item.id, item.epoch, now)
+            if self._accepts_requests(item, now)
         }
         peers = max(1, len(self._view.list_peers()))
         loads = [
@@ -260,16 +262,23 @@
     def _measure_pressure(self, key, slot_request: SlotRequest, now: float) -> Pressure:
         replicas = self._view.find_replicas(*key)
         slots = sum(
-            item.capacity
-            for item in replicas
-            if not self._progress.is_suspected(item.id, item.epoch, now)
+            item.capacity for item in replicas if self._accepts_requests(item, now)
         )
+        resumes_at = self.pauses.find_first_end((item.id for item in replicas), now)
         ahead = self._queues[key].count_ahead(slot_request.priority)
         peers = max(1, len(self._view.list_peers()))
         return Pressure(
             slots=slots,
             waiting=ahead * peers,
             service_s=self._service_s.get(key, INITIAL_SERVICE_S),
+            pause_s=None if resumes_at is None else resumes_at - now,
+        )
+
+    def _accepts_requests(self, replica: Replica, now: float) -> bool:
+        """Return whether a replica is neither suspected nor asked for a pause."""
+        return not (
+            self._progress.is_suspected(replica.id, replica.epoch, now)
+            or self.pauses.is_paused(replica.id, now)
         )
 
 
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -15,6 +15,7 @@
     Responder,
     TargetBrokenError,
     TargetConnection,
+    TargetOversizedError,
     TargetTimeoutError,
     UnreachableError,
 )
@@ -34,6 +35,7 @@
     is_retry_allowed,
 )
 from .beliefs import Replica
+from .notices import TargetNotices
 from .routed import RequestContext
 
 # Shortest time without progress after which a stream is resumed on another target; it
@@ -51,6 +53,10 @@
 # Interval at which a stalled stream that could not be retried is checked again. A check
 # may probe the targets that it ran on, which takes up to 0.5 s each.
 STALL_RECHECK_INTERVAL_S = 0.5
+# Body of a call's answer, which is kept until it is complete.
+MAX_CALL_BODY_BYTES = 8 * 1024 * 1024
+# Answers to earlier requests that are skipped before that to the current one.
+MAX_FOREIGN_ANSWERS = 4
 
 logger = logging.getLogger(__name__)
 
@@ -73,7 +79,9 @@
         metrics: GatewayMetrics,
         on_suspect: Callable[[str, int], None],
         is_reachable: Callable[[str, str], bool],
+        notices: TargetNotices,
     ):
+        self._notices = notices
         self._is_reachable = is_reachable
         self._pool = pool
         self._progress = progress
@@ -111,6 +119,13 @@
             else:
                 outcome = self._relay_call(ctx, resp, attempts, replica, conn)
             is_reusable = conn.is_complete
+        except TargetOversizedError as exc:
+            self._metrics.count_oversized_answer()
+            logger.warning(
+                "answer is over a limit",
+                extra={"request": ctx.id, "target": replica.id, "reason": str(exc)},
+            )
+            outcome = Broken(str(exc))
         except TargetBrokenError as exc:
             outcome = Broken(str(exc))
         except TargetTimeoutError as exc:
@@ -169,19 +184,25 @@
         )
 
     def _read_matching_head(
-        self, ctx: RequestContext, conn: TargetConnection, until: float
+        self,
+        ctx: RequestContext,
+        conn: TargetConnection,
+        replica: Replica,
+        until: float,
     ) -> AnswerHead:
         """Read the head of this request's answer, skipping answers to others."""
-        while True:
+        for _ in range(MAX_FOREIGN_ANSWERS):
             head = conn.read_head(until)
             echoed = head.find(HeaderNames.REQUEST_ID)
             if echoed is None or echoed.decode("latin-1") == ctx.id:
+                self._notices.read(replica.id, head, time.monotonic())
                 return head
             logger.warning(
                 "answer to another request dropped",
                 extra={"request": ctx.id, "answered": echoed.decode("latin-1")},
             )
             conn.skip_answer(until)
+        raise TargetBrokenError(f"{replica.id}: only answers to other requests")
 
     def _relay_call(
         self, ctx: RequestContext, resp: Responder, attempts, replica, conn
@@ -191,8 +212,8 @@
             left_s = ctx.deadline - time.monotonic()
             until = time.monotonic() + left_s * CALL_TIMEOUT_SHARE
         attempts.may_have_run = True
-        head = self._read_matching_head(ctx, conn, until)
-        body = b"".join(iter(lambda: conn.read_body(until), b""))
+        head = self._read_matching_head(ctx, conn, replica, until)
+        body = conn.read_whole_body(until, max_bytes=MAX_CALL_BODY_BYTES)
         answer = Answer(head, body)
         outcome = self._check_answer(answer)
         if isinstance(outcome, NotRun):
@@ -229,19 +250,20 @@
             ctx.route.latency_objective_s * STALL_TIMEOUT_OBJECTIVE_SHARE,
         )
         head = self._read_unless_stalled(
-            lambda until: self._read_matching_head(ctx, conn, until),
+            lambda until: self._read_matching_head(ctx, conn, replica, until),
             ctx,
             attempts,
             replica,
             sent_at,
+            sent_at,
             first_event_timeout_s,
         )
         if not 200 <= head.status < 300 or head.find(HeaderNames.SEAL) is None:
             until = min(ctx.deadline, time.monotonic() + REFUSAL_BODY_TIMEOUT_S)
-            body = b"".join(iter(lambda: conn.read_body(until), b""))
+            body = conn.read_whole_body(until, max_bytes=MAX_CALL_BODY_BYTES)
             return self._check_answer(Answer(head, body)) or Broken("no seal")
         splitter = EventSplitter()
-        last_data_at = time.monotonic()
+        last_event_at = last_data_at = time.monotonic()
         has_events = False
         while True:
             data = self._read_unless_stalled(
@@ -250,13 +272,17 @@
                 attempts,
                 replica,
                 last_data_at,
+                last_event_at,
                 stall_timeout_s if has_events else first_event_timeout_s,
             )
             if not data:
                 break
             last_data_at = time.monotonic()
-            self._progress.record_progress(replica.id, replica.epoch, last_data_at)
-            events = list(self._drop_duplicates(attempts, splitter.feed(data)))
+            complete = list(self._split_events(splitter, data))
+            if complete:
+                last_event_at = last_data_at
+                self._progress.record_progress(replica.id, replica.epoch, last_event_at)
+            events = list(self._drop_duplicates(attempts, complete))
             if not has_events and events:
                 has_events = attempts.ran_on_current = True
                 if not resp.started:
@@ -279,6 +305,14 @@
             resp.start_stream(head, strip_hop_headers(head.headers))
         resp.send_chunk(b"".join(event.data for event in events))
 
+    @staticmethod
+    def _split_events(splitter: EventSplitter, data: bytes):
+        """Yield the events that the data complete, also those that the caller has."""
+        try:
+            yield from splitter.feed(data)
+        except ValueError as exc:
+            raise TargetOversizedError(str(exc)) from exc
+
     @staticmethod
     def _drop_duplicates(attempts, events):
         """Yield the events that the caller lacks; a gap in their ids is an error."""
@@ -306,11 +340,13 @@
         attempts,
         replica: Replica,
         last_data_at: float,
+        last_event_at: float,
         stall_timeout_s: float,
     ):
         """Read data, up to the deadline or until the target counts as stalled.
 
-        A silent target is abandoned only if the request may be retried.
+        Bytes that complete no event keep a stream only for a while. A silent target is
+        abandoned only if the request may be retried.
         """
         while True:
             now = time.monotonic()
@@ -320,13 +356,17 @@
                 last_data_at, self._progress.last_progress_at(replica.id)
             )
             stalled_at = last_activity_at + stall_timeout_s
-            stall_limit_at = last_data_at + stall_timeout_s * STALL_FACTOR_ACTIVE_TARGET
+            stall_limit_at = (
+                last_event_at + stall_timeout_s * STALL_FACTOR_ACTIVE_TARGET
+            )
             until = min(stalled_at, stall_limit_at)
             if now >= until:
                 if attempts.budget.has_balance and self.may_retry(
                     ctx, attempts, Stalled("nothing arrives")
                 ):
-                    raise TargetTimeoutError(f"nothing for {now - last_data_at:.2f} s")
+                    raise TargetTimeoutError(
+                        f"no event for {now - last_event_at:.2f} s"
+                    )
                 until = now + STALL_RECHECK_INTERVAL_S
             try:
                 return read(min(until, ctx.deadline))
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -105,6 +105,7 @@
         self._store_ages: dict[str, tuple[float, float]] = {}
         self._sent_counts: dict[str, int] = {}
         self._status_sent_at = 0.0
+        self._is_status_urgent = False
         self._changes_requested_at = 0.0
         self._dialled_at = 0.0
         self._node = MeshNode(
@@ -155,6 +156,10 @@
             if now - at < PEER_WEIGHT_LOADS_TTL_S
         )
 
+    def announce_leaving(self, target: str, started_ms: int) -> None:
+        """Tell all peers, with the next status, that a target says that it leaves."""
+        self._is_status_urgent = True
+
     def announce_stall(self, target: str, epoch: int) -> None:
         """Tell all peers that a target makes no progress."""
         self._node.broadcast(StalledTarget(target, epoch))
@@ -166,14 +171,19 @@
         a quorum of the listed ones; see ``QUORUM_SHARE``.
         """
         listed = self._view.list_peers().keys() - {self._settings.name}
-        self._probe_results[target] = results = {}
-        self._node.broadcast(ProbeRequest(target, address))
+        results = self._probe_results.get(target)
+        if results is None:
+            self._probe_results[target] = results = {}
+            self._node.broadcast(ProbeRequest(target, address))
         deadline = time.monotonic() + PROBE_TIMEOUT_S
-        while time.monotonic() < deadline and len(results) < len(listed):
-            if any(results.values()):
-                return True
+        while (
+            time.monotonic() < deadline
+            and len(results) < len(listed)
+            and not any(results.values())
+        ):
             gevent.sleep(0.02)
-        self._probe_results.pop(target, None)
+        if self._probe_results.get(target) is results:
+            del self._probe_results[target]
         replies = len(results) + 1
         return any(results.values()) or replies < QUORUM_SHARE * (len(listed) + 1)
 
@@ -261,12 +271,20 @@
             age_ms < 1000 * STATUS_INTERVAL_S for age_ms in progress_age_ms.values()
         )
         is_due = now - self._status_sent_at >= IDLE_STATUS_INTERVAL_S
+        is_due |= self._is_status_urgent
+        self._is_status_urgent = False
         if counts != self._sent_counts or has_recent_progress or is_due:
             self._sent_counts, self._status_sent_at = counts, now
             store_age_ms = int(1000 * min(600.0, self._store_age_s))
             weight_loads = self.count_weight_loads()
             self._node.broadcast(
-                GatewayStatus(counts, store_age_ms, progress_age_ms, weight_loads)
+                GatewayStatus(
+                    counts,
+                    store_age_ms,
+                    progress_age_ms,
+                    weight_loads,
+                    self._view.list_said_leaving(),
+                )
             )
         if self._store_health.failing and self._store_age_s > PEER_SYNC_AFTER_S:
             self._request_store_changes(now)
@@ -301,6 +319,8 @@
                 self._store_ages[peer.id] = (boot_time(), message.store_age_ms / 1000)
                 self._loads.update_peer(peer.id, message.in_flight, at)
                 self._peer_weight_loads[peer.id] = (at, message.weight_loads)
+                for target, started_ms in message.leaving.items():
+                    self._view.mark_leaving(target, started_ms)
                 for target, progress_age_ms in message.progress_age_ms.items():
                     self._progress.record_peer_progress(
                         target, at - progress_age_ms / 1000
--- a/waxwingpitch/gateway/routed.py
+++ b/waxwingpitch/gateway/routed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from ..configuration.routes import Route
@@ -156,16 +157,17 @@
 def _read_number(req: CallerRequest, name: bytes, default: float) -> float:
     value = req.find(name)
     try:
-        return float(value) if value is not None else default
+        number = float(value) if value is not None else default
     except ValueError:
         return default
+    return number if math.isfinite(number) else default
 
 
 def _read_token_counts(req: CallerRequest) -> tuple[int, int]:
     value = req.find(HeaderNames.TOKEN_COUNTS) or b""
     prompt, _, answer = value.partition(b",")
     try:
-        return int(prompt), int(answer)
+        return max(0, int(prompt)), max(0, int(answer))
     except ValueError:
         return 0, 0
 
--- a/waxwingpitch/gateway/suspect_task.py
+++ b/waxwingpitch/gateway/suspect_task.py
@@ -30,7 +30,6 @@
         self._announce = announce
         self._crash_watch = CrashWatch()
         self._book = SuspectBook()
-        view.on_target_lost = self._handle_lost_target
 
     def is_blocked(self, fingerprint: str) -> bool:
         """Return whether requests with this fingerprint crashed too many targets."""
@@ -58,7 +57,14 @@
             for item in items
         )
 
-    def _handle_lost_target(self, target: str, started_ms: int | None) -> None:
+    def handle_lost_target(self, target: str, started_ms: int | None) -> None:
+        """Find the requests that were in flight at a target that was lost.
+
+        Parameters
+        ----------
+        started_ms
+            Start time of its new incarnation; None if it is no longer listed.
+        """
         now = time.monotonic()
         items = []
         for crash in self._crash_watch.find_crashes(target, started_ms, now):
--- a/waxwingpitch/mesh/messages.py
+++ b/waxwingpitch/mesh/messages.py
@@ -211,12 +211,15 @@
         progress.
     weight_loads
         Number of loads of model weights in progress that the sender started.
+    leaving
+        Start times, in Unix milliseconds, of targets that said that they leave, by id.
     """
 
     in_flight: dict[str, int]
     store_age_ms: int
     progress_age_ms: dict[str, int] = {}
     weight_loads: int = 0
+    leaving: dict[str, int] = {}
 
 
 class StalledTarget(_Message, tag=13):
--- a/waxwingpitch/telemetry/logs.py
+++ b/waxwingpitch/telemetry/logs.py
@@ -89,6 +89,13 @@
         record.line = self._number
         self._queue.append(self.format(record).encode() + b"\n")
 
+    def _format_dropped(self) -> bytes:
+        record = logging.LogRecord(
+            __name__, logging.WARNING, "", 0, "lines dropped", (), None
+        )
+        record.count = self._dropped
+        return self.format(record).encode()
+
     def _write_forever(self) -> None:
         while True:
             gevent.sleep(FLUSH_INTERVAL_S)
@@ -97,12 +104,9 @@
     def flush(self) -> None:
         """Write the queued lines, as far as standard output accepts them."""
         if self._dropped and len(self._queue) < self._queue_limit:
-            line = msgspec.json.encode(
-                {"level": "warning", "message": "lines dropped", "count": self._dropped}
-            )
+            self._queue.append(self._format_dropped() + b"\n")
             self._dropped = 0
-            self._queue.append(line + b"\n")
-        if self._queue:
+        if self._queue and not self._unwritten:
             self._unwritten += b"".join(self._queue)
             self._queue.clear()
         try:
