--- a/waxwingpitch/agreed/mirror.py
+++ b/waxwingpitch/agreed/mirror.py
@@ -20,15 +20,16 @@
     --------
     >>> mirror = StoreMirror()
     >>> mirror.mark_synced("a/", 7)
-    >>> mirror.mark_synced("b/", 5)
-    >>> mirror.version
-    5
+    >>> mirror.get_synced("a/"), mirror.get_synced("b/")
+    (7, 0)
     """
 
     def __init__(self):
         self._entries: dict[str, StoredEntry] = {}
         self._deleted: dict[str, int] = {}
         self._synced: dict[str, int] = {}
+        self._history_since: dict[str, int] = {}
+        self._evicted_version = 0
         self._era = 0
 
     @property
@@ -41,16 +42,6 @@
         """Whether no entry is known."""
         return not self._entries
 
-    @property
-    def prefixes(self) -> tuple[str, ...]:
-        """Prefixes that are watched."""
-        return tuple(self._synced)
-
-    @property
-    def version(self) -> int:
-        """Version up to which all watched prefixes are in sync."""
-        return min(self._synced.values(), default=0)
-
     def mark_synced(self, prefix: str, version: int) -> None:
         """Record that all changes below a prefix are known up to a version.
 
@@ -58,10 +49,9 @@
         """
         self._synced[prefix] = max(version, self._synced.get(prefix, 0))
 
-    def mark_all_synced(self, version: int) -> None:
-        """Record that changes below all watched prefixes are known up to a version."""
-        for prefix in self._synced:
-            self.mark_synced(prefix, version)
+    def get_synced(self, prefix: str) -> int:
+        """Return the version up to which all changes below a prefix are known."""
+        return self._synced.get(prefix, 0)
 
     def get(self, key: str) -> StoredEntry | None:
         """Return the entry of a key."""
@@ -86,6 +76,7 @@
         Known entries that are missing from the list are deleted, unless their version
         is higher than that of the list. Returns the keys that changed.
         """
+        self._history_since[prefix] = listed.version
         present = {entry.key for entry in listed.entries}
         missing = [
             StoredDeletion(key, listed.version)
@@ -96,15 +87,20 @@
         ]
         return self.apply(StoredChange(listed.version, listed.entries, tuple(missing)))
 
-    def list_after(self, version: int) -> StoredChange:
-        """Return the changes after a version; version 0 returns everything."""
+    def has_history(self, prefix: str, version: int) -> bool:
+        """Return whether all deletions below a prefix after a version are known."""
+        since = max(self._history_since.get(prefix, 0), self._evicted_version)
+        return version >= since
+
+    def list_after(self, prefix: str, version: int) -> StoredChange:
+        """Return the changes below a prefix after a version; 0 returns everything."""
         return StoredChange(
-            self.version,
-            tuple(item for item in self._entries.values() if item.version > version),
+            self.get_synced(prefix),
+            tuple(item for item in self.iter_prefix(prefix) if item.version > version),
             tuple(
                 StoredDeletion(key, deleted_version)
                 for key, deleted_version in self._deleted.items()
-                if deleted_version > version
+                if deleted_version > version and key.startswith(prefix)
             ),
         )
 
@@ -123,13 +119,13 @@
         if known is not None and known.version > item.version:
             return False
         self._deleted[item.key] = max(item.version, self._deleted.get(item.key, 0))
-        self._evict_tombstones(self._deleted)
+        self._evict_tombstones()
         if known is None:
             return False
         del self._entries[item.key]
         return True
 
-    @staticmethod
-    def _evict_tombstones(deleted: dict[str, int]) -> None:
-        while len(deleted) > MAX_TOMBSTONES:
-            del deleted[next(iter(deleted))]
+    def _evict_tombstones(self) -> None:
+        while len(self._deleted) > MAX_TOMBSTONES:
+            version = self._deleted.pop(next(iter(self._deleted)))
+            self._evicted_version = max(version, self._evicted_version)
--- a/waxwingpitch/configuration/routes.py
+++ b/waxwingpitch/configuration/routes.py
@@ -159,6 +159,12 @@
     cold_per_s: float = 0.0
     engine: EngineSpec | None = None
 
+    def list_models(self) -> list[str]:
+        """Return the names of its models; an empty name for a plain service."""
+        if self.engine is None:
+            return [""]
+        return [model.name for model in self.engine.models]
+
 
 @dataclass(frozen=True, slots=True)
 class KeyOwner:
--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..admission import RetryBudget
 from ..configuration.routes import Route
 from ..forwarding import Answer
 
@@ -29,8 +28,6 @@
     last_forwarded_at
         Monotonic time at which the last part of the answer was forwarded; the time of
         arrival until then.
-    budget
-        Retry budget that each attempt after the first is charged to.
 
     Attributes
     ----------
@@ -46,6 +43,8 @@
         Monotonic time at which the first event was forwarded; 0 if there was none.
     longest_pause_s
         Longest time between two forwarded events, in seconds.
+    has_retry_permit
+        Whether the next attempt was taken from the retry budget already.
     failure_answer
         Error response of a target, relayed to the caller if no retry succeeds.
     """
@@ -57,9 +56,8 @@
         runs: int = 0,
         last_event: int | None = None,
         last_forwarded_at: float = 0.0,
-        budget: RetryBudget | None = None,
     ):
-        self.budget = RetryBudget() if budget is None else budget
+        self.has_retry_permit = False
         self.sends = sends
         self.runs = runs
         self.ran_on_current = False
@@ -120,10 +118,13 @@
     is_misdirected
         Whether the target answered that it is not the expected one, or that it does
         not head an open group.
+    is_unreachable
+        Whether no connection to it could be opened.
     """
 
     reason: str
     is_misdirected: bool = False
+    is_unreachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 
+import msgspec
+
 from ..agreed.mirror import StoreMirror
 from ..agreed.versions import get_era
 from ..clocks import boot_time
@@ -23,10 +25,11 @@
 )
 from ..ports import StoredChange
 from ..routing.routes import RouteTable
+from ..slots import EntryHost, SlotKey
 from ..targets.records import MembershipReport, MemberState, TargetRecord
 
 GATEWAY_PREFIX = "waxwingpitch/"
-MEMBER_PREFIX = "waxwingpitch/members/"
+HOST_PREFIX = "waxwingpitch/hosts/"
 PLANNER_PREFIX = "waxwingpitch/planners/"
 
 # Grace period after the store recovers, in which targets that were listed before the
@@ -112,6 +115,8 @@
         was restored from an older copy are believed without an entry.
     older_keys_until
         Boot time until which orders may be given under planner keys of an earlier era.
+    generation
+        Number that grows whenever the replicas were derived anew.
     on_restored
         Called when the store is found to have been restored from an older copy.
     on_target_lost
@@ -132,14 +137,18 @@
         self.older_keys_until = 0.0
         self.on_restored: Callable[[], None] = lambda: None
         self._said_leaving: dict[str, int] = {}
-        self._peers_of_before: dict[str, str] = {}
+        self._hosts: dict[str, EntryHost] = {}
+        self._hosts_of_before: dict[str, EntryHost] = {}
         self._evacuated_before: frozenset[str] = frozenset()
         self.on_target_lost: Callable[[str, int | None], None] = (
             lambda target, start: None
         )
         self._clock = clock
         self._on_change = on_change
+        self._by_zone: dict[str, dict[tuple[str, str], tuple[Replica, ...]]] = {}
         self._replicas: dict[tuple[str, str], tuple[Replica, ...]] = {}
+        self._dirty_zones: set[str] | None = set()
+        self.generation = 0
 
     @property
     def cfg(self) -> RoutedConfiguration | None:
@@ -150,22 +159,29 @@
         """Return a service of the configuration in force."""
         return None if self.cfg is None else self.cfg.services.get(name)
 
+    def list_slot_keys(self, zone: str) -> list[SlotKey]:
+        """Return the keys of a zone's slots, by the configuration in force."""
+        services = () if self.cfg is None else self.cfg.services.values()
+        return [
+            SlotKey(zone, service.name, model)
+            for service in services
+            for model in service.list_models()
+        ]
+
     def find_replicas(self, service: str, model: str) -> tuple[Replica, ...]:
         """Return the replicas to which requests may be sent."""
+        self._rebuild_dirty()
         return self._replicas.get((service, model), ())
 
     def iter_replicas(self) -> Iterable[Replica]:
         """Yield all replicas."""
+        self._rebuild_dirty()
         for replicas in self._replicas.values():
             yield from replicas
 
-    def list_peers(self) -> dict[str, str]:
-        """Return the addresses of the entry hosts registered in the store, by name."""
-        listed = {
-            entry.key.removeprefix(MEMBER_PREFIX): entry.value.decode()
-            for entry in self.mirror.iter_prefix(MEMBER_PREFIX)
-        }
-        return self._peers_of_before | listed
+    def list_hosts(self) -> dict[str, EntryHost]:
+        """Return the entry hosts registered in the store, by name."""
+        return self._hosts_of_before | self._hosts
 
     def find_planner(self, zone: str) -> str | None:
         """Return the name of the entry host that holds a zone's planner key."""
@@ -213,7 +229,7 @@
         if record == known.record:
             return False
         self.targets[target] = replace(known, record=record)
-        self._rebuild()
+        self._mark_dirty(record.zone)
         self._on_change()
         return True
 
@@ -245,7 +261,7 @@
         if target in self.targets and known.record.started_ms == started_ms:
             record = replace(known.record, leaving=True)
             self.targets[target] = replace(known, record=record)
-        self._rebuild()
+        self._mark_dirty(None if known is None else known.record.zone)
         self._on_change()
         return started_ms
 
@@ -266,13 +282,14 @@
         expired = [key for key, (_, until) in self.retained.items() if until <= now]
         for target in expired:
             del self.retained[target]
-        if self._peers_of_before and self.restore_deadline <= now:
-            self._peers_of_before = {}
+        if self._hosts_of_before and self.restore_deadline <= now:
+            self._hosts_of_before = {}
             self._evacuated_before = frozenset()
             self._load_evacuations()
             expired.append("zones of before")
         if expired:
-            self._rebuild()
+            self._mark_dirty()
+            self._on_change()
 
     def _check_era(self, change: StoredChange) -> None:
         """Go on believing the store of before for a while if it was restored."""
@@ -287,25 +304,24 @@
             self.relist_deadline = self._clock() + RELIST_GRACE_S
             self.restore_deadline = self.relist_deadline
             self.older_keys_until = boot_time() + OLDER_KEYS_S
-            self._peers_of_before = self.list_peers()
+            self._hosts_of_before = self.list_hosts()
             self._evacuated_before = self.evacuated
             self.on_restored()
 
     def _apply_changed_keys(self, changed: list[str]) -> None:
         if not changed:
             return
-        needs_rebuild = False
         for key in changed:
             if key == CONFIGURATION_KEY:
                 self._load_configuration()
-                needs_rebuild = True
+                self._mark_dirty()
             elif key.startswith(EVACUATION_PREFIX):
                 self._load_evacuations()
-                needs_rebuild = True
+                self._mark_dirty()
             elif key.startswith(TARGET_PREFIX):
-                needs_rebuild |= self._load_target(key)
-        if needs_rebuild:
-            self._rebuild()
+                self._load_target(key)
+            elif key.startswith(HOST_PREFIX):
+                self._load_host(key)
         self._on_change()
 
     def _load_configuration(self) -> None:
@@ -341,15 +357,23 @@
         self.evacuated = listed | self._evacuated_before
         logger.info("zones out of service", extra={"zones": sorted(self.evacuated)})
 
-    def _load_target(self, key: str) -> bool:
-        """Update a target from its entry; return whether the replicas may change."""
+    def _load_host(self, key: str) -> None:
+        name, entry = key.removeprefix(HOST_PREFIX), self.mirror.get(key)
+        host = None if entry is None else decode_host(name, entry.value)
+        if host is None:
+            self._hosts.pop(name, None)
+        else:
+            self._hosts[name] = host
+
+    def _load_target(self, key: str) -> None:
+        """Update a target from its entry."""
         target = decode_target_id(key)
         known = self.targets.get(target)
         entry = self.mirror.get(key)
         now = self._clock()
         if entry is None:
             if known is None:
-                return False
+                return
             del self.targets[target]
             self.removed[target] = (known, now)
             if not known.record.leaving and now >= self.restore_deadline:
@@ -357,20 +381,23 @@
             if now < self.relist_deadline and not known.record.leaving:
                 self.retained[target] = (known, self.relist_deadline)
             logger.info("target gone from the list", extra={"target": target})
-            return True
+            self._mark_dirty(known.record.zone)
+            return
         try:
             record = decode_target_record(key, entry.value)
         except ValueError as exc:
             logger.warning("entry names no target", extra={"reason": str(exc)})
             self.targets.pop(target, None)
-            return known is not None
+            if known is not None:
+                self._mark_dirty(known.record.zone)
+            return
         if self._said_leaving.get(target) == record.started_ms:
             record = replace(record, leaving=True)
         if self._is_copy_of_before(record, entry.version):
             logger.info("older record ignored", extra={"target": target})
             if known is not None:
                 self.targets[target] = replace(known, version=entry.version)
-            return False
+            return
         self.retained.pop(target, None)
         self.removed.pop(target, None)
         self.targets[target] = KnownTarget(
@@ -385,7 +412,10 @@
         )
         if known is not None and known.record.started_ms != record.started_ms:
             self.on_target_lost(target, record.started_ms)
-        return known is None or _affects_replicas(known.record, record)
+        if known is None or _affects_replicas(known.record, record):
+            self._mark_dirty(record.zone)
+            if known is not None:
+                self._mark_dirty(known.record.zone)
 
     def _is_copy_of_before(self, record: TargetRecord, version: int) -> bool:
         """Return whether a restored store shows a target as it was earlier."""
@@ -398,11 +428,39 @@
             return record.order < known.record.order
         return record.order <= known.record.order
 
-    def _rebuild(self) -> None:
+    def _mark_dirty(self, zone: str | None = None) -> None:
+        """Derive a zone's replicas anew when they are next asked for; all by default."""
+        if zone is None:
+            self._dirty_zones = None
+        elif self._dirty_zones is not None:
+            self._dirty_zones.add(zone)
+
+    def _rebuild_dirty(self) -> None:
         """Derive the replicas from the targets, their groups and the configuration."""
+        dirty = self._dirty_zones
+        if dirty is not None and not dirty:
+            return
+        self._dirty_zones = set()
+        self.generation += 1
+        targets: dict[str, list[KnownTarget]] = defaultdict(list)
+        for known in self.iter_targets():
+            zone = known.record.zone
+            if dirty is None or zone in dirty:
+                targets[zone].append(known)
+        for zone in list(self._by_zone) if dirty is None else dirty:
+            self._by_zone.pop(zone, None)
+        for zone, known in targets.items():
+            self._by_zone[zone] = self._build_zone(known)
+        merged: dict[tuple[str, str], list[Replica]] = defaultdict(list)
+        for by_key in self._by_zone.values():
+            for key, replicas in by_key.items():
+                merged[key].extend(replicas)
+        self._replicas = {key: tuple(replicas) for key, replicas in merged.items()}
+
+    def _build_zone(self, targets: Iterable[KnownTarget]) -> dict:
         found: dict[tuple[str, str], list[Replica]] = defaultdict(list)
         groups: dict[tuple[str, int], dict[int, KnownTarget]] = defaultdict(dict)
-        for known in self.iter_targets():
+        for known in targets:
             record = known.record
             service = self.find_service(record.service)
             if service is None or service.engine is None:
@@ -415,7 +473,7 @@
             replica = self._build_group(members)
             if replica is not None:
                 found[(replica.service, replica.model)].append(replica)
-        self._replicas = {key: tuple(replicas) for key, replicas in found.items()}
+        return {key: tuple(replicas) for key, replicas in found.items()}
 
     def _build_group(self, members: dict[int, KnownTarget]) -> Replica | None:
         head = members.get(0)
@@ -434,6 +492,34 @@
         return _build_replica(head, by_rank, engine.capacity)
 
 
+class _HostRecord(msgspec.Struct):
+    address: str
+    zone: str
+    weight: float
+    incarnation: str
+
+
+def encode_host(host: EntryHost) -> bytes:
+    """Encode the record of an entry host."""
+    return msgspec.json.encode(
+        _HostRecord(host.address, host.zone, host.weight, host.incarnation)
+    )
+
+
+def decode_host(name: str, data: bytes) -> EntryHost | None:
+    """Decode the record of an entry host; None if it is malformed."""
+    try:
+        record = msgspec.json.decode(data, type=_HostRecord)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        logger.warning(
+            "record names no entry host", extra={"host": name, "reason": str(exc)}
+        )
+        return None
+    return EntryHost(
+        name, record.address, record.zone, record.weight, record.incarnation
+    )
+
+
 def _build_replica(
     known: KnownTarget, members: tuple[KnownTarget, ...], capacity: int = 0
 ) -> Replica:
@@ -463,6 +549,7 @@
     """Return whether a change of a target's record may change the replicas."""
     return (
         before.membership != after.membership
+        or before.zone != after.zone
         or before.model != after.model
         or before.leaving != after.leaving
         or before.address != after.address
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -6,13 +6,11 @@
 import signal
 import time
 import uuid
-from collections.abc import Callable
 from functools import partial
 
 import gevent
 from gevent.event import Event
 
-from ..admission import RetryBudget
 from ..clocks import boot_time
 from ..configuration.routes import CallerLimits
 from ..forwarding import (
@@ -24,25 +22,24 @@
 )
 from ..groups.load_limit import LoadLimit
 from ..mesh.messages import PlanningHandover
-from ..platform import (
-    OPERATOR_PREFIX,
-    TARGET_PREFIX,
-    PlatformStore,
-)
+from ..platform import TARGET_PREFIX, PlatformStore
 from ..ports import KeyValueStore
 from ..settings.gateway import GatewaySettings
-from ..targets.loads import LoadBook
+from ..slots import EntryHost
 from ..targets.progress import ProgressBook
 from ..telemetry import GatewayMetrics
-from .beliefs import GATEWAY_PREFIX, GatewayView
-from .dispatch import Dispatcher
+from .beliefs import GatewayView
 from .exchange import TargetExchange
+from .following import StoreFollower
 from .notices import TargetNotices
 from .peers import PeerTask
 from .planning import ZonePlanner
 from .probing import fetch_report
+from .registration import Registration
+from .roster import Roster, order_zones
 from .serving import RequestServer
-from .store_tasks import LeaseKeeper, PrefixWatcher, StoreHealth
+from .slots import SlotTask
+from .store_tasks import LeaseKeeper, StoreHealth
 from .suspect_task import SuspectTracker
 from .web import GatewayWeb
 from .zone_key import ZoneKey
@@ -50,12 +47,12 @@
 LEASE_S = 3.0
 # Pause between two watch calls for targets. It saves calls to the store, but a leaving
 # target must still be noticed well within ``OperatingBounds.leaving_s``.
-TARGET_WATCH_PAUSE_S = 0.5
+TARGET_WATCH_PAUSE_S = 0.2
 TARGET_WATCH_PAUSE_BUSY_S = 0.05
-# Share of ``OperatingBounds.retry_ratio`` and ``retry_slack`` that the retry budgets of
-# all entry hosts together use.
-RETRY_BUDGET_SHARE = 0.8
-HOUSEKEEPING_INTERVAL_S = 0.25
+HOUSEKEEPING_INTERVAL_S = 0.1
+SLOW_TICK_S = 0.25
+# Time without a link after which the record of an entry host is removed.
+LOST_HOST_S = 20.0
 # Time until the load balancer has removed a process that is not ready: it does so after
 # two readiness checks, one a second.
 BALANCER_REMOVAL_S = 2.6
@@ -80,53 +77,71 @@
         self._store = store or PlatformStore(str(settings.store))
         self.metrics = GatewayMetrics()
         self.pool = ConnectionPool()
-        self.loads = LoadBook()
         self.progress = ProgressBook()
         self.view = GatewayView(time.monotonic, self._on_view_change)
         self._store_health = StoreHealth(self.view.start_relist_grace_period)
-        self._budgets: dict[str, RetryBudget] = {}
-        self.dispatcher = Dispatcher(
-            settings.zone, self.view, self.loads, self.progress
-        )
-        self._lease_keeper = LeaseKeeper(
-            self._store,
-            self._store_health,
+        local = EntryHost(
             settings.name,
             str(settings.peers),
-            max(LEASE_S, settings.min_lease_s),
+            settings.zone,
+            settings.processor_share,
+            uuid.uuid4().hex,
         )
-        self.view.on_restored = self._on_store_restored
+        self.roster = Roster(local, self.view.list_hosts, boot_time)
+        self._zone_order = order_zones(settings.zones)
         self._peers = PeerTask(
             settings,
-            uuid.uuid4().hex,
+            local,
+            self.roster,
             self.view,
-            self.loads,
             self.progress,
             self._store_health,
-            self.dispatcher.assign_free_slots,
             self._is_reachable,
         )
+        self.slots = SlotTask(
+            self.roster,
+            self.view,
+            self.progress,
+            settings.bounds,
+            settings.zones,
+            self._peers.send,
+        )
+        self._follower = StoreFollower(
+            self._store,
+            self.view,
+            self._store_health,
+            self._peers.send,
+            self._find_target_watch_pause,
+        )
+        self._peers.slots = self.slots
+        self._peers.follower = self._follower
+        self._lease_keeper = LeaseKeeper(
+            self._store, self._store_health, max(LEASE_S, settings.min_lease_s)
+        )
+        self._registration = Registration(
+            self._store,
+            self.view,
+            self._store_health,
+            local,
+            lambda: bool(self._peers.peers),
+        )
         self._suspects = SuspectTracker(self.view, self._peers.announce_suspects)
         self._peers.on_suspects = self._suspects.merge
+        self.slots.on_broken = self._suspects.record_broken
+        self.slots.on_leaving = self._peers.announce_leaving
         self.view.on_target_lost = self._on_target_lost
+        self.view.on_restored = self._on_store_restored
         self._server = RequestServer(
             self.view,
-            self.dispatcher,
+            self.slots,
             TargetExchange(
                 self.pool,
                 self.progress,
                 self.metrics,
-                self._on_suspect,
+                self.slots,
                 self._is_reachable,
-                TargetNotices(
-                    self.view,
-                    self.dispatcher.pauses,
-                    self.metrics,
-                    self._peers.announce_leaving,
-                ),
+                TargetNotices(self.slots.pauses, self.metrics, self.slots.note_leaving),
             ),
-            self._find_budget,
-            self._on_suspect,
             self.metrics,
             self._suspects,
         )
@@ -144,17 +159,15 @@
                 ZoneKey(
                     zone,
                     name=settings.name,
-                    is_local_zone=zone == settings.zone,
                     view=self.view,
                     lease_keeper=self._lease_keeper,
                     is_store_unavailable=self._peers.is_store_unavailable,
                 ),
                 view=self.view,
                 pool=self.pool,
-                loads=self.loads,
                 progress=self.progress,
                 load_limit=self._load_limits[zone],
-                unmet_demand=self.dispatcher.estimate_unmet_demand,
+                slots=self.slots,
                 peers_may_reach=self._peers.may_be_reachable,
                 is_store_unavailable=self._peers.is_store_unavailable,
                 announce=self._peers.announce_report,
@@ -163,11 +176,6 @@
             for zone in settings.zones
         ]
         self._peers.on_planning_handover = self._take_over_planning
-        self._watchers = [
-            self._watch(OPERATOR_PREFIX, lambda: 0.0),
-            self._watch(TARGET_PREFIX, self._find_target_watch_pause),
-            self._watch(GATEWAY_PREFIX, lambda: 0.1),
-        ]
         self._listener = CallerListener(
             settings.front.host,
             settings.front.port,
@@ -177,12 +185,12 @@
         self._web = GatewayWeb(
             settings.ready, settings.metrics, self.find_unready_reason, self.dump
         )
+        self._slow_tick_at = 0.0
         self._housekeeper: gevent.Greenlet | None = None
 
     def start(self) -> None:
         """Start all tasks."""
-        for watcher in self._watchers:
-            watcher.start()
+        self._registration.start()
         self._lease_keeper.start()
         self._peers.start()
         for planner in self._planners:
@@ -209,7 +217,9 @@
         self._web.stop()
         self._peers.stop()
         self._lease_keeper.stop()
-        for task in (*self._planners, *self._watchers):
+        self._registration.stop()
+        self._follower.stop()
+        for task in self._planners:
             task.stop()
         if self._housekeeper is not None:
             self._housekeeper.kill(block=False)
@@ -221,7 +231,7 @@
             return "stopping"
         if self.view.cfg is None:
             return "no configuration"
-        if not any(True for _ in self.view.iter_replicas()):
+        if not self.slots.has_slots:
             return "no target"
         return None
 
@@ -238,18 +248,15 @@
             "peers": sorted(self._peers.peers),
             "plans": [item.zone for item in self._planners if item.is_holder],
             "replicas": list(self.view.iter_replicas()),
-            "loads": self.loads.get_own(),
+            "slots": self.slots.describe(),
+            "store_source": self._follower.source,
+            "head": self.roster.find_head(self.settings.zone),
             "suspects": [list(key) for key in self.progress.list_suspicions(now)],
-            "waiting": self.dispatcher.count_queued(),
+            "waiting": self.slots.count_waiting(),
             "store_answered_s_ago": boot_time() - self._store_health.answered_at,
             "store_era": self.view.mirror.era,
         }
 
-    def _watch(self, prefix: str, pause_s: Callable[[], float]) -> PrefixWatcher:
-        return PrefixWatcher(
-            self._store, prefix, self.view, self._store_health, pause_s
-        )
-
     def _is_reachable(self, target: str, address: str) -> bool:
         """Return whether a target answers this process."""
         try:
@@ -285,36 +292,18 @@
         cfg = self.view.cfg
         return CallerLimits() if cfg is None else cfg.limits
 
-    def _find_budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            bounds = self.settings.bounds
-            peers = max(1, len(self.view.list_peers()))
-            slack = bounds.retry_slack * RETRY_BUDGET_SHARE / peers
-            budget = RetryBudget(
-                ratio=bounds.retry_ratio * RETRY_BUDGET_SHARE,
-                balance=slack,
-                max_balance=slack,
-            )
-            self._budgets[service] = budget
-        return budget
-
     def _on_view_change(self) -> None:
-        self.dispatcher.assign_free_slots()
+        self.slots.handle_view_change()
+        self._follower.schedule_push()
 
     def _on_store_restored(self) -> None:
         self.metrics.count_store_restored()
         self._lease_keeper.wake()
 
     def _on_target_lost(self, target: str, started_ms: int | None) -> None:
-        self.dispatcher.pauses.forget(target)
+        self.slots.pauses.forget(target)
         self._suspects.handle_lost_target(target, started_ms)
 
-    def _on_suspect(self, target: str, epoch: int) -> None:
-        if self.progress.suspect(target, epoch, time.monotonic()):
-            logger.info("target suspected", extra={"target": target, "epoch": epoch})
-            self._peers.announce_stall(target, epoch)
-
     def _take_over_planning(self, handover: PlanningHandover) -> None:
         for planner in self._planners:
             if planner.zone == handover.zone and not self._stopping:
@@ -322,11 +311,69 @@
 
     def _run_housekeeping(self) -> None:
         while True:
+            try:
+                self._tick()
+            except Exception:
+                logger.exception("housekeeping failed")
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
-            now = time.monotonic()
+
+    def _tick(self) -> None:
+        """Adapt the roles of this process to the live entry hosts."""
+        now = time.monotonic()
+        zone = self.settings.zone
+        zones = self.roster.list_served_zones(self.settings.zones)
+        is_head = self.roster.find_head(zone) == self.settings.name
+        may_plan = is_head or self.roster.is_among_first(f"head {zone}", zone)
+        may_plan &= self._registration.is_settled and not self._stopping
+        self._lease_keeper.require(may_plan or bool(self._list_planned_zones()))
+        for planner in self._planners:
+            planner.set_role(
+                is_candidate=may_plan and planner.zone in zones, is_preferred=is_head
+            )
+        self.roster.is_ready = self._is_ready_to_own()
+        self.slots.tick(zones)
+        self._follow_store(is_head)
+        self._remove_lost_hosts(is_head)
+        if now - self._slow_tick_at >= SLOW_TICK_S:
+            self._slow_tick_at = now
             self.pool.close_idle(now)
             self.view.expire_removed()
-            self.dispatcher.assign_free_slots()
+            self.progress.expire(now)
+
+    def _follow_store(self, is_head: bool) -> None:
+        """Read the store, or follow the one that this process should follow now."""
+        if not self._registration.is_settled:
+            return
+        source = self._peers.find_source(self._zone_order)
+        if source != "":
+            self._follower.follow(source, wants_targets=self._wants_targets(is_head))
+
+    def _is_ready_to_own(self) -> bool:
+        """Return whether this process can place requests of others."""
+        has_targets = self.view.mirror.get_synced(TARGET_PREFIX) > 0
+        return self.view.cfg is not None and has_targets and not self._stopping
+
+    def _wants_targets(self, is_head: bool) -> bool:
+        """Return whether this process needs the targets' entries."""
+        zone = self.settings.zone
+        return (
+            is_head
+            or self.roster.is_among_first(f"head {zone}", zone)
+            or any(
+                self.roster.is_among_first(f"slots {key}", zone)
+                for key in self.view.list_slot_keys(zone)
+            )
+        )
+
+    def _list_planned_zones(self) -> list[str]:
+        return [planner.zone for planner in self._planners if planner.is_holder]
+
+    def _remove_lost_hosts(self, is_head: bool) -> None:
+        """Remove the records of this zone's hosts that have been lost for long."""
+        if not is_head:
+            return
+        for name in self.roster.list_long_lost(LOST_HOST_S):
+            gevent.spawn(self._registration.remove_lost, name)
 
     def _on_hangup(self) -> None:
         logger.info(
@@ -354,7 +401,10 @@
                     "planning handed over", extra={"zone": handover.zone, "peer": peer}
                 )
         self._lease_keeper.stop()
+        self._registration.stop()
         gevent.spawn(self._lease_keeper.revoke)
+        gevent.spawn(self._registration.remove)
+        self._peers.announce_stop()
         self._listener.disable_keep_alive()
         gevent.sleep(BALANCER_REMOVAL_S)
         self._listener.stop_accepting()
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -22,6 +22,7 @@
 from ..forwarding.answers import strip_hop_headers
 from ..forwarding.exchange import format_request, send_request
 from ..platform import HeaderNames
+from ..slots import SlotOffer
 from ..targets.progress import ProgressBook
 from ..telemetry import GatewayMetrics
 from .attempts import (
@@ -34,9 +35,9 @@
     Stalled,
     is_retry_allowed,
 )
-from .beliefs import Replica
 from .notices import TargetNotices
 from .routed import RequestContext
+from .slots import Slot, SlotTask
 
 # Shortest time without progress after which a stream is resumed on another target; it
 # must exceed a pass of a busy engine, which takes up to 0.1 s.
@@ -66,8 +67,8 @@
 
     Parameters
     ----------
-    on_suspect
-        Called with a replica's id and epoch when it is unreachable.
+    slots
+        Asked whether a silent stream may be resumed.
     is_reachable
         Probes a target, given its id and address; returns whether it answers.
     """
@@ -77,7 +78,7 @@
         pool: ConnectionPool,
         progress: ProgressBook,
         metrics: GatewayMetrics,
-        on_suspect: Callable[[str, int], None],
+        slots: SlotTask,
         is_reachable: Callable[[str, str], bool],
         notices: TargetNotices,
     ):
@@ -86,16 +87,17 @@
         self._pool = pool
         self._progress = progress
         self._metrics = metrics
-        self._on_suspect = on_suspect
+        self._slots = slots
 
     def run(
         self,
         ctx: RequestContext,
         resp: Responder,
         attempts: Attempts,
-        replica: Replica,
+        slot: Slot,
     ) -> Outcome:
         """Make one attempt on a replica and return its outcome."""
+        replica = slot.offer
         data = self._build_request(ctx, attempts, replica)
         try:
             conn = send_request(
@@ -105,17 +107,13 @@
                 timeout_s=ctx.deadline - time.monotonic(),
             )
         except UnreachableError as exc:
-            if replica.epoch:
-                self._on_suspect(replica.id, replica.epoch)
-                now = time.monotonic()
-                self._progress.suspect(replica.id, replica.epoch, now, is_local=True)
-            return NotRun(str(exc))
+            return NotRun(str(exc), is_unreachable=True)
         except TargetBrokenError as exc:
             return Broken(str(exc))
         is_reusable = False
         try:
             if ctx.route.kind is RouteKind.STREAM:
-                outcome = self._relay_stream(ctx, resp, attempts, replica, conn)
+                outcome = self._relay_stream(ctx, resp, attempts, slot, conn)
             else:
                 outcome = self._relay_call(ctx, resp, attempts, replica, conn)
             is_reusable = conn.is_complete
@@ -152,14 +150,9 @@
         attempts.discard_ended_runs(self._is_reachable)
         return is_retry_allowed(ctx.route, attempts, outcome)
 
-    def suspect_misdirected(self, replica: Replica, now: float) -> None:
-        """Suspect a replica that refused a request as misdirected.
-
-        The peers are not notified: the list may be stale at this gateway only.
-        """
-        self._progress.suspect(replica.id, replica.epoch, now, is_local=True)
-
-    def _build_request(self, ctx: RequestContext, attempts, replica: Replica) -> bytes:
+    def _build_request(
+        self, ctx: RequestContext, attempts, replica: SlotOffer
+    ) -> bytes:
         overridden = {
             HeaderNames.DEADLINE_MS.value,
             HeaderNames.WORKSPACE.value,
@@ -187,7 +180,7 @@
         self,
         ctx: RequestContext,
         conn: TargetConnection,
-        replica: Replica,
+        replica: SlotOffer,
         until: float,
     ) -> AnswerHead:
         """Read the head of this request's answer, skipping answers to others."""
@@ -241,8 +234,9 @@
         return Failed(answer) if sealed else Broken(f"status {head.status}")
 
     def _relay_stream(
-        self, ctx: RequestContext, resp: Responder, attempts, replica, conn
+        self, ctx: RequestContext, resp: Responder, attempts, slot: Slot, conn
     ) -> Outcome:
+        replica = slot.offer
         sent_at = time.monotonic()
         stall_timeout_s = self._find_stall_timeout_s(ctx)
         first_event_timeout_s = max(
@@ -253,7 +247,7 @@
             lambda until: self._read_matching_head(ctx, conn, replica, until),
             ctx,
             attempts,
-            replica,
+            slot,
             sent_at,
             sent_at,
             first_event_timeout_s,
@@ -270,7 +264,7 @@
                 conn.read_body,
                 ctx,
                 attempts,
-                replica,
+                slot,
                 last_data_at,
                 last_event_at,
                 stall_timeout_s if has_events else first_event_timeout_s,
@@ -338,7 +332,7 @@
         read,
         ctx,
         attempts,
-        replica: Replica,
+        slot: Slot,
         last_data_at: float,
         last_event_at: float,
         stall_timeout_s: float,
@@ -348,12 +342,15 @@
         Bytes that complete no event keep a stream only for a while. A silent target is
         abandoned only if the request may be retried.
         """
+        seen_elsewhere_at = 0.0
         while True:
             now = time.monotonic()
             if now >= ctx.deadline:
                 raise TargetTimeoutError("deadline passed")
             last_activity_at = max(
-                last_data_at, self._progress.last_progress_at(replica.id)
+                last_data_at,
+                seen_elsewhere_at,
+                self._progress.last_progress_at(slot.offer.id),
             )
             stalled_at = last_activity_at + stall_timeout_s
             stall_limit_at = (
@@ -361,13 +358,19 @@
             )
             until = min(stalled_at, stall_limit_at)
             if now >= until:
-                if attempts.budget.has_balance and self.may_retry(
-                    ctx, attempts, Stalled("nothing arrives")
-                ):
-                    raise TargetTimeoutError(
-                        f"no event for {now - last_event_at:.2f} s"
-                    )
                 until = now + STALL_RECHECK_INTERVAL_S
+                if self.may_retry(ctx, attempts, Stalled("nothing arrives")):
+                    limit_s = 0.0 if now >= stall_limit_at else stall_timeout_s
+                    seen_elsewhere_at, may_resume = self._slots.may_resume(
+                        slot, limit_s
+                    )
+                    if may_resume:
+                        attempts.has_retry_permit = True
+                        raise TargetTimeoutError(
+                            f"no event for {now - last_event_at:.2f} s"
+                        )
+                    if seen_elsewhere_at + stall_timeout_s > now:
+                        until = seen_elsewhere_at + stall_timeout_s
             try:
                 return read(min(until, ctx.deadline))
             except TargetTimeoutError:
--- /dev/null
+++ b/waxwingpitch/gateway/following.py
@@ -0,0 +1,211 @@
+"""Follows the platform's store: some gateways read it, the others follow these.
+
+Each zone's head follows the head of the first zone, in an order that all know, that the
+store answers; the first of them reads the store. All other gateways follow the head of
+their zone. A gateway that hears no one it could follow reads the store itself.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Iterable
+
+import gevent
+
+from ..agreed.mirror import StoreMirror
+from ..mesh.fleet_messages import (
+    RemovedItem,
+    StoredItem,
+    StoreUpdate,
+    Subscription,
+)
+from ..mesh.messages import Message
+from ..platform import OPERATOR_PREFIX, TARGET_PREFIX
+from ..ports import KeyValueStore, StoredChange, StoredDeletion, StoredEntry
+from .beliefs import GATEWAY_PREFIX, GatewayView
+from .store_tasks import PrefixWatcher, StoreHealth
+
+# Interval at which a subscription is repeated, and time after which it has ended.
+SUBSCRIBE_INTERVAL_S = 0.5
+SUBSCRIPTION_TTL_S = 2.0
+# Time without an update or a status after which the followed gateway is left.
+PUSH_DELAY_S = 0.01
+PREFIXES = (OPERATOR_PREFIX, GATEWAY_PREFIX)
+
+logger = logging.getLogger(__name__)
+
+
+class StoreFollower:
+    """Keeps the mirror up to date, from the store or from another gateway.
+
+    Parameters
+    ----------
+    send
+        Sends a message to a peer; returns False if it is not linked.
+    find_pause_s
+        Returns the time between two watch calls for targets, in seconds.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        view: GatewayView,
+        store_health: StoreHealth,
+        send: Callable[[str, Message], bool],
+        find_pause_s: Callable[[], float],
+    ):
+        self._store = store
+        self._view = view
+        self._store_health = store_health
+        self._send = send
+        self._find_pause_s = find_pause_s
+        self._source: str | None = ""
+        self._subscribed_at = 0.0
+        self._wants_targets = False
+        self._watchers: dict[str, PrefixWatcher] = {}
+        self._followers: dict[str, tuple[float, dict[str, int]]] = {}
+        self._is_push_due = False
+
+    @property
+    def source(self) -> str | None:
+        """Gateway that is followed; None while the store is read, "" at the start."""
+        return self._source
+
+    def follow(self, source: str | None, *, wants_targets: bool) -> None:
+        """Follow a gateway, or read the store if it is None.
+
+        Called a few times a second.
+
+        Parameters
+        ----------
+        wants_targets
+            Whether the targets' entries are needed.
+        """
+        if source != self._source:
+            logger.info("store source", extra={"source": source or "store"})
+            self._source = source
+            self._subscribed_at = 0.0
+        self._wants_targets = wants_targets
+        self._run_watchers(self._list_prefixes() if source is None else ())
+        now = time.monotonic()
+        if source is not None and now - self._subscribed_at >= SUBSCRIBE_INTERVAL_S:
+            positions = {
+                prefix: self._view.mirror.get_synced(prefix)
+                for prefix in self._list_prefixes()
+            }
+            if self._send(source, Subscription(positions)):
+                self._subscribed_at = now
+
+    def stop(self) -> None:
+        """Stop reading the store."""
+        self._run_watchers(())
+
+    def handle_subscription(self, peer: str, message: Subscription) -> None:
+        """Send a peer what it lacks, now and whenever something changes."""
+        self._followers[peer] = (time.monotonic(), dict(message.positions))
+        self._push(peer)
+
+    def handle_update(self, peer: str, message: StoreUpdate) -> None:
+        """Apply changes that the followed gateway sent."""
+        apply_store_update(self._view, message)
+
+    def handle_lost_peer(self, peer: str) -> None:
+        """Stop sending changes to a peer."""
+        self._followers.pop(peer, None)
+
+    def schedule_push(self) -> None:
+        """Send changes to the followers soon, several in one message."""
+        if not self._is_push_due and self._followers:
+            self._is_push_due = True
+            gevent.spawn_later(PUSH_DELAY_S, self._push_all)
+
+    def list_followers_of_targets(self) -> list[str]:
+        """Return the peers that follow the targets' entries here."""
+        return [
+            peer
+            for peer, (_, positions) in self._followers.items()
+            if TARGET_PREFIX in positions
+        ]
+
+    def _list_prefixes(self) -> tuple[str, ...]:
+        return (*PREFIXES, TARGET_PREFIX) if self._wants_targets else PREFIXES
+
+    def _run_watchers(self, prefixes: Iterable[str]) -> None:
+        for prefix in self._watchers.keys() - set(prefixes):
+            self._watchers.pop(prefix).stop()
+        for prefix in prefixes:
+            if prefix not in self._watchers:
+                pause_s = self._find_pause_s if prefix == TARGET_PREFIX else _no_pause
+                watcher = PrefixWatcher(
+                    self._store, prefix, self._view, self._store_health, pause_s
+                )
+                self._watchers[prefix] = watcher
+                watcher.start()
+
+    def _push_all(self) -> None:
+        self._is_push_due = False
+        now = time.monotonic()
+        for peer, (at, _) in list(self._followers.items()):
+            if now - at > SUBSCRIPTION_TTL_S:
+                del self._followers[peer]
+            else:
+                self._push(peer)
+
+    def _push(self, peer: str) -> None:
+        _, positions = self._followers[peer]
+        for prefix, position in positions.items():
+            update = build_store_update(self._view.mirror, prefix, position)
+            if update is not None and self._send(peer, update):
+                positions[prefix] = update.version
+
+
+def build_store_update(
+    mirror: StoreMirror, prefix: str, after: int
+) -> StoreUpdate | None:
+    """Return what a peer lacks that knows the changes up to a version; None if nothing.
+
+    A peer that may know keys whose deletion is not known here gets everything.
+    """
+    synced = mirror.get_synced(prefix)
+    if synced <= after:
+        return None
+    is_complete = after == 0 or not mirror.has_history(prefix, after)
+    change = mirror.list_after(prefix, 0 if is_complete else after)
+    return StoreUpdate(
+        prefix,
+        after,
+        synced,
+        tuple(
+            StoredItem(item.key, item.version, item.value) for item in change.entries
+        ),
+        (
+            ()
+            if is_complete
+            else tuple(RemovedItem(item.key, item.version) for item in change.deletions)
+        ),
+        is_complete,
+    )
+
+
+def apply_store_update(view: GatewayView, message: StoreUpdate) -> None:
+    """Apply changes that another gateway sent."""
+    entries = tuple(
+        StoredEntry(item.key, item.version, item.value) for item in message.items
+    )
+    if message.complete:
+        listed = StoredChange(message.version, entries)
+        if message.version > view.mirror.get_synced(message.prefix):
+            view.apply_list(message.prefix, listed)
+    else:
+        removed = tuple(
+            StoredDeletion(item.key, item.version) for item in message.removed
+        )
+        view.apply(StoredChange(message.version, entries, removed))
+        if message.after > view.mirror.get_synced(message.prefix):
+            return  # an update before this one was lost
+    view.mirror.mark_synced(message.prefix, message.version)
+
+
+def _no_pause() -> float:
+    return 0.0
--- a/waxwingpitch/gateway/notices.py
+++ b/waxwingpitch/gateway/notices.py
@@ -10,7 +10,6 @@
 from ..platform import HeaderNames
 from ..targets.pauses import PauseBook
 from ..telemetry import GatewayMetrics
-from .beliefs import GatewayView
 
 logger = logging.getLogger(__name__)
 
@@ -20,27 +19,25 @@
 
     Parameters
     ----------
-    announce_leaving
-        Tells the peers that a target leaves, given its id and start time in Unix
-        milliseconds.
+    on_leaving
+        Called with the id of a target that says that it leaves, and the monotonic time.
     """
 
     def __init__(
         self,
-        view: GatewayView,
         pauses: PauseBook,
         metrics: GatewayMetrics,
-        announce_leaving: Callable[[str, int], None],
+        on_leaving: Callable[[str, float], None],
     ):
-        self._view = view
         self._pauses = pauses
         self._metrics = metrics
-        self._announce_leaving = announce_leaving
+        self._on_leaving = on_leaving
 
     def read(self, target: str, head: AnswerHead, now: float) -> None:
         """Take note of an answer's head, received at a monotonic time."""
         if head.find(HeaderNames.LEAVING) is not None:
-            self._note_leaving(target)
+            self._metrics.count_leaving_answer()
+            self._on_leaving(target, now)
         pause_s = parse_retry_after(head) if head.status == 503 else None
         if pause_s:
             self._pauses.pause(target, until=now + pause_s)
@@ -48,11 +45,3 @@
             logger.info(
                 "target asked for a pause", extra={"target": target, "pause_s": pause_s}
             )
-
-    def _note_leaving(self, target: str) -> None:
-        started_ms = self._view.mark_leaving(target)
-        if started_ms is None:
-            return
-        self._metrics.count_leaving_answer()
-        self._announce_leaving(target, started_ms)
-        logger.info("target says that it leaves", extra={"target": target})
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -1,57 +1,67 @@
-"""Task that exchanges load counts, suspects, probes and store changes with peers."""
+"""Links to other gateways: which ones, what is sent on them, and what arrives."""
 
 from __future__ import annotations
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 import gevent
+from msgspec import structs
 
-from ..agreed.mirror import StoreMirror
-from ..agreed.versions import get_era
 from ..clocks import boot_time
-from ..mesh import Identity, MeshNode
+from ..mesh import Identity, MeshNode, decode_message, encode_message
+from ..mesh.fleet_messages import (
+    FleetNews,
+    FleetStatus,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequestMessage,
+    StallCheck,
+    StallReply,
+    StoreUpdate,
+    Subscription,
+)
 from ..mesh.messages import (
-    DeletedItem,
-    DocumentItem,
-    GatewayStatus,
+    Message,
     PlanningHandover,
     ProbeRequest,
     ProbeResult,
-    StalledTarget,
-    StoreChanges,
-    StoreChangesRequest,
     SuspectItem,
     Suspects,
     TargetUpdate,
 )
 from ..mesh.node import LinkDown, LinkUp, MeshEvent, Received
-from ..ports import StoredChange, StoredDeletion, StoredEntry
 from ..settings.gateway import GatewaySettings
-from ..targets.loads import LoadBook
+from ..slots import EntryHost
 from ..targets.progress import ProgressBook
 from ..targets.records import Membership, MembershipReport, MemberState
 from .beliefs import GatewayView
+from .following import StoreFollower
+from .roster import KEPT_HOSTS, Roster
+from .slots import SlotTask
 from .store_tasks import StoreHealth
 
-STATUS_INTERVAL_S = 0.1
-IDLE_STATUS_INTERVAL_S = 0.5
-# Age after which a peer's count of weight loads is ignored: three times
-# ``IDLE_STATUS_INTERVAL_S``.
-PEER_WEIGHT_LOADS_TTL_S = 1.5
-# Age after which a peer's status says nothing about the store.
+STATUS_INTERVAL_S = 0.2
+# Interval of statuses while this gateway holds slots, whose progress others ask for.
+BUSY_STATUS_INTERVAL_S = 0.1
+DIAL_INTERVAL_S = 0.25
+# Age after which a peer's status says nothing about the store or its weight loads.
 STATUS_TTL_S = 2.0
-DIAL_INTERVAL_S = 1.0
-# Time without an answer of the store after which its changes are requested from a peer.
-PEER_SYNC_AFTER_S = 0.8
-PEER_SYNC_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.8
-# Share of the entry hosts that must agree that a target or the store is unreachable. It
+# Gateways of each zone that are asked whether they reach a target.
+ASKED_PER_ZONE = 2
+# Share of those asked that must agree that a target, or the store, is unreachable. It
 # exceeds a third, as a partial partition may cut a target off from that many.
 QUORUM_SHARE = 0.6
 # Age of its last answer from which the store counts as unavailable.
 STORE_UNAVAILABLE_AFTER_S = 1.2
+# Age of its last answer to a head from which that head is no longer followed.
+STORE_SILENT_AFTER_S = 2.0
+# Largest age that a status tells.
+MAX_AGE_S = 600.0
 FRAME_BYTES = 4 * 1024 * 1024
 
 logger = logging.getLogger(__name__)
@@ -62,8 +72,6 @@
 
     Parameters
     ----------
-    on_peer_loads
-        Called when a peer's request counts have arrived.
     is_reachable
         Returns whether a target, given its id and address, answers this process.
 
@@ -75,41 +83,43 @@
         Called with a handover of a zone's planning to this process.
     count_weight_loads
         Returns the number of weight loads in progress that this process began.
+    slots, follower
+        Tasks that messages about slots and about the store are for.
     """
 
     def __init__(
         self,
         settings: GatewaySettings,
-        incarnation: str,
+        local: EntryHost,
+        roster: Roster,
         view: GatewayView,
-        loads: LoadBook,
         progress: ProgressBook,
         store_health: StoreHealth,
-        on_peer_loads: Callable[[], None],
         is_reachable: Callable[[str, str], bool],
     ):
         self._settings = settings
+        self._local = local
+        self._roster = roster
         self._view = view
-        self._loads = loads
         self._progress = progress
         self._store_health = store_health
-        self._on_peer_loads = on_peer_loads
         self._is_reachable = is_reachable
         self.on_suspects: Callable[[tuple[SuspectItem, ...], float], None] = _ignore
         self.on_planning_handover: Callable[[PlanningHandover], None] = (
             lambda handover: None
         )
         self.count_weight_loads: Callable[[], int] = lambda: 0
-        self._peer_weight_loads: dict[str, tuple[float, int]] = {}
+        self.slots: SlotTask
+        self.follower: StoreFollower
+        self._statuses: dict[str, tuple[float, FleetStatus]] = {}
+        self._sources: dict[str, str] = {}
         self._probe_results: dict[str, dict[str, bool]] = {}
-        self._store_ages: dict[str, tuple[float, float]] = {}
-        self._sent_counts: dict[str, int] = {}
-        self._status_sent_at = 0.0
         self._is_status_urgent = False
-        self._changes_requested_at = 0.0
+        self._is_stopping = False
+        self._status_sent_at = 0.0
         self._dialled_at = 0.0
         self._node = MeshNode(
-            Identity(settings.name, incarnation, settings.zone),
+            Identity(settings.name, local.incarnation, settings.zone),
             f"{settings.store} waxwingpitch",
             host=settings.peers.host,
             port=settings.peers.port,
@@ -123,6 +133,11 @@
         """Names of the entry hosts that this one has a link to."""
         return self._node.peers
 
+    @property
+    def sent(self) -> tuple[int, int]:
+        """Messages and bytes sent so far."""
+        return self._node.sent
+
     def start(self) -> None:
         """Start the mesh node and the periodic messages."""
         self._node.start()
@@ -134,102 +149,195 @@
             self._greenlet.kill(block=False)
         self._node.stop()
 
+    def send(self, peer: str, message: Message) -> bool:
+        """Send a message to a peer; return False if it is not linked."""
+        return self._node.send(peer, message)
+
+    def announce_stop(self) -> None:
+        """Tell the peers that this process owns nothing any more."""
+        self._is_stopping = True
+        self._roster.stop()
+        self._send_statuses()
+
     def hand_over(self, handover: PlanningHandover) -> str | None:
-        """Hand a zone's planning over to a peer, preferably of that zone.
+        """Hand a zone's planning over to a peer, preferably its next head.
 
         Returns
         -------
         str or None
             Name of the peer; None if there is no link to any.
         """
+        heads = self._roster.list_heads(handover.zone)
+        next_heads = [name for name in heads if name != self._local.name]
         in_zone = self._node.list_peers_in(handover.zone)
-        peer = next(iter(in_zone or sorted(self._node.peers)), None)
+        candidates = next_heads or in_zone or sorted(self._node.peers)
+        peer = next(iter(candidates), None)
         if peer is not None:
             self._node.send(peer, handover)
         return peer
 
     def count_peer_weight_loads(self, now: float) -> int:
         """Return the number of weight loads in progress that the peers began."""
-        return sum(
-            loads
-            for at, loads in self._peer_weight_loads.values()
-            if now - at < PEER_WEIGHT_LOADS_TTL_S
-        )
+        return sum(status.weight_loads for _, status in self._iter_recent_statuses())
 
-    def announce_leaving(self, target: str, started_ms: int) -> None:
-        """Tell all peers, with the next status, that a target says that it leaves."""
+    def announce_leaving(self) -> None:
+        """Tell all peers at once which targets said that they leave."""
         self._is_status_urgent = True
 
-    def announce_stall(self, target: str, epoch: int) -> None:
-        """Tell all peers that a target makes no progress."""
-        self._node.broadcast(StalledTarget(target, epoch))
+    def announce_suspects(self, items: tuple[SuspectItem, ...]) -> None:
+        """Tell all gateways of requests that were in flight when a target crashed."""
+        self._spread(FleetNews(encode_message(Suspects(items))), None)
+
+    def announce_report(
+        self, target: str, version: int, report: MembershipReport
+    ) -> None:
+        """Send a target's report to those that follow the targets here."""
+        place = report.membership
+        update = TargetUpdate(target, version, report.model, report.staged)
+        if place is not None:
+            update = TargetUpdate(
+                target,
+                version,
+                report.model,
+                report.staged,
+                place.group,
+                place.epoch,
+                place.rank,
+                place.state.value,
+            )
+        self._node.multicast(update, self.follower.list_followers_of_targets())
+
+    def find_source(self, zones: Iterable[str]) -> str | None:
+        """Return the gateway to follow; None to read the store, "" if not yet known.
+
+        Parameters
+        ----------
+        zones
+            All zones, in the order in which their heads are followed.
+        """
+        name, zone = self._local.name, self._local.zone
+        head = self._roster.find_head(zone)
+        if head == name:
+            return self._find_source_of_head(zones)
+        if head is None:
+            return ""
+        if self._is_in_touch(head):
+            return head
+        deputies = [item for item in self._roster.list_heads(zone) if item != head]
+        if name in deputies:
+            return None
+        return next(filter(self._is_in_touch, deputies), head)
+
+    def _find_source_of_head(self, zones: Iterable[str]) -> str | None:
+        has_own_answers = (
+            not self._store_health.failing or self._store_age_s < STORE_SILENT_AFTER_S
+        )
+        for zone in zones:
+            if zone == self._local.zone:
+                if has_own_answers:
+                    return None
+                continue
+            head = self._roster.find_head(zone)
+            if head is not None and self._is_in_touch(head):
+                if self._sources.get(head) != self._local.name:
+                    return head
+            elif head is None and self._roster.may_have_head(zone):
+                if self.follower.source == "":
+                    return ""
+        return None
 
     def may_be_reachable(self, target: str, address: str) -> bool:
         """Return whether any other entry host may reach a target.
 
-        False only if no peer reaches it, and this entry host and those that replied are
-        a quorum of the listed ones; see ``QUORUM_SHARE``.
+        False only if no peer reaches it of those asked in each zone, and this entry
+        host and those that replied are a quorum of them; see ``QUORUM_SHARE``.
         """
-        listed = self._view.list_peers().keys() - {self._settings.name}
+        asked = self._choose_witnesses()
         results = self._probe_results.get(target)
         if results is None:
             self._probe_results[target] = results = {}
-            self._node.broadcast(ProbeRequest(target, address))
+            self._node.multicast(ProbeRequest(target, address), asked)
         deadline = time.monotonic() + PROBE_TIMEOUT_S
         while (
             time.monotonic() < deadline
-            and len(results) < len(listed)
+            and len(results) < len(asked)
             and not any(results.values())
         ):
             gevent.sleep(0.02)
         if self._probe_results.get(target) is results:
             del self._probe_results[target]
-        replies = len(results) + 1
-        return any(results.values()) or replies < QUORUM_SHARE * (len(listed) + 1)
+        is_quorum = len(results) + 1 >= QUORUM_SHARE * (len(asked) + 1)
+        zones_known = len(self._list_zones_linked()) + 1
+        is_majority = zones_known >= QUORUM_SHARE * len(self._settings.zones)
+        return any(results.values()) or not (is_quorum and is_majority)
 
     def is_store_unavailable(self) -> bool:
-        """Return whether the store answers neither this process nor its peers.
+        """Return whether the store answers neither this process nor other heads.
 
-        Requires recent statuses of a quorum of the entry hosts; see ``QUORUM_SHARE``.
+        Requires recent statuses of the heads of a quorum of the zones; see
+        ``QUORUM_SHARE``.
         """
-        now = boot_time()
+        health = self._store_health
         if (
-            not self._store_health.failing
-            or now - self._store_health.answered_at < STORE_UNAVAILABLE_AFTER_S
+            not health.failing
+            or boot_time() - health.answered_at < STORE_UNAVAILABLE_AFTER_S
         ):
             return False
-        listed = self._view.list_peers().keys() - {self._settings.name}
         ages = [
-            age_s + now - at
-            for peer, (at, age_s) in self._store_ages.items()
-            if peer in self._node.peers and now - at < STATUS_TTL_S
+            status.store_age_ms / 1000 + boot_time() - at
+            for at, status in self._iter_recent_statuses()
+            if status.store_age_ms >= 0
         ]
-        if len(ages) + 1 < QUORUM_SHARE * (len(listed) + 1):
+        zones_known = len(self._list_zones_linked() | {self._local.zone})
+        if zones_known < QUORUM_SHARE * len(self._settings.zones):
             return False
         return all(age_s >= STORE_UNAVAILABLE_AFTER_S for age_s in ages)
 
-    def announce_suspects(self, items: tuple[SuspectItem, ...]) -> None:
-        """Tell all peers of requests that were in flight when a target crashed."""
-        self._node.broadcast(Suspects(items))
+    def _is_in_touch(self, peer: str) -> bool:
+        """Return whether a peer's knowledge of the store is fresh."""
+        known = self._statuses.get(peer)
+        if known is None:
+            return True  # linked just now
+        at, status = known
+        return status.data_age_ms / 1000 + boot_time() - at < STORE_SILENT_AFTER_S
 
-    def announce_report(
-        self, target: str, version: int, report: MembershipReport
-    ) -> None:
-        """Send a target's report to all peers."""
-        place = report.membership
-        update = TargetUpdate(target, version, report.model, report.staged)
-        if place is not None:
-            update = TargetUpdate(
-                target,
-                version,
-                report.model,
-                report.staged,
-                place.group,
-                place.epoch,
-                place.rank,
-                place.state.value,
-            )
-        self._node.broadcast(update)
+    @property
+    def _store_age_s(self) -> float:
+        return boot_time() - self._store_health.answered_at
+
+    def _find_data_age_s(self) -> float:
+        source = self.follower.source
+        if not source:
+            return self._store_age_s
+        known = self._statuses.get(source)
+        if known is None:
+            return 0.0
+        at, status = known
+        return status.data_age_ms / 1000 + boot_time() - at
+
+    def _iter_recent_statuses(self) -> Iterable[tuple[float, FleetStatus]]:
+        now = boot_time()
+        for peer, (at, status) in self._statuses.items():
+            if peer in self._node.peers and now - at < STATUS_TTL_S:
+                yield at, status
+
+    def _choose_witnesses(self) -> list[str]:
+        witnesses: list[str] = []
+        for zone in self._settings.zones:
+            live = [
+                peer
+                for peer in self._node.list_peers_in(zone)
+                if self._roster.is_live(peer)
+            ]
+            witnesses.extend(live[:ASKED_PER_ZONE])
+        return witnesses
+
+    def _list_zones_linked(self) -> set[str]:
+        return {
+            zone
+            for zone in self._settings.zones
+            if any(map(self._roster.is_live, self._node.list_peers_in(zone)))
+        }
 
     def _apply_target_update(self, message: TargetUpdate) -> None:
         place = None
@@ -256,129 +364,161 @@
                 self._tick(time.monotonic())
             except Exception:
                 logger.exception("peer task failed")
-            gevent.sleep(STATUS_INTERVAL_S)
+            gevent.sleep(BUSY_STATUS_INTERVAL_S)
 
     def _tick(self, now: float) -> None:
         if now - self._dialled_at >= DIAL_INTERVAL_S:
             self._dialled_at = now
             self._dial()
-        counts = self._loads.get_own()
-        progress_age_ms = {
-            target: int(1000 * age_s)
-            for target, age_s in self._progress.list_recent_progress(now).items()
-        }
-        has_recent_progress = any(
-            age_ms < 1000 * STATUS_INTERVAL_S for age_ms in progress_age_ms.values()
-        )
-        is_due = now - self._status_sent_at >= IDLE_STATUS_INTERVAL_S
-        is_due |= self._is_status_urgent
+        is_busy = self.slots.count_held() > 0
+        interval_s = BUSY_STATUS_INTERVAL_S if is_busy else STATUS_INTERVAL_S
+        is_due = now - self._status_sent_at >= interval_s - 0.01
+        if is_due or self._is_status_urgent:
+            self._send_statuses()
+
+    def _send_statuses(self) -> None:
+        self._status_sent_at = time.monotonic()
         self._is_status_urgent = False
-        if counts != self._sent_counts or has_recent_progress or is_due:
-            self._sent_counts, self._status_sent_at = counts, now
-            store_age_ms = int(1000 * min(600.0, self._store_age_s))
-            weight_loads = self.count_weight_loads()
-            self._node.broadcast(
-                GatewayStatus(
-                    counts,
-                    store_age_ms,
-                    progress_age_ms,
-                    weight_loads,
-                    self._view.list_said_leaving(),
-                )
-            )
-        if self._store_health.failing and self._store_age_s > PEER_SYNC_AFTER_S:
-            self._request_store_changes(now)
-
-    @property
-    def _store_age_s(self) -> float:
-        return boot_time() - self._store_health.answered_at
+        health = self._store_health
+        calls_store = self.follower.source is None or health.is_checked
+        leaving = dict(self._view.list_said_leaving())
+        for target in self.slots.list_leaving():
+            leaving.setdefault(target, 0)
+        common = FleetStatus(
+            store_age_ms=_to_ms(self._store_age_s) if calls_store else -1,
+            data_age_ms=_to_ms(self._find_data_age_s()),
+            weight_loads=self.count_weight_loads(),
+            leaving=leaving,
+            suspected=self.slots.take_new_suspicions(),
+            summaries=self.slots.list_summaries(),
+            held=(),
+            is_ready=self._roster.is_ready,
+            is_stopping=self._is_stopping,
+            follows=self.follower.source or "",
+        )
+        data = encode_message(common)
+        is_head = self._roster.find_head(self._local.zone) == self._local.name
+        for peer, zone in self._node.list_peers():
+            changes = {}
+            if held := self.slots.list_held_for(peer, zone):
+                changes["held"] = held
+            if is_head and zone != self._local.zone:
+                changes["summaries"] = self.slots.list_zone_summaries()
+            if changes:
+                self._node.send(peer, structs.replace(common, **changes))
+            else:
+                self._node.send_encoded(peer, data)
 
     def _dial(self) -> None:
-        """Connect to peers with a higher address, so that each pair has one link."""
-        own_address = str(self._settings.peers)
-        addresses = set(self._view.list_peers().values())
-        self._node.dial(address for address in addresses if address > own_address)
+        """Connect to the peers that this host needs."""
+        hosts = self._roster.hosts
+        wanted = self._roster.list_wanted(self._list_keys())
+        name, zone = self._local.name, self._local.zone
+        if self._roster.find_head(zone) == name:
+            wanted |= {host.name for host in hosts.values() if host.zone == zone}
+        wanted.discard(name)
+        self._node.dial_peers(
+            {peer: hosts[peer].address for peer in wanted if peer in hosts}
+        )
 
-    def _request_store_changes(self, now: float) -> None:
-        if now - self._changes_requested_at < PEER_SYNC_INTERVAL_S:
-            return
-        booted_s = boot_time()
-        ages = {
-            peer: age_s + booted_s - at
-            for peer, (at, age_s) in self._store_ages.items()
-            if peer in self._node.peers and booted_s - at < STATUS_TTL_S
-        }
-        if ages:
-            self._changes_requested_at = now
-            best = min(ages, key=ages.get)
-            self._node.send(best, StoreChangesRequest(self._view.mirror.version))
+    def _list_keys(self) -> Iterable[tuple[str, str, int]]:
+        """Yield the keys whose first hosts are needed, zones, and how many."""
+        zone = self._local.zone
+        yield f"head {zone}", zone, KEPT_HOSTS
+        is_head = self._roster.is_among_first(f"head {zone}", zone)
+        others = [other for other in self._settings.zones if other != zone]
+        if is_head:
+            for other in others:
+                yield f"head {other}", other, 1
+        for key in self._view.list_slot_keys(zone):
+            yield f"slots {key}", zone, KEPT_HOSTS
+            if self._roster.is_among_first(f"slots {key}", zone):
+                for other in others:
+                    yield f"slots {replace(key, zone=other)}", other, 1
 
     def _deliver(self, event: MeshEvent) -> None:
         match event:
-            case Received(peer=peer, message=GatewayStatus() as message, at=at):
-                self._store_ages[peer.id] = (boot_time(), message.store_age_ms / 1000)
-                self._loads.update_peer(peer.id, message.in_flight, at)
-                self._peer_weight_loads[peer.id] = (at, message.weight_loads)
-                for target, started_ms in message.leaving.items():
-                    self._view.mark_leaving(target, started_ms)
-                for target, progress_age_ms in message.progress_age_ms.items():
-                    self._progress.record_peer_progress(
-                        target, at - progress_age_ms / 1000
-                    )
-                self._on_peer_loads()
-            case Received(message=StalledTarget() as message, at=at):
-                self._progress.suspect(message.target, message.epoch, at)
-            case Received(peer=peer, message=StoreChangesRequest(after=after)):
-                changes = build_store_changes(self._view.mirror, after)
-                self._node.send(peer.id, changes)
-            case Received(peer=peer, message=StoreChanges() as message):
-                apply_store_changes(self._view, message)
-            case Received(peer=peer, message=ProbeRequest() as message):
-                gevent.spawn(self._answer_probe, peer.id, message)
-            case Received(peer=peer, message=ProbeResult() as message):
-                if message.target in self._probe_results:
-                    self._probe_results[message.target][peer.id] = message.reachable
-            case Received(message=Suspects(items=items), at=at):
-                self.on_suspects(items, at)
-            case Received(message=PlanningHandover() as message):
-                self.on_planning_handover(message)
-            case Received(message=TargetUpdate() as message):
-                self._apply_target_update(message)
+            case Received(peer=peer, message=message, at=at):
+                self._roster.record_heard(peer.id)
+                self._handle(peer.id, peer.zone, message, at)
             case LinkUp(peer=peer):
+                self._roster.record_heard(peer.id)
                 logger.info("peer connected", extra={"peer": peer.id})
             case LinkDown(peer=peer):
                 logger.info("peer lost", extra={"peer": peer.id})
+                self._roster.record_lost(peer.id)
+                self._statuses.pop(peer.id, None)
+                self.follower.handle_lost_peer(peer.id)
+                self.slots.handle_lost_peer(peer.id)
+
+    def _handle(self, peer: str, zone: str, message: Message, at: float) -> None:
+        match message:
+            case FleetStatus():
+                self._handle_status(peer, message, at)
+            case (
+                SlotRequestMessage()
+                | SlotGrant()
+                | SlotRefusal()
+                | SlotRelease()
+                | StallCheck()
+                | StallReply()
+            ):
+                self.slots.handle(peer, message)
+            case Subscription():
+                self.follower.handle_subscription(peer, message)
+            case StoreUpdate():
+                self.follower.handle_update(peer, message)
+            case FleetNews():
+                self._handle_news(peer, zone, message, at)
+            case ProbeRequest():
+                gevent.spawn(self._answer_probe, peer, message)
+            case ProbeResult():
+                if message.target in self._probe_results:
+                    self._probe_results[message.target][peer] = message.reachable
+            case PlanningHandover():
+                self.on_planning_handover(message)
+            case TargetUpdate():
+                self._apply_target_update(message)
 
-
-def build_store_changes(mirror: StoreMirror, after: int) -> StoreChanges:
-    """Return what a peer lacks that knows all changes up to a version."""
-    is_complete = get_era(after) < get_era(mirror.version)
-    change = mirror.list_after(0 if is_complete else after)
-    return StoreChanges(
-        change.version,
-        tuple(
-            DocumentItem(item.key, item.version, item.value) for item in change.entries
-        ),
-        tuple(DeletedItem(item.key, item.version) for item in change.deletions),
-        is_complete,
-    )
-
-
-def apply_store_changes(view: GatewayView, message: StoreChanges) -> None:
-    """Apply a peer's answer to a request for store changes."""
-    entries = tuple(
-        StoredEntry(item.key, item.version, item.value) for item in message.items
-    )
-    if message.complete and get_era(message.version) > get_era(view.mirror.version):
-        for prefix in view.mirror.prefixes:
-            listed = tuple(item for item in entries if item.key.startswith(prefix))
-            view.apply_list(prefix, StoredChange(message.version, listed))
-    else:
-        deletions = tuple(
-            StoredDeletion(item.key, item.version) for item in message.deleted
+    def _handle_status(self, peer: str, message: FleetStatus, at: float) -> None:
+        self._statuses[peer] = (boot_time(), message)
+        self._roster.record_state(
+            peer, is_ready=message.is_ready, is_stopping=message.is_stopping
         )
-        view.apply(StoredChange(message.version, entries, deletions))
-    view.mirror.mark_all_synced(message.version)
+        self._sources[peer] = message.follows
+        for target, started_ms in message.leaving.items():
+            self._view.mark_leaving(target, started_ms or None)
+        for target, epoch in message.suspected:
+            self._progress.suspect(target, epoch, at)
+        self.slots.handle_status(peer, message.summaries, message.held)
+
+    def _handle_news(self, peer: str, zone: str, message: FleetNews, at: float) -> None:
+        match decode_message(message.data):
+            case Suspects(items=items):
+                self.on_suspects(items, at)
+        self._spread(message, peer, from_zone=zone)
+
+    def _spread(
+        self, message: FleetNews, sender: str | None, *, from_zone: str = ""
+    ) -> None:
+        """Pass news on: to this zone's head, or by it to its zone and other heads."""
+        zone = self._local.zone
+        head = self._roster.find_head(zone)
+        if head != self._local.name:
+            if sender is None and head is not None:
+                self._node.send(head, message)
+            return
+        in_zone = self._node.list_peers_in(zone)
+        self._node.multicast(message, [peer for peer in in_zone if peer != sender])
+        if message.is_passed_on or from_zone not in ("", zone):
+            return
+        heads = {self._roster.find_head(other) for other in self._settings.zones}
+        others = heads - {None, self._local.name, sender}
+        self._node.multicast(FleetNews(message.data, True), others)
+
+
+def _to_ms(age_s: float) -> int:
+    return int(1000 * min(MAX_AGE_S, max(0.0, age_s)))
 
 
 def _ignore(items: tuple[SuspectItem, ...], at: float) -> None:
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -18,16 +18,17 @@
 from ..groups.load_limit import LoadLimit
 from ..groups.orders_to_targets import Join
 from ..mesh.messages import PlanningHandover
-from ..targets.loads import LoadBook
 from ..targets.progress import ProgressBook
 from ..targets.records import MembershipReport
 from ..telemetry import GatewayMetrics
 from .beliefs import GatewayView, KnownTarget
 from .probing import TargetProbes
+from .slots import SlotTask
 from .zone_key import ZoneKey
 
 BUSY_TICK_S = 0.05
 IDLE_TICK_S = 0.1
+VACANT_TICK_S = 0.5
 # Fence above all versions, for a planner that was handed another process's key: the
 # key's version does not show which entries were written since, so none is trusted.
 NO_TRUSTED_VERSION = sys.maxsize
@@ -42,15 +43,16 @@
 
 
 class ZonePlanner:
-    """Tries to acquire one zone's planner key, and plans its groups while it holds it.
+    """Plans one zone's groups while it holds the zone's planner key.
+
+    It tries to acquire the key while it is a candidate.
 
     Parameters
     ----------
     key
         Key of the zone whose groups are planned.
-    unmet_demand
-        Returns the slots that a model's queued and recently refused requests need,
-        given the names of service and model.
+    slots
+        Measures the demand for each model.
     peers_may_reach
         Returns whether any peer may reach a target, given its id and address.
     is_store_unavailable
@@ -65,10 +67,9 @@
         *,
         view: GatewayView,
         pool: ConnectionPool,
-        loads: LoadBook,
         progress: ProgressBook,
         load_limit: LoadLimit,
-        unmet_demand: Callable[[str, str], int],
+        slots: SlotTask,
         peers_may_reach: Callable[[str, str], bool],
         is_store_unavailable: Callable[[], bool],
         announce: Callable[[str, int, MembershipReport], None],
@@ -77,10 +78,9 @@
         self.zone = key.zone
         self._key = key
         self._view = view
-        self._loads = loads
         self._progress = progress
         self._load_limit = load_limit
-        self._estimate_unmet_demand = unmet_demand
+        self._slots = slots
         self._is_store_unavailable = is_store_unavailable
         self._announce = announce
         self._reports_polled_at = 0.0
@@ -90,6 +90,12 @@
         self._planners: dict[str, FormationPlanner] = {}
         self._probes = TargetProbes(pool, view, peers_may_reach)
         self._greenlet: gevent.Greenlet | None = None
+        self.is_candidate = False
+
+    def set_role(self, *, is_candidate: bool, is_preferred: bool) -> None:
+        """Say whether this process may plan the zone, and whether at once."""
+        self.is_candidate = is_candidate
+        self._key.is_preferred = is_preferred
 
     @property
     def is_holder(self) -> bool:
@@ -117,7 +123,7 @@
             try:
                 if self.is_holder:
                     self._plan()
-                elif self._key.try_acquire():
+                elif self.is_candidate and self._key.try_acquire():
                     self._reset(self._key.fence)
             except StoreError as exc:
                 logger.info(
@@ -126,7 +132,12 @@
                 )
             except Exception:
                 logger.exception("planning a zone failed", extra={"zone": self.zone})
-            gevent.sleep(BUSY_TICK_S if self.is_busy else IDLE_TICK_S)
+            gevent.sleep(self._find_pause_s())
+
+    def _find_pause_s(self) -> float:
+        if not self.is_candidate and not self.is_holder:
+            return VACANT_TICK_S
+        return BUSY_TICK_S if self.is_busy else IDLE_TICK_S
 
     def take_over(self, handover: PlanningHandover) -> None:
         """Plan in place of a holder that stopped while the store is unavailable."""
@@ -192,7 +203,7 @@
             inactive=self._probes.inactive_heads,
             demand=demand,
             slots=slots,
-            has_traffic=self._loads.has_seen_requests,
+            has_traffic=self._slots.has_seen_requests,
         )
 
     def _measure_demand(self, service, now: float) -> tuple[dict, dict]:
@@ -201,9 +212,7 @@
         for model in service.engine.models:
             replicas = self._view.find_replicas(service.name, model.name)
             slots[model.name] = sum(replica.capacity for replica in replicas)
-            current = sum(
-                self._loads.count_in_flight(item.id, now) for item in replicas
-            ) + self._estimate_unmet_demand(service.name, model.name)
+            current = self._slots.measure_demand(service.name, model.name)
             known = self._demand.get(model.name, current)
             demand[model.name] = known + DEMAND_SMOOTHING * (current - known)
         self._demand = demand
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -4,14 +4,13 @@
 
 import logging
 import time
-from collections.abc import Callable
 
-from ..admission import RetryBudget
 from ..errors import RESULTS, RequestError, ResultCode
 from ..forwarding import Answer, AnswerHead, CallerRequest, Responder
 from ..forwarding.answers import Headers
 from ..forwarding.listener import CallerDisconnectedError
 from ..platform import HeaderNames
+from ..slots import Outcome as SlotOutcome, Refused, SlotRequest
 from ..telemetry import GatewayMetrics
 from .attempts import (
     Attempts,
@@ -22,10 +21,10 @@
     Outcome,
     Stalled,
 )
-from .beliefs import GatewayView, Replica
-from .dispatch import Dispatcher, Refused, SlotRequest
+from .beliefs import GatewayView
 from .exchange import TargetExchange
 from .routed import RequestContext, read_last_event, read_request_id, route_request
+from .slots import Slot, SlotTask
 from .suspect_task import SuspectTracker
 
 # Requests with less time than this left until their deadline are not retried.
@@ -41,27 +40,21 @@
 
     Parameters
     ----------
-    find_budget
-        Returns the retry budget of a service.
-    on_suspect
-        Called with a replica's id and epoch when it stalls.
+    slots
+        Gives requests slots of replicas.
     """
 
     def __init__(
         self,
         view: GatewayView,
-        dispatcher: Dispatcher,
+        slots: SlotTask,
         exchange: TargetExchange,
-        find_budget: Callable[[str], RetryBudget],
-        on_suspect: Callable[[str, int], None],
         metrics: GatewayMetrics,
         suspects: SuspectTracker,
     ):
         self._view = view
-        self._dispatcher = dispatcher
+        self._slots = slots
         self._exchange = exchange
-        self._find_budget = find_budget
-        self._on_suspect = on_suspect
         self._metrics = metrics
         self._suspects = suspects
         self.in_progress = 0
@@ -85,11 +78,8 @@
             self.in_progress -= 1
 
     def _serve(self, ctx: RequestContext, resp: Responder) -> None:
-        budget = self._find_budget(ctx.service)
         attempts = Attempts(
-            last_event=read_last_event(ctx.req),
-            last_forwarded_at=ctx.arrived_at,
-            budget=budget,
+            last_event=read_last_event(ctx.req), last_forwarded_at=ctx.arrived_at
         )
         fingerprint = ctx.fingerprint
         if self._suspects.is_blocked(fingerprint):
@@ -99,26 +89,9 @@
                 ctx.id, resp, code, reason, BLOCKED_RETRY_AFTER_S, route=ctx.route.name
             )
             return
-        budget.earn()
         while True:
-            slot_request = SlotRequest(
-                ctx.id,
-                ctx.service,
-                ctx.model,
-                ctx.workspace or "",
-                ctx.priority,
-                ctx.cost,
-                ctx.deadline,
-                frozenset(attempts.tried),
-                (
-                    ctx.find_idle_deadline(attempts.last_forwarded_at)
-                    if attempts.runs
-                    else None
-                ),
-                ctx.arrived_at + ctx.route.latency_objective_s,
-            )
             acquire_started_at = time.monotonic()
-            placement = self._dispatcher.acquire(slot_request)
+            placement = self._slots.acquire(_build_slot_request(ctx, attempts))
             waited_s = time.monotonic() - acquire_started_at
             self._metrics.record_slot_wait(ctx.service, waited_s)
             self._log_placement(ctx, attempts, placement, waited_s)
@@ -129,8 +102,6 @@
             if isinstance(outcome, Done):
                 self._suspects.clear(fingerprint)
                 return
-            if isinstance(outcome, Broken):
-                self._suspects.record_broken(fingerprint, placement.id)
             self._log_attempt(ctx, attempts, placement, outcome)
             if isinstance(outcome, Failed):
                 attempts.failure_answer = outcome.answer
@@ -139,16 +110,19 @@
                 return
 
     def _attempt(
-        self, ctx: RequestContext, resp: Responder, attempts, replica: Replica
+        self, ctx: RequestContext, resp: Responder, attempts: Attempts, slot: Slot
     ) -> Outcome:
+        replica = slot.offer
         started_at = time.monotonic()
         attempts.sends += 1
         attempts.ran_on_current = False
         attempts.tried.add(replica.id)
+        attempts.has_retry_permit = False
+        outcome: Outcome | None = None
         try:
-            outcome = self._exchange.run(ctx, resp, attempts, replica)
+            outcome = self._exchange.run(ctx, resp, attempts, slot)
         finally:
-            self._dispatcher.release(replica)
+            self._release(slot, outcome, attempts, started_at, ctx.fingerprint)
         now = time.monotonic()
         kind = type(outcome).__name__.lower()
         self._metrics.count_attempt(replica.id, kind)
@@ -157,12 +131,6 @@
                 self._metrics.count_request(
                     ctx.route.name, "served", now - ctx.arrived_at
                 )
-                self._dispatcher.record_service_time(replica, now - started_at)
-                first_output_at = attempts.first_event_at or now
-                if first_output_at > started_at:
-                    self._dispatcher.record_first_event_time(
-                        replica, first_output_at - started_at
-                    )
                 logger.info(
                     "request answered",
                     extra={
@@ -176,8 +144,6 @@
                         "took_ms": round(1000 * (now - ctx.arrived_at)),
                     },
                 )
-            case NotRun(is_misdirected=True):
-                self._exchange.suspect_misdirected(replica, now)
             case Broken():
                 if not attempts.ran_on_current:
                     attempts.record_run(replica.id, replica.address)
@@ -185,8 +151,6 @@
                 attempts.may_have_run = True
                 if not replica.epoch:
                     attempts.record_run(replica.id, replica.address)
-                if replica.epoch and now < ctx.deadline:
-                    self._on_suspect(replica.id, replica.epoch)
         return outcome
 
     def _should_retry(
@@ -197,12 +161,26 @@
     ) -> bool:
         if ctx.deadline - time.monotonic() < MIN_RETRY_TIME_LEFT_S:
             return False
-        if not self._exchange.may_retry(ctx, attempts, outcome):
-            return False
-        if attempts.budget.spend():
-            return True
-        logger.info("retry budget is spent", extra={"request": ctx.id})
-        return False
+        return self._exchange.may_retry(ctx, attempts, outcome)
+
+    def _release(
+        self,
+        slot: Slot,
+        outcome: Outcome | None,
+        attempts: Attempts,
+        started_at: float,
+        fingerprint: str,
+    ) -> None:
+        """Give a slot back, and report how the target took the request."""
+        now = time.monotonic()
+        first_output_at = max(started_at, attempts.first_event_at or now)
+        self._slots.release(
+            slot,
+            _classify(outcome, has_epoch=slot.offer.epoch > 0),
+            service_s=now - started_at,
+            first_s=first_output_at - started_at,
+            fingerprint=fingerprint if isinstance(outcome, Broken) else "",
+        )
 
     def _finish_unplaced(
         self, ctx, resp: Responder, attempts, refused: Refused
@@ -323,20 +301,22 @@
                         "service_ms": round(1000 * placement.pressure.service_s),
                     },
                 )
-            case Replica():
+            case Slot(offer=replica):
                 logger.info(
                     "request placed",
                     extra={
                         **fields,
-                        "target": placement.id,
-                        "epoch": placement.epoch,
-                        "zone": placement.zone,
-                        "outstanding": self._dispatcher.count_in_flight(placement),
-                        "capacity": placement.capacity,
+                        "target": replica.id,
+                        "epoch": replica.epoch,
+                        "zone": replica.zone,
+                        "outstanding": placement.in_flight,
+                        "capacity": replica.capacity,
+                        "owner": placement.owner,
                     },
                 )
 
-    def _log_attempt(self, ctx, attempts, replica: Replica, outcome) -> None:
+    def _log_attempt(self, ctx, attempts, slot: Slot, outcome) -> None:
+        replica = slot.offer
         reason = (
             f"status {outcome.answer.head.status}"
             if isinstance(outcome, Failed)
@@ -354,3 +334,39 @@
                 "last_event": attempts.last_event,
             },
         )
+
+
+def _build_slot_request(ctx: RequestContext, attempts: Attempts) -> SlotRequest:
+    resume_deadline = None
+    if attempts.runs:
+        resume_deadline = ctx.find_idle_deadline(attempts.last_forwarded_at)
+    return SlotRequest(
+        request=ctx.id,
+        service=ctx.service,
+        model=ctx.model,
+        workspace=ctx.workspace or "",
+        priority=ctx.priority,
+        cost=ctx.cost,
+        deadline=ctx.deadline,
+        avoid=frozenset(attempts.tried),
+        resume_deadline=resume_deadline,
+        due_at=ctx.arrived_at + ctx.route.latency_objective_s,
+        is_retry=attempts.sends > 0 and not attempts.has_retry_permit,
+    )
+
+
+def _classify(outcome: Outcome | None, *, has_epoch: bool) -> SlotOutcome:
+    """Return what the owner of a slot is told about its use."""
+    match outcome:
+        case Done():
+            return SlotOutcome.SERVED
+        case NotRun(is_misdirected=True):
+            return SlotOutcome.MISDIRECTED
+        case Broken():
+            return SlotOutcome.BROKEN
+        case NotRun(is_unreachable=True) if has_epoch:
+            return SlotOutcome.UNREACHABLE
+        case Stalled() if has_epoch:
+            return SlotOutcome.STALLED
+        case _:
+            return SlotOutcome.FAILED
--- a/waxwingpitch/gateway/store_tasks.py
+++ b/waxwingpitch/gateway/store_tasks.py
@@ -17,9 +17,9 @@
 )
 from ..ports import KeyValueStore
 from ..task import PeriodicTask
-from .beliefs import MEMBER_PREFIX, GatewayView
+from .beliefs import GatewayView
 
-WATCH_WAIT_S = 20.0
+WATCH_WAIT_S = 10.0
 BACKOFF_MIN_S = 0.2
 BACKOFF_MAX_S = 1.0
 
@@ -40,11 +40,14 @@
         Boot time of the last answer to any call.
     failing
         Whether a call has failed since that answer.
+    is_checked
+        Whether this process calls the store at least every second.
     """
 
     def __init__(self, on_recovery: Callable[[], None]):
         self.answered_at = 0.0
         self.failing = False
+        self.is_checked = False
         self._on_recovery = on_recovery
 
     def record_answer(self) -> None:
@@ -85,8 +88,6 @@
         self._view = view
         self._store_health = store_health
         self._pause_s = pause_s
-        self.listed = False
-        view.mirror.mark_synced(prefix, 0)
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -99,7 +100,7 @@
             self._greenlet.kill(block=False)
 
     def _run(self) -> None:
-        version = None
+        version = self._view.mirror.get_synced(self._prefix) or None
         backoff_s = BACKOFF_MIN_S
         while True:
             try:
@@ -122,7 +123,6 @@
         self._store_health.record_answer()
         self._view.apply_list(self._prefix, listed)
         self._view.mirror.mark_synced(self._prefix, listed.version)
-        self.listed = True
         return listed.version
 
     def _watch(self, version: int) -> int:
@@ -137,10 +137,12 @@
 
 
 class LeaseKeeper(PeriodicTask):
-    """Renews this process's lease and registers the process under it.
+    """Keeps a lease of this process while one is needed.
 
     Attributes
     ----------
+    is_needed
+        Whether this process may hold keys.
     lease
         Id of the lease; None while there is none.
     valid_until
@@ -150,41 +152,33 @@
 
     interval_s = 1.0
 
-    def __init__(
-        self,
-        store: KeyValueStore,
-        store_health: StoreHealth,
-        name: str,
-        address: str,
-        ttl_s: float,
-    ):
+    def __init__(self, store: KeyValueStore, store_health: StoreHealth, ttl_s: float):
         super().__init__()
         self._store = store
         self._store_health = store_health
-        self._key = MEMBER_PREFIX + name
-        self._address = address
         self._ttl_s = ttl_s
+        self.is_needed = False
         self.lease: str | None = None
         self.valid_until = 0.0
-        self._registered = False
+
+    def require(self, is_needed: bool) -> None:
+        """Say whether a lease is needed."""
+        if is_needed and not self.is_needed:
+            self.wake()
+        self.is_needed = is_needed
+        self._store_health.is_checked = is_needed
 
     def tick(self) -> None:
-        """Renew the lease and register this process."""
+        """Renew the lease, or get one."""
+        if not self.is_needed:
+            return
         started_at = boot_time()
         try:
             if self.lease is None or not self._store.renew_lease(self.lease):
-                self._registered = False
                 self.lease = None
                 self.lease = self._store.grant_lease(self._ttl_s)
             self.valid_until = started_at + self._ttl_s
             self._store_health.record_answer()
-            if not self._registered:
-                self._register()
-        except StoreConflictError:
-            logger.info(
-                "member record was changed by another process; retrying",
-                extra={"key": self._key},
-            )
         except StoreError as exc:
             self._store_health.record_failure(exc)
 
@@ -231,11 +225,3 @@
             The store does not answer, or refuses the call.
         """
         self._store.revoke_lease(lease)
-
-    def _register(self) -> None:
-        known = self._store.get(self._key)
-        expect = 0 if known is None else known.version
-        self._store.put(
-            self._key, self._address.encode(), expect=expect, lease=self.lease
-        )
-        self._registered = True
--- a/waxwingpitch/gateway/zone_key.py
+++ b/waxwingpitch/gateway/zone_key.py
@@ -38,12 +38,12 @@
 
     Parameters
     ----------
-    is_local_zone
-        Whether this process is in that zone; other processes acquire the key only
-        after a delay.
 
     Attributes
     ----------
+    is_preferred
+        Whether this process is the zone's head; others acquire the key only after a
+        delay.
     fence
         Fencing token of this process's orders: version of the key that it acquired or
         was handed over; 0 if there is none.
@@ -54,7 +54,6 @@
         zone: str,
         *,
         name: str,
-        is_local_zone: bool,
         view: GatewayView,
         lease_keeper: LeaseKeeper,
         is_store_unavailable: Callable[[], bool],
@@ -62,7 +61,7 @@
         self.zone = zone
         self.fence = 0
         self._name = name
-        self._is_local_zone = is_local_zone
+        self.is_preferred = False
         self._view = view
         self._lease_keeper = lease_keeper
         self._is_store_unavailable = is_store_unavailable
@@ -109,10 +108,7 @@
             return False
         if self._vacant_since is None:
             self._vacant_since = now
-        if (
-            not self._is_local_zone
-            and now - self._vacant_since < REMOTE_ACQUIRE_DELAY_S
-        ):
+        if not self.is_preferred and now - self._vacant_since < REMOTE_ACQUIRE_DELAY_S:
             return False
         lease = self._lease_keeper.lease
         if lease is None or not self._view.route_table:
--- /dev/null
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -0,0 +1,274 @@
+"""Messages between the gateways of a fleet: slots, statuses, store updates.
+
+Times are sent as seconds that are left or have passed, as clocks differ.
+"""
+
+from __future__ import annotations
+
+from .base import MeshItem, MeshMessage
+
+
+class SlotRequestMessage(MeshMessage, tag=30):
+    """Requests a slot of a replica from the owner of its key.
+
+    Attributes
+    ----------
+    number
+        Number of the request among those of the sender.
+    left_s, due_left_s
+        Time until the deadline, and until the answer is due.
+    resume_left_s
+        Time for which the caller waits for the next part; negative if none was sent.
+    for_other_zone
+        Whether the sender owns another zone's slots and wants an answer at once.
+    """
+
+    number: int
+    zone: str
+    service: str
+    model: str
+    request: str
+    workspace: str
+    priority: int
+    cost: float
+    left_s: float
+    due_left_s: float
+    resume_left_s: float
+    avoid: tuple[str, ...]
+    excluded: tuple[str, ...]
+    is_retry: bool
+    for_other_zone: bool = False
+
+
+class SlotGrant(MeshMessage, tag=31):
+    """Grants a slot of a replica.
+
+    Attributes
+    ----------
+    cold_left_s
+        Time until the replica is warm.
+    """
+
+    number: int
+    target: str
+    address: str
+    zone: str
+    capacity: int
+    epoch: int
+    cold_left_s: float
+    in_flight: int
+
+
+class SlotRefusal(MeshMessage, tag=32):
+    """Refuses a slot.
+
+    Attributes
+    ----------
+    declined
+        Whether only another zone's request is declined, which may be placed elsewhere.
+    """
+
+    number: int
+    retry_after_s: float
+    reason: str
+    slots: int
+    waiting: int
+    service_s: float
+    declined: bool = False
+
+
+class SlotRelease(MeshMessage, tag=33):
+    """Frees a slot, or ends the wait for one.
+
+    Attributes
+    ----------
+    outcome
+        Value of :class:`~waxwingpitch.slots.Outcome`; negative if it was not used.
+    service_s, first_s
+        Time to the whole answer and to its first part; 0 if unknown.
+    fingerprint
+        Fingerprint of the request, if its connection broke while it may have run.
+    """
+
+    number: int
+    zone: str
+    service: str
+    model: str
+    target: str
+    epoch: int
+    outcome: int
+    service_s: float = 0.0
+    first_s: float = 0.0
+    fingerprint: str = ""
+
+
+class StallCheck(MeshMessage, tag=34):
+    """Asks the owner whether a silent stream may be resumed on another target.
+
+    Attributes
+    ----------
+    stalled_after_s
+        Time without progress after which the target counts as stalled.
+    """
+
+    number: int
+    zone: str
+    service: str
+    model: str
+    target: str
+    stalled_after_s: float
+
+
+class StallReply(MeshMessage, tag=35):
+    """Answers :class:`StallCheck`.
+
+    Attributes
+    ----------
+    progress_age_s
+        Time since any entry host saw progress of the target.
+    may_retry
+        Whether the retry budget covers another attempt, which was then taken from it.
+    """
+
+    number: int
+    progress_age_s: float
+    may_retry: bool
+
+
+class HeldSlotItem(MeshItem):
+    """A slot that the sender holds.
+
+    Attributes
+    ----------
+    progress_age_ms
+        Time since the last progress of its stream; negative if there was none.
+    """
+
+    number: int
+    service: str
+    model: str
+    target: str
+    progress_age_ms: int
+
+
+class KeySummaryItem(MeshItem):
+    """Summary of a key that the sender owns."""
+
+    zone: str
+    service: str
+    model: str
+    slots: int
+    in_flight: int
+    free: int
+    lowest_utilisation: float
+    waiting: int
+    unmet: float
+
+
+class FleetStatus(MeshMessage, tag=36):
+    """Sent on every link a few times a second, and at once after some changes.
+
+    Attributes
+    ----------
+    store_age_ms
+        Time since the store last answered the sender itself; negative if it does not
+        call the store.
+    data_age_ms
+        Time since the store last answered the one that the sender's knowledge of it
+        comes from.
+    weight_loads
+        Number of loads of model weights in progress that the sender started.
+    leaving
+        Start times, in Unix milliseconds, of targets that said that they leave, by id.
+    suspected
+        Targets that make no progress, with the epochs of their groups.
+    held
+        Slots that the sender holds and whose owner the receiver is or may become.
+    is_ready
+        Whether the sender knows the configuration and the targets.
+    is_stopping
+        Whether the sender stops, and owns nothing any more.
+    follows
+        Gateway whose store updates the sender follows; empty if it reads the store.
+    """
+
+    store_age_ms: int
+    data_age_ms: int
+    weight_loads: int
+    leaving: dict[str, int]
+    suspected: tuple[tuple[str, int], ...]
+    summaries: tuple[KeySummaryItem, ...]
+    held: tuple[HeldSlotItem, ...]
+    is_ready: bool = False
+    is_stopping: bool = False
+    follows: str = ""
+
+
+class Subscription(MeshMessage, tag=37):
+    """Asks the receiver to send store changes below prefixes, from these versions on.
+
+    Repeated while it holds; it ends when it is not repeated.
+    """
+
+    positions: dict[str, int]
+
+
+class StoredItem(MeshItem):
+    """An entry of the store."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+class RemovedItem(MeshItem):
+    """A key that was deleted from the store at a version."""
+
+    key: str
+    version: int
+
+
+class StoreUpdate(MeshMessage, tag=38):
+    """Changes of the store's keys below a prefix.
+
+    Attributes
+    ----------
+    after, version
+        Versions between which the changes are complete.
+    complete
+        Whether the items are all that the store holds below the prefix.
+    """
+
+    prefix: str
+    after: int
+    version: int
+    items: tuple[StoredItem, ...]
+    removed: tuple[RemovedItem, ...]
+    complete: bool
+
+
+class FleetNews(MeshMessage, tag=39):
+    """A message for all gateways, passed on by each zone's reader.
+
+    Attributes
+    ----------
+    is_passed_on
+        Whether it came from another zone, and goes to the receiver's zone only.
+    """
+
+    data: bytes
+    is_passed_on: bool = False
+
+
+FLEET_MESSAGES = (
+    SlotRequestMessage
+    | SlotGrant
+    | SlotRefusal
+    | SlotRelease
+    | StallCheck
+    | StallReply
+    | FleetStatus
+    | Subscription
+    | StoreUpdate
+    | FleetNews
+)
--- a/waxwingpitch/mesh/messages.py
+++ b/waxwingpitch/mesh/messages.py
@@ -9,15 +9,14 @@
 
 import msgspec
 
+from .base import MeshMessage
+from .fleet_messages import FLEET_MESSAGES
+
 MESH_VERSION = 1
 OLDEST_MESH_VERSION = 1
 
 
-class _Message(msgspec.Struct, frozen=True, array_like=True):
-    """Base of all messages."""
-
-
-class Hello(_Message, tag=1):
+class Hello(MeshMessage, tag=1):
     """First message of the side that connects.
 
     Attributes
@@ -36,7 +35,7 @@
     nonce: bytes
 
 
-class Challenge(_Message, tag=2):
+class Challenge(MeshMessage, tag=2):
     """Answer to :class:`Hello`, with the acceptor's proof of the mesh key."""
 
     version: int
@@ -47,13 +46,13 @@
     proof: bytes
 
 
-class Proof(_Message, tag=3):
+class Proof(MeshMessage, tag=3):
     """The connecting side's proof of the mesh key."""
 
     proof: bytes
 
 
-class Refusal(_Message, tag=4):
+class Refusal(MeshMessage, tag=4):
     """Refusal of a connection; ``code`` is the value of a result code."""
 
     code: int
@@ -78,7 +77,7 @@
     age_ms: int
 
 
-class Heartbeat(_Message, tag=5):
+class Heartbeat(MeshMessage, tag=5):
     """States that the sender is alive, and which versions of shared state it uses.
 
     Attributes
@@ -105,7 +104,7 @@
     evidence_sets: tuple[EvidenceSetState, ...] = ()
 
 
-class Digest(_Message, tag=6):
+class Digest(MeshMessage, tag=6):
     """Versions of the sender's agreed documents; requests newer ones."""
 
     versions: dict[str, int]
@@ -119,7 +118,7 @@
     value: bytes
 
 
-class Documents(_Message, tag=7):
+class Documents(MeshMessage, tag=7):
     """Agreed documents that the receiver may not have."""
 
     items: tuple[DocumentItem, ...]
@@ -149,7 +148,7 @@
     loaded: str = ""
 
 
-class Evidence(_Message, tag=8):
+class Evidence(MeshMessage, tag=8):
     """Changed evidence about hosts, sent immediately.
 
     Attributes
@@ -176,13 +175,13 @@
     left_ms: int
 
 
-class Suspects(_Message, tag=9):
+class Suspects(MeshMessage, tag=9):
     """Requests that were in flight when a target crashed."""
 
     items: tuple[SuspectItem, ...]
 
 
-class EvidenceSet(_Message, tag=10):
+class EvidenceSet(MeshMessage, tag=10):
     """A complete evidence set, sent on request."""
 
     name: str
@@ -191,94 +190,27 @@
     items: tuple[EvidenceItem, ...]
 
 
-class EvidenceSetRequest(_Message, tag=11):
+class EvidenceSetRequest(MeshMessage, tag=11):
     """Requests a complete evidence set."""
 
     name: str
 
 
-class GatewayStatus(_Message, tag=12):
-    """Periodic status of a gateway: its load, and the ages of its latest observations.
-
-    Attributes
-    ----------
-    in_flight
-        Number of the sender's requests in flight by target.
-    store_age_ms
-        Time since the store last answered the sender.
-    progress_age_ms
-        Time since the sender last saw progress, by target, for targets with recent
-        progress.
-    weight_loads
-        Number of loads of model weights in progress that the sender started.
-    leaving
-        Start times, in Unix milliseconds, of targets that said that they leave, by id.
-    """
-
-    in_flight: dict[str, int]
-    store_age_ms: int
-    progress_age_ms: dict[str, int] = {}
-    weight_loads: int = 0
-    leaving: dict[str, int] = {}
-
-
-class StalledTarget(_Message, tag=13):
-    """States that a target has stalled.
-
-    Attributes
-    ----------
-    epoch
-        Epoch of the group that the target heads.
-    """
-
-    target: str
-    epoch: int
-
-
-class StoreChangesRequest(_Message, tag=14):
-    """Requests the store's keys that changed after a version."""
-
-    after: int
-
-
-class DeletedItem(msgspec.Struct, frozen=True, array_like=True):
-    """A key that was deleted from the store at a version."""
-
-    key: str
-    version: int
-
-
-class StoreChanges(_Message, tag=15):
-    """Changed and deleted store keys, in answer to :class:`StoreChangesRequest`.
-
-    Attributes
-    ----------
-    complete
-        Whether the items are all that the store holds, as the requested version is of
-        an earlier era.
-    """
-
-    version: int
-    items: tuple[DocumentItem, ...]
-    deleted: tuple[DeletedItem, ...]
-    complete: bool = False
-
-
-class ProbeRequest(_Message, tag=16):
+class ProbeRequest(MeshMessage, tag=16):
     """Asks the receiver whether it can reach a target."""
 
     target: str
     address: str
 
 
-class ProbeResult(_Message, tag=17):
+class ProbeResult(MeshMessage, tag=17):
     """States whether the sender can reach a target."""
 
     target: str
     reachable: bool
 
 
-class TargetUpdate(_Message, tag=18):
+class TargetUpdate(MeshMessage, tag=18):
     """A target's own report, relayed while the store is unavailable.
 
     Attributes
@@ -299,7 +231,7 @@
     state: str = ""
 
 
-class PlanningHandover(_Message, tag=19):
+class PlanningHandover(MeshMessage, tag=19):
     """Hands the planning of a zone over to a peer while the store is unavailable.
 
     Attributes
@@ -333,12 +265,9 @@
     | Suspects
     | EvidenceSet
     | EvidenceSetRequest
-    | GatewayStatus
-    | StalledTarget
-    | StoreChangesRequest
-    | StoreChanges
     | ProbeRequest
     | ProbeResult
     | TargetUpdate
     | PlanningHandover
+    | FLEET_MESSAGES
 )
--- a/waxwingpitch/mesh/node.py
+++ b/waxwingpitch/mesh/node.py
@@ -10,7 +10,7 @@
 import random
 import socket
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 import gevent
@@ -31,6 +31,8 @@
 HANDSHAKE_TIMEOUT_S = 2.0
 MIN_RECONNECT_DELAY_S = 0.2
 MAX_RECONNECT_DELAY_S = 3.0
+# Interval at which a dialer checks whether the link that the peer opened still stands.
+LINKED_CHECK_INTERVAL_S = 0.2
 
 logger = logging.getLogger(__name__)
 
@@ -62,10 +64,17 @@
 
 
 class _Link:
-    """An authenticated connection to one peer."""
+    """An authenticated connection to one peer.
 
-    def __init__(self, conn: WebSocket, peer: Identity):
+    Attributes
+    ----------
+    initiator
+        Id of the side that connected.
+    """
+
+    def __init__(self, conn: WebSocket, peer: Identity, initiator: str):
         self.conn = conn
+        self.initiator = initiator
         self.peer = peer
         self.queue: Queue = Queue(MAX_QUEUED_MESSAGES)
         self.sent_bytes = 0
@@ -114,6 +123,7 @@
         self._deliver = deliver
         self._links: dict[str, _Link] = {}
         self._dialers: dict[str, gevent.Greenlet] = {}
+        self._peer_dialers: dict[str, tuple[str, gevent.Greenlet]] = {}
         self._sent_on_closed_links = [0, 0]
         self._listener = socket.create_server((host, port), backlog=BACKLOG)
         self._server = StreamServer(self._listener, self._accept)
@@ -130,6 +140,10 @@
         """Ids of the peers with an established link."""
         return frozenset(self._links)
 
+    def list_peers(self) -> list[tuple[str, str]]:
+        """Return id and zone of each peer with an established link."""
+        return [(link.peer.id, link.peer.zone) for link in self._links.values()]
+
     def list_peers_in(self, zone: str) -> list[str]:
         """Return the ids of the peers in a zone with an established link."""
         return sorted(
@@ -152,6 +166,8 @@
     def stop(self) -> None:
         """Close all links and the listening socket."""
         gevent.killall(list(self._dialers.values()), block=False)
+        for _, dialer in self._peer_dialers.values():
+            dialer.kill(block=False)
         for link in list(self._links.values()):
             link.conn.shut_down()
         self._server.close()
@@ -171,6 +187,25 @@
         for address in desired - self._dialers.keys():
             self._dialers[address] = gevent.spawn(self._dial_forever, address)
 
+    def dial_peers(self, addresses: Mapping[str, str]) -> None:
+        """Keep links to these peers, and stop connecting to all others.
+
+        A link to another peer stays until its other side ends it.
+
+        Parameters
+        ----------
+        addresses
+            ``IP:port`` by the peer's id.
+        """
+        for peer_id, (address, dialer) in list(self._peer_dialers.items()):
+            if addresses.get(peer_id) != address:
+                del self._peer_dialers[peer_id]
+                dialer.kill(block=False)
+        for peer_id, address in addresses.items():
+            if peer_id not in self._peer_dialers:
+                dialer = gevent.spawn(self._dial_forever, address, peer_id)
+                self._peer_dialers[peer_id] = (address, dialer)
+
     def broadcast(self, message: Message, *, skip: str | None = None) -> None:
         """Send a message to all peers except ``skip``."""
         data = encode_message(message)
@@ -186,11 +221,19 @@
             if link is not None:
                 self._enqueue(link, data)
 
-    def send(self, peer_id: str, message: Message) -> None:
-        """Send a message to one peer, if a link to it is established."""
+    def send(self, peer_id: str, message: Message) -> bool:
+        """Send a message to one peer; return False if no link to it is established."""
+        return peer_id in self._links and self.send_encoded(
+            peer_id, encode_message(message)
+        )
+
+    def send_encoded(self, peer_id: str, data: bytes) -> bool:
+        """Send an encoded message to one peer; return False if it is not linked."""
         link = self._links.get(peer_id)
-        if link is not None:
-            self._enqueue(link, encode_message(message))
+        if link is None:
+            return False
+        self._enqueue(link, data)
+        return True
 
     def _enqueue(self, link: _Link, data: bytes) -> None:
         try:
@@ -234,11 +277,13 @@
             )
             refuse(conn.send, exc)
             return
-        self._run_link(conn, peer)
+        self._run_link(conn, peer, peer.id)
 
-    def _dial_forever(self, address: str) -> None:
+    def _dial_forever(self, address: str, peer_id: str | None = None) -> None:
         delay_s = MIN_RECONNECT_DELAY_S
         while True:
+            while peer_id in self._links:
+                gevent.sleep(LINKED_CHECK_INTERVAL_S)
             started_at = time.monotonic()
             try:
                 self._dial_once(address)
@@ -272,17 +317,19 @@
                 self._local,
                 self._key,
             )
-            self._run_link(conn, peer)
+            self._run_link(conn, peer, self._local.id)
         finally:
             conn.close()
 
-    def _run_link(self, conn: WebSocket, peer: Identity) -> None:
+    def _run_link(self, conn: WebSocket, peer: Identity, initiator: str) -> None:
         """Send and receive until the link ends; the caller then closes the socket."""
         if peer.id == self._local.id:
             return
-        link = _Link(conn, peer)
-        previous = self._links.pop(peer.id, None)
+        link = _Link(conn, peer, initiator)
+        previous = self._links.get(peer.id)
         if previous is not None:
+            if not _is_replaced(previous, link):
+                return
             previous.conn.shut_down()
         self._links[peer.id] = link
         sender = gevent.spawn(self._send_until_closed, link)
@@ -319,3 +366,13 @@
         if self._links.get(link.peer.id) is link:
             del self._links[link.peer.id]
             self._deliver(LinkDown(link.peer))
+
+
+def _is_replaced(previous: _Link, link: _Link) -> bool:
+    """Return whether a new link to a peer replaces the previous one.
+
+    If both sides connect at once, both keep the link that the lower id initiated.
+    """
+    if previous.peer.incarnation != link.peer.incarnation:
+        return True
+    return link.initiator <= previous.initiator
--- a/waxwingpitch/platform/settings.py
+++ b/waxwingpitch/platform/settings.py
@@ -48,10 +48,13 @@
             retry_slack=reader.number("bounds", "budget_slack"),
             retry_window_s=reader.number("bounds", "budget_window_s"),
             cold_factor=reader.number("bounds", "cold_over"),
+            cold_slack=reader.number("bounds", "cold_slack"),
             stall_s=reader.number("bounds", "stall_ms") / 1000,
             pass_s=reader.number("bounds", "pass_ms") / 1000,
         ),
         min_lease_s=reader.number("provider", "ttl_min_ms") / 1000,
+        processor_share=reader.number("limits", "cpu_share")
+        * reader.number("limits", "cpu_cores"),
     )
 
 
--- a/waxwingpitch/platform/store.py
+++ b/waxwingpitch/platform/store.py
@@ -96,6 +96,12 @@
         resp, era = self._write("POST", "/waxwingpitch/kv-txn", body)
         return combine_version(era, _decode(resp.data, _WriteResult).revision)
 
+    def overwrite(self, key: str, value: bytes) -> int:
+        entry = {"key": key, "value": base64.b64encode(value).decode()}
+        body = {"expected": [], "puts": [entry], "delete": []}
+        resp, era = self._write("POST", "/waxwingpitch/kv-txn", body)
+        return combine_version(era, _decode(resp.data, _WriteResult).revision)
+
     def delete(self, key: str, *, expect: int) -> None:
         body = {
             "expected": [{"key": key, "revision": self._find_revision(expect)}],
--- a/waxwingpitch/ports/common.py
+++ b/waxwingpitch/ports/common.py
@@ -90,6 +90,14 @@
             The key has another version.
         """
 
+    def overwrite(self, key: str, value: bytes) -> int:
+        """Write a key whatever its version is, and return the new version.
+
+        For keys that only one process writes.
+        """
+        known = self.get(key)
+        return self.put(key, value, expect=0 if known is None else known.version)
+
     @abstractmethod
     def delete(self, key: str, *, expect: int) -> None:
         """Delete by compare-and-swap."""
--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -39,8 +39,9 @@
     retry_ratio, retry_slack, retry_window_s
         Retry budget of all entry hosts together for a service: retries per first
         attempt, further retries, and the window over which both count, in seconds.
-    cold_factor
-        Factor by which the request rate at a cold target may exceed its limit.
+    cold_factor, cold_slack
+        Factor by which the request rate at a cold target may exceed its limit, and the
+        requests that are allowed besides.
     stall_s
         Time after which an engine aborts work that waits for a lost group member, in
         seconds.
@@ -55,6 +56,7 @@
     retry_slack: float
     retry_window_s: float
     cold_factor: float
+    cold_slack: float
     stall_s: float
     pass_s: float
 
@@ -76,6 +78,8 @@
         Address on which metrics and the state dump are served.
     min_lease_s
         Minimum lease time of the key-value service, in seconds.
+    processor_share
+        Processor share of the process, in cores.
     """
 
     name: str
@@ -88,3 +92,4 @@
     metrics: Address
     bounds: OperatingBounds
     min_lease_s: float
+    processor_share: float
--- /dev/null
+++ b/waxwingpitch/slots/ledger.py
@@ -0,0 +1,79 @@
+"""Slots that are held, by entry host and by replica."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+# Time in which a report of what a client holds may have been sent before a grant arrived.
+REPORT_DELAY_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class HeldSlot:
+    """A slot that a client holds; ``since`` is the time of its grant or first report."""
+
+    target: str
+    since: float
+
+
+class SlotLedger:
+    """Slots held by each client, corrected by the clients' own reports.
+
+    Examples
+    --------
+    >>> ledger = SlotLedger()
+    >>> ledger.add("host", 1, "t", now=0.0)
+    >>> ledger.count("t")
+    1
+    >>> ledger.reconcile("host", {2: "u"}, now=5.0)
+    >>> ledger.count("t"), ledger.count("u")
+    (0, 1)
+    """
+
+    def __init__(self):
+        self._by_client: dict[str, dict[int, HeldSlot]] = defaultdict(dict)
+        self._in_flight: Counter[str] = Counter()
+
+    def add(self, client: str, number: int, target: str, now: float) -> None:
+        """Record that a client holds a slot."""
+        self.remove(client, number)
+        self._by_client[client][number] = HeldSlot(target, now)
+        self._in_flight[target] += 1
+
+    def remove(self, client: str, number: int) -> HeldSlot | None:
+        """Record that a client released a slot; return it if it held one."""
+        held = self._by_client[client].pop(number, None)
+        if held is not None:
+            self._in_flight[held.target] -= 1
+            if not self._in_flight[held.target]:
+                del self._in_flight[held.target]
+        return held
+
+    def reconcile(self, client: str, held: Mapping[int, str], now: float) -> None:
+        """Adopt a client's report of the slots that it holds.
+
+        A slot granted within ``REPORT_DELAY_S`` may be missing from the report.
+        """
+        known = self._by_client[client]
+        for number, item in list(known.items()):
+            if number not in held and now - item.since > REPORT_DELAY_S:
+                self.remove(client, number)
+        for number, target in held.items():
+            if number not in known:
+                self.add(client, number, target, now)
+
+    def drop_client(self, client: str) -> None:
+        """Forget a client that is gone."""
+        for number in list(self._by_client.get(client, ())):
+            self.remove(client, number)
+        self._by_client.pop(client, None)
+
+    def count(self, target: str) -> int:
+        """Return the number of requests in flight at a replica."""
+        return self._in_flight[target]
+
+    def iter_clients(self) -> Iterator[str]:
+        """Yield the clients that hold slots."""
+        return (client for client, held in self._by_client.items() if held)
--- /dev/null
+++ b/waxwingpitch/slots/owner.py
@@ -0,0 +1,355 @@
+"""Decisions of the owner of a zone's slots, without input or output.
+
+The load it is for: bursts above the capacity, replicas that are lost and come back,
+cold targets, and entry hosts that die while they hold or wait for slots.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from ..admission import OnTimeFirstQueue, Ticket
+from ..admission.forecast import Pressure, Refuse, decide_admission
+from ..routing.placement import ZONE_PREFERENCE, ReplicaLoad, choose_replica
+from .budget import SharedRetryBudget
+from .cold import ColdRateLimit
+from .common import (
+    Decision,
+    Declined,
+    Forwarded,
+    Granted,
+    KeySummary,
+    Refused,
+    SlotKey,
+    SlotOffer,
+    SlotRequest,
+)
+from .ledger import SlotLedger
+
+# Weight of the newest sample in an exponentially weighted moving average.
+NEWEST_SAMPLE_WEIGHT = 0.05
+# Service time assumed until the first request has been served.
+INITIAL_SERVICE_S = 1.0
+# Priority of requests that have run in part, above all those that callers can have.
+RESUME_PRIORITY = -1
+# Time for which a refused request counts as unmet demand.
+REFUSED_WINDOW_S = 1.0
+# Age at which the summary of another zone is no longer used.
+SUMMARY_TTL_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    client: str
+    number: int
+    request: SlotRequest
+
+
+@dataclass(slots=True)
+class _OtherZone:
+    """Another zone's summary, and the requests passed on to it since."""
+
+    summary: KeySummary
+    at: float
+    passed_on: int = 0
+    declined_at: float = field(default=-1.0)
+
+
+class SlotOwner:
+    """Owner of the slots of one key.
+
+    Parameters
+    ----------
+    accepts
+        Returns whether a replica, given its id and epoch, is sound at a monotonic time.
+    """
+
+    def __init__(
+        self,
+        key: SlotKey,
+        budget: SharedRetryBudget,
+        accepts: Callable[[str, int, float], bool] = lambda target, epoch, now: True,
+    ):
+        self.key = key
+        self.ledger = SlotLedger()
+        self._budget = budget
+        self._accepts = accepts
+        self._cold = ColdRateLimit(1)
+        self._rng = random.Random(str(key))
+        self._offers: dict[str, SlotOffer] = {}
+        self._queue = OnTimeFirstQueue()
+        self._refused: deque[float] = deque()
+        self._passed_on: dict[tuple[str, int], str] = {}
+        self._other_zones: dict[str, _OtherZone] = {}
+        self._service_s = INITIAL_SERVICE_S
+        self._first_event_s = 0.0
+
+    def set_offers(self, offers: tuple[SlotOffer, ...], cold_per_s: int) -> None:
+        """Replace the replicas whose slots are owned.
+
+        Parameters
+        ----------
+        cold_per_s
+            Requests a second that each cold one gets from this owner.
+        """
+        self._offers = {offer.id: offer for offer in offers}
+        self._cold.per_s = cold_per_s
+
+    def request(
+        self, client: str, number: int, req: SlotRequest, now: float
+    ) -> list[Decision]:
+        """Decide on a client's request, now or after it has waited.
+
+        ``number`` names it among those of the client.
+        """
+        if not req.is_retry:
+            self._budget.earn()
+        elif not self._budget.spend(now):
+            return [self._refuse(client, number, 0.5, "retry budget is spent", now)]
+        waiting = _Waiting(client, number, req)
+        if not len(self._queue) or req.resume_deadline is not None:
+            decision = self._place(waiting, now)
+            if decision is not None:
+                return [decision]
+        return self._queue_or_refuse(waiting, now)
+
+    def request_for_zone(
+        self, client: str, number: int, req: SlotRequest, now: float
+    ) -> list[Decision]:
+        """Grant a slot to another zone's request, unless requests of this one wait."""
+        if not len(self._queue):
+            offer = self._choose(req, now)
+            if offer is not None:
+                return [self._grant(client, number, offer, now)]
+        return [Declined(client, number)]
+
+    def spend_retry(self, now: float) -> bool:
+        """Take one retry from the budget; return False if it is spent."""
+        return self._budget.spend(now)
+
+    def take_back(
+        self, client: str, number: int, req: SlotRequest, now: float
+    ) -> list[Decision]:
+        """Decide on a request that another zone declined, or did not answer."""
+        zone = self._passed_on.pop((client, number), None)
+        other = self._other_zones.get(zone)
+        if other is not None:
+            other.declined_at = now
+        waiting = _Waiting(client, number, req)
+        decision = self._place(waiting, now)
+        return [decision] if decision else self._queue_or_refuse(waiting, now)
+
+    def find_zone_passed_on_to(self, client: str, number: int) -> str | None:
+        """Return the zone that a client's request was passed on to, if any."""
+        return self._passed_on.get((client, number))
+
+    def release(self, client: str, number: int, now: float) -> list[Decision]:
+        """Free a client's slot, and assign it to a request that waits."""
+        self._passed_on.pop((client, number), None)
+        self.ledger.remove(client, number)
+        return self.assign(now)
+
+    def cancel(self, client: str, number: int, now: float) -> list[Decision]:
+        """Forget a request that waits or holds a slot, as its caller has left."""
+        self._queue.drop(_name_ticket(client, number))
+        return self.release(client, number, now)
+
+    def drop_client(self, client: str, now: float) -> list[Decision]:
+        """Forget a client that is gone, and what it waits for or holds."""
+        for ticket in [item for item in self._queue if item.payload.client == client]:
+            self._queue.drop(ticket.request)
+        self.ledger.drop_client(client)
+        self._passed_on = {
+            known: zone for known, zone in self._passed_on.items() if known[0] != client
+        }
+        return self.assign(now)
+
+    def record_times(self, service_s: float, first_event_s: float) -> None:
+        """Record how long a replica took to the whole answer and to its first part."""
+        self._service_s += NEWEST_SAMPLE_WEIGHT * (service_s - self._service_s)
+        known_s = self._first_event_s or first_event_s
+        self._first_event_s = known_s + NEWEST_SAMPLE_WEIGHT * (first_event_s - known_s)
+
+    def update_zone(self, zone: str, summary: KeySummary, now: float) -> list[Decision]:
+        """Take note of another zone's summary, and pass waiting requests on to it."""
+        known = self._other_zones.get(zone)
+        declined_at = -1.0 if known is None else known.declined_at
+        self._other_zones[zone] = _OtherZone(summary, now, declined_at=declined_at)
+        return self.assign(now)
+
+    def assign(self, now: float) -> list[Decision]:
+        """Decide on the requests that wait, as far as slots are free."""
+        decisions: list[Decision] = []
+        for ticket in self._drop_expired(now):
+            item = ticket.payload
+            decisions.append(
+                self._refuse(item.client, item.number, 0.5, "waited too long", now)
+            )
+        while (ticket := self._queue.peek(now)) is not None:
+            decision = self._place(ticket.payload, now)
+            if decision is None:
+                break
+            self._queue.pop(now)
+            decisions.append(decision)
+        return decisions
+
+    def summarize(self, now: float) -> KeySummary:
+        """Return the summary for other zones and the planner."""
+        usable = [item for item in self._offers.values() if self._is_usable(item, now)]
+        counts = [(item, self.ledger.count(item.id)) for item in usable]
+        return KeySummary(
+            slots=sum(item.capacity for item, _ in counts),
+            in_flight=sum(count for _, count in counts),
+            free=sum(max(0, item.capacity - count) for item, count in counts),
+            lowest_utilisation=min(
+                ((count + 1) / item.capacity for item, count in counts), default=9.0
+            ),
+            waiting=len(self._queue),
+            unmet=self._estimate_unmet(now),
+        )
+
+    def count_waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._queue)
+
+    def iter_waiting(self):
+        """Yield client and number of the requests that wait."""
+        for ticket in self._queue:
+            yield ticket.payload.client, ticket.payload.number
+
+    def _place(self, waiting: _Waiting, now: float) -> Decision | None:
+        """Grant a slot here or pass the request on; None if no slot is free."""
+        client, number, req = waiting.client, waiting.number, waiting.request
+        offer = self._choose(req, now)
+        here = 9.0
+        if offer is not None:
+            here = (self.ledger.count(offer.id) + 1) / offer.capacity
+        zone = self._choose_zone(here, now)
+        if zone is not None:
+            self._other_zones[zone].passed_on += 1
+            self._passed_on[client, number] = zone
+            return Forwarded(client, number, zone, req)
+        return None if offer is None else self._grant(client, number, offer, now)
+
+    def _grant(self, client: str, number: int, offer: SlotOffer, now: float) -> Granted:
+        self.ledger.add(client, number, offer.id, now)
+        if offer.cold_until > now:
+            self._cold.record(offer.id, now)
+        else:
+            self._cold.forget(offer.id)
+        return Granted(client, number, offer, self.ledger.count(offer.id))
+
+    def _choose(self, req: SlotRequest, now: float) -> SlotOffer | None:
+        """Return the least loaded replica with a free slot."""
+        loads = [
+            ReplicaLoad(offer.id, "", self.ledger.count(offer.id), offer.capacity)
+            for offer in self._offers.values()
+            if offer.id not in req.excluded
+            and self._is_usable(offer, now)
+            and (offer.cold_until <= now or self._cold.has_room(offer.id, now))
+        ]
+        untried = [load for load in loads if load.id not in req.avoid]
+        chosen = choose_replica(untried, zone="", tie_break=self._rng.random())
+        if chosen is None and req.avoid and not untried:
+            chosen = choose_replica(loads, zone="", tie_break=self._rng.random())
+        return None if chosen is None else self._offers[chosen.id]
+
+    def _choose_zone(self, here: float, now: float) -> str | None:
+        """Return the zone with the least loaded replica, if it is clearly below ours.
+
+        Parameters
+        ----------
+        here
+            Utilisation of this zone's least loaded replica after one more request.
+        """
+        costs = {}
+        for zone, other in self._other_zones.items():
+            summary = other.summary
+            is_recent = now - other.at < SUMMARY_TTL_S
+            if not is_recent or other.declined_at >= other.at:
+                continue
+            if summary.free - other.passed_on <= 0 or summary.waiting:
+                continue
+            share = other.passed_on / max(1, summary.slots)
+            costs[zone] = summary.lowest_utilisation + share + ZONE_PREFERENCE
+        zone = min(costs, key=costs.get, default=None)
+        return zone if zone is not None and costs[zone] < here else None
+
+    def _is_usable(self, offer: SlotOffer, now: float) -> bool:
+        return self._accepts(offer.id, offer.epoch, now)
+
+    def _queue_or_refuse(self, waiting: _Waiting, now: float) -> list[Decision]:
+        client, number, req = waiting.client, waiting.number, waiting.request
+        decision = decide_admission(
+            self._measure_pressure(req, now),
+            now=now,
+            deadline=req.deadline,
+            resume_deadline=req.resume_deadline,
+        )
+        if isinstance(decision, Refuse):
+            return [
+                self._refuse(
+                    client, number, decision.retry_after_s, "no slot in time", now
+                )
+            ]
+        is_resumed = req.resume_deadline is not None
+        ticket = Ticket(
+            request=_name_ticket(client, number),
+            workspace=req.workspace,
+            priority=RESUME_PRIORITY if is_resumed else req.priority,
+            share=1.0,
+            cost=req.cost,
+            deadline=decision.until,
+            payload=waiting,
+            latest_start_at=req.due_at - self._first_event_s,
+        )
+        if self._queue.push(ticket):
+            return []
+        return [self._refuse(client, number, 1.0, "queue is full", now)]
+
+    def _refuse(self, client, number, retry_after_s, reason, now: float) -> Refused:
+        self._refused.append(now)
+        pressure = Pressure(
+            slots=sum(item.capacity for item in self._offers.values()),
+            waiting=len(self._queue),
+            service_s=self._service_s,
+        )
+        return Refused(client, number, retry_after_s, reason, pressure)
+
+    def _measure_pressure(self, req: SlotRequest, now: float) -> Pressure:
+        slots = sum(
+            offer.capacity
+            for offer in self._offers.values()
+            if offer.id not in req.excluded and self._is_usable(offer, now)
+        )
+        ahead = self._queue.count_ahead(req.priority)
+        return Pressure(slots=slots, waiting=ahead, service_s=self._service_s)
+
+    def _drop_expired(self, now: float) -> list[Ticket]:
+        expired = [item for item in self._queue if item.deadline <= now]
+        for ticket in expired:
+            self._queue.drop(ticket.request)
+        return expired
+
+    def _estimate_unmet(self, now: float) -> float:
+        while self._refused and now - self._refused[0] > REFUSED_WINDOW_S:
+            self._refused.popleft()
+        return len(self._queue) + len(self._refused) * self._service_s
+
+
+def _name_ticket(client: str, number: int) -> str:
+    return f"{client}/{number}"
+
+
+def shift_times(req: SlotRequest, offset_s: float) -> SlotRequest:
+    """Return a request with its times moved to another process's clock."""
+    resume = req.resume_deadline
+    return replace(
+        req,
+        deadline=req.deadline + offset_s,
+        due_at=req.due_at + offset_s,
+        resume_deadline=None if resume is None else resume + offset_s,
+    )
--- /dev/null
+++ b/waxwingpitch/slots/ranking.py
@@ -0,0 +1,57 @@
+"""Ranking of entry hosts, by which each zone's owners and readers are found.
+
+Rendezvous hashing (Thaler and Ravishankar, 1998), weighted: a host is first for a share
+of the keys in proportion to its weight, and only the keys of a lost host move.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import xxhash
+
+_HASH_RANGE = 2.0**64
+
+
+@dataclass(frozen=True, slots=True)
+class EntryHost:
+    """An entry host as it registered itself.
+
+    Attributes
+    ----------
+    address
+        ``IP:port`` of its mesh listener.
+    weight
+        Its processor share, in cores.
+    incarnation
+        Differs after each restart of its process.
+    """
+
+    name: str
+    address: str
+    zone: str
+    weight: float
+    incarnation: str = ""
+
+
+def rank_hosts(key: str, zone: str, hosts: Iterable[EntryHost]) -> list[EntryHost]:
+    """Return the hosts in the order in which they take over a zone's key.
+
+    Hosts of other zones follow those of the zone.
+
+    Examples
+    --------
+    >>> hosts = [EntryHost("a", "", "z", 1.0), EntryHost("b", "", "y", 1.0)]
+    >>> [host.name for host in rank_hosts("k", "y", hosts)]
+    ['b', 'a']
+    """
+    return sorted(
+        hosts, key=lambda host: (host.zone != zone, -_score(key, host), host.name)
+    )
+
+
+def _score(key: str, host: EntryHost) -> float:
+    hashed = xxhash.xxh64_intdigest(f"{key}\0{host.name}".encode())
+    return -max(host.weight, 1e-6) / math.log((hashed + 0.5) / _HASH_RANGE)
--- a/waxwingpitch/targets/pauses.py
+++ b/waxwingpitch/targets/pauses.py
@@ -33,6 +33,10 @@
             return False
         return True
 
+    def list_paused(self, now: float) -> list[str]:
+        """Return the targets that still want no requests."""
+        return [target for target in list(self._until) if self.is_paused(target, now)]
+
     def find_first_end(self, targets: Iterable[str], now: float) -> float | None:
         """Return the monotonic time at which the first of these pauses ends."""
         return min(
--- a/waxwingpitch/targets/progress.py
+++ b/waxwingpitch/targets/progress.py
@@ -12,8 +12,6 @@
 # Time for which a stalled target gets no new requests. After that one request may try
 # it again, in case it only paused.
 SUSPICION_TTL_S = 2.5
-# Age up to which progress is reported to peers.
-MAX_REPORTED_AGE_S = 1.0
 # Age after which a time of progress is removed.
 PROGRESS_RETENTION_S = 60.0
 
@@ -62,18 +60,17 @@
             if key[0] == target and not known.is_local and known.since < at:
                 del self._suspicions[key]
 
-    def list_recent_progress(self, now: float) -> dict[str, float]:
-        """Return the ages of recent progress seen here, in seconds, by target."""
+    def expire(self, now: float) -> None:
+        """Forget times of progress that are long past."""
         for known in (self._own, self._peers):
             for target in [
                 key for key, at in known.items() if now - at > PROGRESS_RETENTION_S
             ]:
                 del known[target]
-        return {
-            target: now - at
-            for target, at in self._own.items()
-            if now - at < MAX_REPORTED_AGE_S
-        }
+
+    def last_own_progress_at(self, target: str) -> float:
+        """Return the monotonic time of a target's last progress seen here, or 0."""
+        return self._own.get(target, 0.0)
 
     def last_progress_at(self, target: str) -> float:
         """Return the monotonic time of a target's last progress; 0 if there is none."""
--- a/waxwingpitch/tests/gateway_client.py
+++ b/waxwingpitch/tests/gateway_client.py
@@ -16,6 +16,7 @@
     retry_slack=100.0,
     retry_window_s=10.0,
     cold_factor=1.5,
+    cold_slack=5.0,
     stall_s=6.0,
     pass_s=0.12,
 )
@@ -45,6 +46,7 @@
         metrics=pick(),
         bounds=BOUNDS,
         min_lease_s=1.0,
+        processor_share=1.0,
     )
 
 
--- a/waxwingpitch/tests/test_process_gateway.py
+++ b/waxwingpitch/tests/test_process_gateway.py
@@ -34,6 +34,9 @@
 [listen]
 front = "127.0.0.1:{front}"
 ready = "127.0.0.1:{ready}"
+[limits]
+cpu_share = 0.5
+cpu_cores = 2
 [bounds]
 contact_ms = 3000
 drain_ms = 2000
@@ -42,6 +45,7 @@
 budget_slack = 100
 budget_window_s = 10
 cold_over = 1.5
+cold_slack = 5
 stall_ms = 6000
 pass_ms = 120
 [provider]
--- a/waxwingpitch/tests/test_store_restore.py
+++ b/waxwingpitch/tests/test_store_restore.py
@@ -12,18 +12,20 @@
 from ..agreed.versions import combine_version, get_era, get_revision
 from ..errors import StoreConflictError, StoreHistoryLostError
 from ..gateway import beliefs, zone_key
-from ..gateway.beliefs import MEMBER_PREFIX, GatewayView
-from ..gateway.peers import apply_store_changes, build_store_changes
+from ..gateway.beliefs import HOST_PREFIX, GatewayView, encode_host
+from ..gateway.following import apply_store_update, build_store_update
 from ..gateway.zone_key import ZoneKey
 from ..groups.naming import parse_head
 from ..platform import PlatformStore
 from ..ports import StoredChange, StoredDeletion, StoredEntry
+from ..slots import EntryHost
 from .fleet_fake import PAIR, QUAD
 from .gateway_client import call, chat, start_gateway
 from .platform_standin import PlatformFake, StoreFake
 from .test_gateway import _RefusingClient, count_replicas, wait_for
 
-CONFIG, TARGET, OWN = "op/config", "servers/p-1", MEMBER_PREFIX + "gw-9"
+CONFIG, TARGET, OWN = "op/config", "servers/p-1", HOST_PREFIX + "gw-9"
+OWN_RECORD = encode_host(EntryHost("gw-9", "127.0.0.1:1", "z", 1.0))
 PREFIXES = ("op/", "servers/", "waxwingpitch/")
 
 
@@ -124,6 +126,14 @@
     return view
 
 
+def relay_all(source: GatewayView, receiver: GatewayView) -> None:
+    for prefix in PREFIXES:
+        position = receiver.mirror.get_synced(prefix)
+        update = build_store_update(source.mirror, prefix, position)
+        if update is not None:
+            apply_store_update(receiver, update)
+
+
 class World:
     """A store, its writers, a gateway that reads it and one that it turns away."""
 
@@ -154,7 +164,7 @@
         self.put(TARGET, encode_target(self.writes))
 
     def write_own(self):
-        self.put(OWN, b"127.0.0.1:1")
+        self.put(OWN, OWN_RECORD)
 
     def copy(self):
         self.saved = (self.revision, dict(self.items), list(self.log))
@@ -182,12 +192,10 @@
         self._read_prefix("servers/")
 
     def relay(self):
-        message = build_store_changes(self.reader.mirror, self.follower.mirror.version)
-        apply_store_changes(self.follower, message)
+        relay_all(self.reader, self.follower)
 
     def relay_back(self):
-        message = build_store_changes(self.follower.mirror, self.reader.mirror.version)
-        apply_store_changes(self.reader, message)
+        relay_all(self.follower, self.reader)
 
     def _read_prefix(self, prefix):
         position = self.positions[prefix]
@@ -377,11 +385,11 @@
     key = ZoneKey(
         "z",
         name="gw-1",
-        is_local_zone=True,
         view=world.reader,
         lease_keeper=lease_keeper,
         is_store_unavailable=lambda: False,
     )
+    key.is_preferred = True
     assert key.try_acquire() and key.is_held
     epoch = key.next_epoch()
     world.restore()
@@ -407,11 +415,11 @@
     key = ZoneKey(
         "z",
         name="gw-1",
-        is_local_zone=True,
         view=World().reader,
         lease_keeper=lease_keeper,
         is_store_unavailable=lambda: False,
     )
+    key.is_preferred = True
     assert key.try_acquire() and key.is_held
     now[0] += 10.0
     assert not key.is_held
