--- a/waxwingpitch/admission/fresh.py
+++ b/waxwingpitch/admission/fresh.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterator
 
 from .queue import FairQueue, Ticket
 
@@ -59,6 +60,11 @@
     def __len__(self) -> int:
         return len(self._on_time) + len(self._late)
 
+    def __iter__(self) -> Iterator[Ticket]:
+        """Yield the queued tickets, in no particular order."""
+        yield from self._on_time
+        yield from self._late
+
     def _find_next(self, now: float) -> FairQueue:
         self._move_late(now)
         on_time, late = self._on_time.peek(), self._late.peek()
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -440,7 +440,7 @@
         match event:
             case Received(peer=peer, message=message, at=at):
                 self._roster.record_heard(peer.id)
-                self._handle(peer.id, peer.zone, message, at)
+                self._handle_safely(peer.id, peer.zone, message, at)
             case LinkUp(peer=peer):
                 self._roster.record_heard(peer.id)
                 logger.info("peer connected", extra={"peer": peer.id})
@@ -451,6 +451,15 @@
                 self.follower.handle_lost_peer(peer.id)
                 self.slots.handle_lost_peer(peer.id)
 
+    def _handle_safely(self, peer: str, zone: str, message: Message, at: float) -> None:
+        try:
+            self._handle(peer, zone, message, at)
+        except Exception:
+            logger.exception(
+                "message of a peer not handled",
+                extra={"peer": peer, "type": type(message).__name__},
+            )
+
     def _handle(self, peer: str, zone: str, message: Message, at: float) -> None:
         match message:
             case FleetStatus():
