--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -186,6 +186,7 @@
             settings.ready, settings.metrics, self.find_unready_reason, self.dump
         )
         self._slow_tick_at = 0.0
+        self._unready_reason: str | None = "starting"
         self._housekeeper: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -227,6 +228,13 @@
 
     def find_unready_reason(self) -> str | None:
         """Return why this process accepts no requests, or None if it does."""
+        reason = self._find_unready_reason()
+        if reason != self._unready_reason:
+            self._unready_reason = reason
+            logger.info("readiness changed", extra={"unready": reason})
+        return reason
+
+    def _find_unready_reason(self) -> str | None:
         if self._stopping:
             return "stopping"
         if self.view.cfg is None:
@@ -321,7 +329,9 @@
         """Adapt the roles of this process to the live entry hosts."""
         now = time.monotonic()
         zone = self.settings.zone
-        zones = self.roster.list_served_zones(self.settings.zones)
+        zones = (zone,)
+        if self._registration.is_settled:
+            zones = self.roster.list_served_zones(self.settings.zones)
         is_head = self.roster.find_head(zone) == self.settings.name
         may_plan = is_head or self.roster.is_among_first(f"head {zone}", zone)
         may_plan &= self._registration.is_settled and not self._stopping
--- a/waxwingpitch/gateway/roster.py
+++ b/waxwingpitch/gateway/roster.py
@@ -184,9 +184,7 @@
     def list_served_zones(self, zones: Iterable[str]) -> tuple[str, ...]:
         """Return this host's zone, and lost ones that its zone serves meanwhile."""
         lost = [
-            zone
-            for zone in zones
-            if zone != self.local.zone and not self.may_have_head(zone)
+            zone for zone in zones if zone != self.local.zone and self._is_lost(zone)
         ]
         served = [self.local.zone]
         for zone in lost:
@@ -195,6 +193,11 @@
                 served.append(zone)
         return tuple(served)
 
+    def _is_lost(self, zone: str) -> bool:
+        """Return whether all hosts of a zone seem lost, of which some were registered."""
+        has_hosts = any(host.zone == zone for host in self.hosts.values())
+        return has_hosts and not self.may_have_head(zone)
+
     def list_long_lost(self, lost_s: float) -> list[str]:
         """Return the hosts of this zone that have had no link for long."""
         now = self._clock()
