--- a/waxwingpitch/gateway/slots.py
+++ b/waxwingpitch/gateway/slots.py
@@ -386,11 +386,11 @@
         """Return the summaries of the keys that this gateway owns now."""
         now = time.monotonic()
         items = []
-        for owner in self._owners.values():
-            if self._roster.find_owner(owner.key) == self._name:
-                summary = owner.summarize(now)
-                self._summaries[owner.key] = (now, summary)
-                items.append(encode_summary(owner.key, summary))
+        for key in self._view.list_slot_keys(self._zone):
+            if self._roster.find_owner(key) == self._name:
+                summary = self._find_owner(key).summarize(now)
+                self._summaries[key] = (now, summary)
+                items.append(encode_summary(key, summary))
         return tuple(items)
 
     def list_zone_summaries(self) -> tuple[KeySummaryItem, ...]:
