--- a/waxwingpitch/gateway/slots.py
+++ b/waxwingpitch/gateway/slots.py
@@ -327,7 +327,7 @@
                     item.target, now - item.progress_age_ms / 1000
                 )
         for key in by_key.keys() - self._owners.keys():
-            self._find_owner(SlotKey(self._zone, *key))
+            self.find_owner(SlotKey(self._zone, *key))
         for key, owner in self._owners.items():
             owner.ledger.reconcile(peer, by_key.get(key, {}), now)
 
@@ -388,7 +388,7 @@
         items = []
         for key in self._view.list_slot_keys(self._zone):
             if self._roster.find_owner(key) == self._name:
-                summary = self._find_owner(key).summarize(now)
+                summary = self.find_owner(key).summarize(now)
                 self._summaries[key] = (now, summary)
                 items.append(encode_summary(key, summary))
         return tuple(items)
@@ -528,7 +528,8 @@
             return True
         return self._send(name, message)
 
-    def _find_owner(self, key: SlotKey) -> SlotOwner:
+    def find_owner(self, key: SlotKey) -> SlotOwner:
+        """Return the owner of a key's slots in this process, created on first use."""
         owner = self._owners.get((key.service, key.model))
         if owner is None:
             key = SlotKey(self._zone, key.service, key.model)
@@ -578,7 +579,7 @@
         self, peer: str, message: SlotRequestMessage, now: float
     ) -> None:
         key = SlotKey(self._zone, message.service, message.model)
-        owner = self._find_owner(key)
+        owner = self.find_owner(key)
         req = decode_request(message, now)
         if message.for_other_zone:
             decisions = owner.request_for_zone(peer, message.number, req, now)
@@ -638,7 +639,7 @@
         del self._passed_on[number]
         self._passed_numbers.pop((item.client, item.number), None)
         now = time.monotonic()
-        owner = self._find_owner(item.key)
+        owner = self.find_owner(item.key)
         self._release_at(item.owner, number, item.key)
         self._carry_out(
             owner, owner.take_back(item.client, item.number, item.request, now)
@@ -725,7 +726,7 @@
         return True
 
     def _handle_stall_check(self, peer: str, message: StallCheck, now: float) -> None:
-        owner = self._find_owner(SlotKey(self._zone, message.service, message.model))
+        owner = self.find_owner(SlotKey(self._zone, message.service, message.model))
         at = self._progress.last_progress_at(message.target)
         age_s = now - at if at else 1e6
         may_retry = age_s >= message.stalled_after_s and owner.spend_retry(now)
