--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -115,8 +115,6 @@
         was restored from an older copy are believed without an entry.
     older_keys_until
         Boot time until which orders may be given under planner keys of an earlier era.
-    generation
-        Number that grows whenever the replicas were derived anew.
     on_restored
         Called when the store is found to have been restored from an older copy.
     on_target_lost
@@ -148,7 +146,7 @@
         self._by_zone: dict[str, dict[tuple[str, str], tuple[Replica, ...]]] = {}
         self._replicas: dict[tuple[str, str], tuple[Replica, ...]] = {}
         self._dirty_zones: set[str] | None = set()
-        self.generation = 0
+        self._generation = 0
 
     @property
     def cfg(self) -> RoutedConfiguration | None:
@@ -159,6 +157,11 @@
         """Return a service of the configuration in force."""
         return None if self.cfg is None else self.cfg.services.get(name)
 
+    def refresh(self) -> int:
+        """Derive the replicas anew if needed; return a number that then grows."""
+        self._rebuild_dirty()
+        return self._generation
+
     def list_slot_keys(self, zone: str) -> list[SlotKey]:
         """Return the keys of a zone's slots, by the configuration in force."""
         services = () if self.cfg is None else self.cfg.services.values()
@@ -429,7 +432,7 @@
         return record.order <= known.record.order
 
     def _mark_dirty(self, zone: str | None = None) -> None:
-        """Derive a zone's replicas anew when they are next asked for; all by default."""
+        """Derive a zone's replicas, by default all, anew when next asked for."""
         if zone is None:
             self._dirty_zones = None
         elif self._dirty_zones is not None:
@@ -441,7 +444,7 @@
         if dirty is not None and not dirty:
             return
         self._dirty_zones = set()
-        self.generation += 1
+        self._generation += 1
         targets: dict[str, list[KnownTarget]] = defaultdict(list)
         for known in self.iter_targets():
             zone = known.record.zone
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -127,20 +127,24 @@
         )
         self._suspects = SuspectTracker(self.view, self._peers.announce_suspects)
         self._peers.on_suspects = self._suspects.merge
-        self.slots.on_broken = self._suspects.record_broken
-        self.slots.on_leaving = self._peers.announce_leaving
+        self.slots.owners.on_broken = self._suspects.record_broken
+        self.slots.client.on_leaving = self._on_leaving
         self.view.on_target_lost = self._on_target_lost
         self.view.on_restored = self._on_store_restored
         self._server = RequestServer(
             self.view,
-            self.slots,
+            self.slots.client,
             TargetExchange(
                 self.pool,
                 self.progress,
                 self.metrics,
-                self.slots,
+                self.slots.client,
                 self._is_reachable,
-                TargetNotices(self.slots.pauses, self.metrics, self.slots.note_leaving),
+                TargetNotices(
+                    self.slots.client.pauses,
+                    self.metrics,
+                    self.slots.client.note_leaving,
+                ),
             ),
             self.metrics,
             self._suspects,
@@ -260,7 +264,7 @@
             "store_source": self._follower.source,
             "head": self.roster.find_head(self.settings.zone),
             "suspects": [list(key) for key in self.progress.list_suspicions(now)],
-            "waiting": self.slots.count_waiting(),
+            "waiting": self.slots.client.count_pending(),
             "store_answered_s_ago": boot_time() - self._store_health.answered_at,
             "store_era": self.view.mirror.era,
         }
@@ -301,15 +305,19 @@
         return CallerLimits() if cfg is None else cfg.limits
 
     def _on_view_change(self) -> None:
-        self.slots.handle_view_change()
+        self.slots.owners.handle_view_change()
         self._follower.schedule_push()
 
     def _on_store_restored(self) -> None:
         self.metrics.count_store_restored()
         self._lease_keeper.wake()
 
+    def _on_leaving(self, target: str) -> None:
+        self.view.mark_leaving(target)
+        self._peers.announce_leaving()
+
     def _on_target_lost(self, target: str, started_ms: int | None) -> None:
-        self.slots.pauses.forget(target)
+        self.slots.client.pauses.forget(target)
         self._suspects.handle_lost_target(target, started_ms)
 
     def _take_over_planning(self, handover: PlanningHandover) -> None:
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -37,7 +37,7 @@
 )
 from .notices import TargetNotices
 from .routed import RequestContext
-from .slots import Slot, SlotTask
+from .slot_client import Slot, SlotClient
 
 # Shortest time without progress after which a stream is resumed on another target; it
 # must exceed a pass of a busy engine, which takes up to 0.1 s.
@@ -78,7 +78,7 @@
         pool: ConnectionPool,
         progress: ProgressBook,
         metrics: GatewayMetrics,
-        slots: SlotTask,
+        slots: SlotClient,
         is_reachable: Callable[[str, str], bool],
         notices: TargetNotices,
     ):
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -370,7 +370,7 @@
         if now - self._dialled_at >= DIAL_INTERVAL_S:
             self._dialled_at = now
             self._dial()
-        is_busy = self.slots.count_held() > 0
+        is_busy = bool(self.slots.client.held)
         interval_s = BUSY_STATUS_INTERVAL_S if is_busy else STATUS_INTERVAL_S
         is_due = now - self._status_sent_at >= interval_s - 0.01
         if is_due or self._is_status_urgent:
@@ -382,14 +382,14 @@
         health = self._store_health
         calls_store = self.follower.source is None or health.is_checked
         leaving = dict(self._view.list_said_leaving())
-        for target in self.slots.list_leaving():
+        for target in self.slots.client.list_leaving():
             leaving.setdefault(target, 0)
         common = FleetStatus(
             store_age_ms=_to_ms(self._store_age_s) if calls_store else -1,
             data_age_ms=_to_ms(self._find_data_age_s()),
             weight_loads=self.count_weight_loads(),
             leaving=leaving,
-            suspected=self.slots.take_new_suspicions(),
+            suspected=self.slots.owners.take_new_suspicions(),
             summaries=self.slots.list_summaries(),
             held=(),
             is_ready=self._roster.is_ready,
--- a/waxwingpitch/gateway/roster.py
+++ b/waxwingpitch/gateway/roster.py
@@ -194,7 +194,7 @@
         return tuple(served)
 
     def _is_lost(self, zone: str) -> bool:
-        """Return whether all hosts of a zone seem lost, of which some were registered."""
+        """Return whether all hosts of a zone seem lost, some being registered."""
         has_hosts = any(host.zone == zone for host in self.hosts.values())
         return has_hosts and not self.may_have_head(zone)
 
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -24,7 +24,7 @@
 from .beliefs import GatewayView
 from .exchange import TargetExchange
 from .routed import RequestContext, read_last_event, read_request_id, route_request
-from .slots import Slot, SlotTask
+from .slot_client import Slot, SlotClient
 from .suspect_task import SuspectTracker
 
 # Requests with less time than this left until their deadline are not retried.
@@ -47,7 +47,7 @@
     def __init__(
         self,
         view: GatewayView,
-        slots: SlotTask,
+        slots: SlotClient,
         exchange: TargetExchange,
         metrics: GatewayMetrics,
         suspects: SuspectTracker,
--- /dev/null
+++ b/waxwingpitch/gateway/slot_client.py
@@ -0,0 +1,309 @@
+"""Slots that this gateway's requests ask for and hold."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+
+import gevent
+from gevent.event import AsyncResult
+
+from ..admission.forecast import Pressure
+from ..mesh.fleet_messages import (
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    StallCheck,
+    StallReply,
+)
+from ..mesh.messages import Message
+from ..slots import Outcome, Refused, SlotKey, SlotOffer, SlotRequest
+from ..targets.pauses import PauseBook
+from .roster import Roster
+from .slot_wire import decode_grant, decode_refusal, encode_request
+
+# Time in which an owner answers the question about a silent stream.
+STALL_CHECK_TIMEOUT_S = 0.05
+# Time for which a target that said that it leaves is avoided here.
+LEAVING_TTL_S = 30.0
+RETRY_WITHOUT_OWNER_S = 0.5
+# Time for which a request waits for an owner of its slots to be found.
+OWNER_WAIT_S = 0.6
+# Outcome of a slot that was not used.
+UNUSED = -1
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Slot:
+    """A slot that one of this gateway's requests holds.
+
+    Attributes
+    ----------
+    owner
+        Host that granted it.
+    """
+
+    number: int
+    owner: str
+    key: SlotKey
+    offer: SlotOffer
+    in_flight: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    """A request that awaits a slot; ``owner`` is the host asked, if any."""
+
+    key: SlotKey
+    request: SlotRequest
+    since: float
+    owner: str
+    result: AsyncResult
+
+
+class SlotClient:
+    """Asks the owners of slots for this gateway's requests.
+
+    Parameters
+    ----------
+    numbers
+        Numbers of requests, unique within this process.
+    deliver
+        Hands a message to a host, which may be this one; returns False if it is not
+        linked.
+
+    Attributes
+    ----------
+    held
+        Slots held, by number.
+    pauses
+        Pauses that targets asked this gateway for.
+    on_leaving
+        Called with a target that said here that it leaves.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        numbers: Iterator[int],
+        deliver: Callable[[str, Message], bool],
+    ):
+        self._roster = roster
+        self._numbers = numbers
+        self._deliver = deliver
+        self._pending: dict[int, _Pending] = {}
+        self._stall_replies: dict[int, AsyncResult] = {}
+        self._leaving: dict[str, float] = {}
+        self.held: dict[int, Slot] = {}
+        self.pauses = PauseBook()
+        self.on_leaving: Callable[[str], None] = lambda target: None
+
+    def acquire(self, req: SlotRequest) -> Slot | Refused:
+        """Return a slot for a request, waiting for one if needed."""
+        now = time.monotonic()
+        key = SlotKey(self._roster.local.zone, req.service, req.model)
+        req = replace(req, excluded=frozenset(self._iter_excluded(now)))
+        number = next(self._numbers)
+        result: AsyncResult = AsyncResult()
+        timeout = gevent.Timeout((req.resume_deadline or req.deadline) - now)
+        try:
+            self._submit(number, _Pending(key, req, now, "", result))
+            with timeout:
+                return result.get()
+        except gevent.Timeout as exc:
+            self._abandon(number)
+            if exc is not timeout:
+                raise
+            return self._refuse(number, "no answer of the slots' owner")
+        except BaseException:
+            self._abandon(number)
+            raise
+
+    def release(
+        self,
+        slot: Slot,
+        outcome: Outcome,
+        *,
+        service_s: float,
+        first_s: float,
+        fingerprint: str = "",
+    ) -> None:
+        """Give a slot back, and tell its owner how it was used.
+
+        Parameters
+        ----------
+        service_s, first_s
+            Time to the whole answer and to its first part.
+        fingerprint
+            Fingerprint of a request whose connection broke.
+        """
+        self.held.pop(slot.number, None)
+        message = SlotRelease(
+            slot.number,
+            slot.key.zone,
+            slot.key.service,
+            slot.key.model,
+            slot.offer.id,
+            slot.offer.epoch,
+            int(outcome),
+            service_s,
+            first_s,
+            fingerprint,
+        )
+        self._deliver(slot.owner, message)
+
+    def may_resume(self, slot: Slot, stalled_after_s: float) -> tuple[float, bool]:
+        """Ask whether a silent stream may be resumed on another target.
+
+        Parameters
+        ----------
+        stalled_after_s
+            Time without progress after which its target counts as stalled.
+
+        Returns
+        -------
+        tuple
+            The monotonic time of the last progress of its target that any gateway saw,
+            and whether the retry budget covers the attempt, which was then taken.
+        """
+        key = slot.key
+        check = StallCheck(
+            slot.number,
+            key.zone,
+            key.service,
+            key.model,
+            slot.offer.id,
+            stalled_after_s,
+        )
+        result = self._stall_replies[slot.number] = AsyncResult()
+        try:
+            self._deliver(slot.owner, check)
+            reply = result.get(timeout=STALL_CHECK_TIMEOUT_S)
+        except gevent.Timeout:
+            return 0.0, False
+        finally:
+            self._stall_replies.pop(slot.number, None)
+        return time.monotonic() - reply.progress_age_s, reply.may_retry
+
+    def note_leaving(self, target: str, now: float) -> None:
+        """Avoid a target that said that it leaves."""
+        is_new = target not in self._leaving
+        self._leaving[target] = now + LEAVING_TTL_S
+        if is_new:
+            logger.info("target says that it leaves", extra={"target": target})
+            self.on_leaving(target)
+
+    def list_leaving(self) -> list[str]:
+        """Return the targets that said here that they leave."""
+        return list(self._leaving)
+
+    def count_pending(self) -> int:
+        """Return the number of requests that await a slot."""
+        return len(self._pending)
+
+    def has_pending(self, number: int) -> bool:
+        """Return whether a request still awaits a slot."""
+        return number in self._pending
+
+    def handle_grant(self, peer: str, message: SlotGrant, now: float) -> bool:
+        """Use a slot; return False if no request awaits it."""
+        pending = self._pending.get(message.number)
+        if pending is None:
+            return False
+        key = pending.key
+        offer = decode_grant(message, key.service, key.model, now)
+        self.resolve(peer, message.number, offer, message.in_flight)
+        return True
+
+    def handle_refusal(self, peer: str, message: SlotRefusal) -> None:
+        """Give a refusal to the request that it is for."""
+        pending = self._pending.get(message.number)
+        if pending is not None and pending.owner == peer:
+            refused = decode_refusal(self._roster.local.name, message)
+            self.finish_refused(message.number, refused)
+
+    def handle_stall_reply(self, message: StallReply) -> None:
+        """Give a reply to the stream that it is for."""
+        result = self._stall_replies.get(message.number)
+        if result is not None:
+            result.set(message)
+
+    def resolve(
+        self, owner: str, number: int, offer: SlotOffer, in_flight: int
+    ) -> None:
+        """Give a slot to the request that awaits it."""
+        pending = self._pending.pop(number, None)
+        if pending is not None:
+            slot = Slot(number, owner, pending.key, offer, in_flight)
+            self.held[number] = slot
+            pending.result.set(slot)
+
+    def finish_refused(self, number: int, refused: Refused) -> None:
+        """Tell a request that it gets no slot."""
+        pending = self._pending.pop(number, None)
+        if pending is not None:
+            pending.result.set(refused)
+
+    def handle_lost_peer(self, peer: str) -> None:
+        """Ask the next owners for what the lost peer would have decided."""
+        for number, pending in list(self._pending.items()):
+            if pending.owner == peer:
+                self._submit(number, pending)
+
+    def tick(self, now: float) -> None:
+        """Ask again where the owner is lost, and give up where there is none."""
+        for target in [item for item, until in self._leaving.items() if until <= now]:
+            del self._leaving[target]
+        for number, pending in list(self._pending.items()):
+            if not pending.owner or not self._roster.is_live(pending.owner):
+                self._submit(number, pending)
+            if number in self._pending and not self._pending[number].owner:
+                self._give_up_without_owner(number, pending, now)
+
+    def _submit(self, number: int, pending: _Pending) -> None:
+        """Send a pending request to the present owner of its key."""
+        owner = self._roster.find_owner(pending.key) or ""
+        self._pending[number] = replace(pending, owner=owner)
+        if not owner:
+            return
+        message = encode_request(
+            number,
+            pending.key,
+            pending.request,
+            time.monotonic(),
+            for_other_zone=False,
+        )
+        if not self._deliver(owner, message):
+            self._pending[number] = replace(pending, owner="")
+
+    def _give_up_without_owner(
+        self, number: int, pending: _Pending, now: float
+    ) -> None:
+        """Refuse a request for which no owner was found in time, unless it has run."""
+        has_run = pending.request.resume_deadline is not None
+        if not has_run and now - pending.since > OWNER_WAIT_S:
+            refused = self._refuse(number, "no owner of the slots is known")
+            self.finish_refused(number, refused)
+
+    def _abandon(self, number: int) -> None:
+        """Withdraw a request, or give back the slot that it was granted."""
+        asked = self._pending.pop(number, None) or self.held.pop(number, None)
+        if asked is not None and asked.owner:
+            key = asked.key
+            self._deliver(
+                asked.owner,
+                SlotRelease(number, key.zone, key.service, key.model, "", 0, UNUSED),
+            )
+
+    def _iter_excluded(self, now: float) -> Iterator[str]:
+        yield from self._leaving
+        yield from self.pauses.list_paused(now)
+
+    def _refuse(self, number: int, reason: str) -> Refused:
+        pressure = Pressure(0, 0, 0.0)
+        name = self._roster.local.name
+        return Refused(name, number, RETRY_WITHOUT_OWNER_S, reason, pressure)
--- /dev/null
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -0,0 +1,382 @@
+"""Keys whose slots this gateway owns, or would own next."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, replace
+
+import gevent
+from msgspec import structs
+
+from ..mesh.fleet_messages import (
+    HeldSlotItem,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequestMessage,
+    StallCheck,
+    StallReply,
+)
+from ..mesh.messages import Message
+from ..settings.gateway import OperatingBounds
+from ..slots import (
+    Declined,
+    Forwarded,
+    Granted,
+    KeySummary,
+    Outcome,
+    Refused,
+    SlotKey,
+    SlotOffer,
+    SlotOwner,
+    SlotRequest,
+)
+from ..slots.budget import SharedRetryBudget
+from ..targets.progress import ProgressBook
+from .beliefs import GatewayView
+from .roster import Roster
+from .slot_client import UNUSED, SlotClient
+from .slot_wire import (
+    decode_grant,
+    decode_request,
+    encode_grant,
+    encode_refusal,
+    encode_request,
+)
+
+# Time in which the owner of another zone's slots answers a request passed on to it.
+FORWARD_TIMEOUT_S = 0.1
+# Share of the fleet's retry slack and ratio that owners use; two that believe that they
+# own a key stay within the whole together with their bursts.
+OWNER_BUDGET_SHARE = 0.6
+# Share of a cold target's limit that one owner uses, as two may own its key.
+COLD_SHARE = 0.5
+# Time after its link is lost for which a client's slots are still counted.
+LOST_CLIENT_S = 1.0
+# Age of the progress of a target of which nothing was seen.
+NO_PROGRESS_AGE_S = 1e6
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class _PassedOn:
+    """A client's request, or slot, at the owner of another zone.
+
+    Attributes
+    ----------
+    target
+        Target that was granted; empty before.
+    """
+
+    client: str
+    number: int
+    key: SlotKey
+    request: SlotRequest
+    owner: str
+    target: str = ""
+
+
+class SlotOwners:
+    """The owners in this process, and the requests that they pass on to other zones.
+
+    Parameters
+    ----------
+    numbers
+        Numbers of requests, unique within this process.
+    deliver
+        Hands a message to a host, which may be this one; returns False if it is not
+        linked.
+    zones
+        Number of zones.
+
+    Attributes
+    ----------
+    on_broken
+        Called with fingerprint and target of a request whose connection broke.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        view: GatewayView,
+        progress: ProgressBook,
+        bounds: OperatingBounds,
+        zones: int,
+        numbers: Iterator[int],
+        client: SlotClient,
+        deliver: Callable[[str, Message], bool],
+    ):
+        self._roster = roster
+        self._view = view
+        self._progress = progress
+        self._bounds = bounds
+        self._zones = zones
+        self._numbers = numbers
+        self._client = client
+        self._deliver = deliver
+        self._zone = roster.local.zone
+        self._name = roster.local.name
+        self._owners: dict[tuple[str, str], SlotOwner] = {}
+        self._passed_on: dict[int, _PassedOn] = {}
+        self._passed_numbers: dict[tuple[str, int], int] = {}
+        self._lost_clients: dict[str, float] = {}
+        self._new_suspicions: list[tuple[str, int]] = []
+        self._served_zones = (self._zone,)
+        self._generation = -1
+        self.on_broken: Callable[[str, str], None] = lambda fingerprint, target: None
+
+    def find(self, key: SlotKey) -> SlotOwner:
+        """Return the owner of a key's slots in this process, created on first use."""
+        owner = self._owners.get((key.service, key.model))
+        if owner is None:
+            key = replace(key, zone=self._zone)
+            owner = SlotOwner(key, self._build_budget(key), self._accepts)
+            self._owners[key.service, key.model] = owner
+            self._update_offers(owner)
+        return owner
+
+    def __iter__(self) -> Iterator[SlotOwner]:
+        return iter(list(self._owners.values()))
+
+    def handle_view_change(self, *, force: bool = False) -> None:
+        """Give the owners the replicas as they are now known."""
+        generation = self._view.refresh()
+        if generation == self._generation and not force:
+            return
+        self._generation = generation
+        now = time.monotonic()
+        for owner in self:
+            self._update_offers(owner)
+            self._carry_out(owner, owner.assign(now))
+
+    def handle_request(
+        self, peer: str, message: SlotRequestMessage, now: float
+    ) -> None:
+        """Decide on a request for a slot."""
+        owner = self.find(SlotKey(self._zone, message.service, message.model))
+        req = decode_request(message, now)
+        decide = owner.request_for_zone if message.for_other_zone else owner.request
+        self._carry_out(owner, decide(peer, message.number, req, now))
+
+    def handle_grant(self, peer: str, message: SlotGrant, now: float) -> None:
+        """Pass a slot of another zone on to the client that asked for one."""
+        item = self._passed_on.get(message.number)
+        if item is None:
+            self._withdraw_at(peer, message.number, SlotKey(message.zone, "", ""))
+            return
+        self._passed_on[message.number] = replace(item, target=message.target)
+        offer = decode_grant(message, item.key.service, item.key.model, now)
+        granted = Granted(item.client, item.number, offer, message.in_flight)
+        if not self._give(granted, now):
+            self.handle_release(item.client, _build_unused(item.number, item.key), now)
+
+    def handle_declined(self, message: SlotRefusal) -> None:
+        """Decide here on a request that another zone declined."""
+        self._take_back(message.number)
+
+    def handle_release(self, peer: str, message: SlotRelease, now: float) -> None:
+        """Free a slot, and learn from how it was used."""
+        is_passed_on = self._release_passed_on(peer, message)
+        for key, owner in list(self._owners.items()):
+            if message.service and key != (message.service, message.model):
+                continue
+            if message.outcome != UNUSED and not is_passed_on:
+                self._note_outcome(owner, message, now)
+            self._carry_out(owner, owner.cancel(peer, message.number, now))
+
+    def handle_stall_check(self, peer: str, message: StallCheck, now: float) -> None:
+        """Answer whether a silent stream may be resumed on another target."""
+        owner = self.find(SlotKey(self._zone, message.service, message.model))
+        at = self._progress.last_progress_at(message.target)
+        age_s = now - at if at else NO_PROGRESS_AGE_S
+        may_retry = age_s >= message.stalled_after_s and owner.spend_retry(now)
+        self._deliver(peer, StallReply(message.number, age_s, may_retry))
+
+    def update_zone(self, key: SlotKey, summary: KeySummary, now: float) -> None:
+        """Take note of the summary of another zone's owner."""
+        owner = self._owners.get((key.service, key.model))
+        if owner is not None and key.zone != self._zone:
+            self._carry_out(owner, owner.update_zone(key.zone, summary, now))
+
+    def reconcile(self, peer: str, held: tuple[HeldSlotItem, ...], now: float) -> None:
+        """Adopt a host's report of the slots that it holds."""
+        self._lost_clients.pop(peer, None)
+        by_key: dict[tuple[str, str], dict[int, str]] = {}
+        for item in held:
+            by_key.setdefault((item.service, item.model), {})[item.number] = item.target
+            if item.progress_age_ms >= 0:
+                self._progress.record_peer_progress(
+                    item.target, now - item.progress_age_ms / 1000
+                )
+        for service, model in by_key.keys() - self._owners.keys():
+            self.find(SlotKey(self._zone, service, model))
+        for key, owner in self._owners.items():
+            owner.ledger.reconcile(peer, by_key.get(key, {}), now)
+
+    def handle_lost_peer(self, peer: str, now: float) -> None:
+        """Take back what was passed on to a lost peer; drop what it holds soon."""
+        self._lost_clients[peer] = now + LOST_CLIENT_S
+        for number, item in list(self._passed_on.items()):
+            if item.owner == peer and not item.target:
+                self._take_back(number)
+
+    def tick(self, served_zones: tuple[str, ...], now: float) -> None:
+        """Expire what has waited too long, and forget clients that are gone.
+
+        Parameters
+        ----------
+        served_zones
+            Zones whose targets this zone's owners are responsible for.
+        """
+        if served_zones != self._served_zones:
+            logger.info("zones served", extra={"zones": list(served_zones)})
+            self._served_zones = served_zones
+            self.handle_view_change(force=True)
+        for client in [item for item, at in self._lost_clients.items() if at <= now]:
+            del self._lost_clients[client]
+            for owner in self:
+                self._carry_out(owner, owner.drop_client(client, now))
+        for owner in self:
+            self._carry_out(owner, owner.assign(now))
+
+    def iter_passed_on(self, peer: str) -> Iterable[tuple[int, SlotKey, str]]:
+        """Yield number, key and target of the slots that a peer granted here."""
+        for number, item in self._passed_on.items():
+            if item.owner == peer and item.target:
+                yield number, item.key, item.target
+
+    def take_new_suspicions(self) -> tuple[tuple[str, int], ...]:
+        """Return the targets suspected since the last call, with their epochs."""
+        suspicions, self._new_suspicions = tuple(self._new_suspicions), []
+        return suspicions
+
+    def _build_budget(self, key: SlotKey) -> SharedRetryBudget:
+        service = self._view.find_service(key.service)
+        models = 1 if service is None else max(1, len(service.list_models()))
+        return SharedRetryBudget(
+            ratio=self._bounds.retry_ratio * OWNER_BUDGET_SHARE,
+            slack=self._bounds.retry_slack * OWNER_BUDGET_SHARE / self._zones / models,
+            window_s=self._bounds.retry_window_s,
+            now=time.monotonic(),
+        )
+
+    def _accepts(self, target: str, epoch: int, now: float) -> bool:
+        return not self._progress.is_suspected(target, epoch, now)
+
+    def _update_offers(self, owner: SlotOwner) -> None:
+        key = owner.key
+        service = self._view.find_service(key.service)
+        cold_per_s = 0.0 if service is None else service.cold_per_s
+        limit = cold_per_s * self._bounds.cold_factor + self._bounds.cold_slack
+        offers = tuple(
+            SlotOffer(
+                item.id,
+                item.address,
+                item.zone,
+                item.service,
+                item.model,
+                item.capacity,
+                item.epoch,
+                item.cold_until if cold_per_s else 0.0,
+            )
+            for item in self._view.find_replicas(key.service, key.model)
+            if item.zone in self._served_zones
+        )
+        owner.set_offers(offers, max(1, int(limit * COLD_SHARE)))
+
+    def _carry_out(self, owner: SlotOwner, decisions) -> None:
+        now = time.monotonic()
+        for decision in decisions:
+            match decision:
+                case Granted(client=client, number=number):
+                    if not self._give(decision, now):
+                        self._carry_out(owner, owner.release(client, number, now))
+                case Refused(client=client, number=number):
+                    if client == self._name:
+                        self._client.finish_refused(number, decision)
+                    else:
+                        self._deliver(client, encode_refusal(number, decision))
+                case Declined(client=client, number=number):
+                    reason = "no free slot"
+                    refusal = SlotRefusal(number, 0.0, reason, 0, 0, 0.0, True)
+                    self._deliver(client, refusal)
+                case Forwarded():
+                    self._pass_on(owner, decision)
+
+    def _give(self, granted: Granted, now: float) -> bool:
+        """Give a slot to its client; return False if the client is gone."""
+        if granted.client != self._name:
+            message = encode_grant(granted.number, granted, now)
+            return self._deliver(granted.client, message)
+        if not self._client.has_pending(granted.number):
+            return False
+        self._client.resolve(
+            self._name, granted.number, granted.offer, granted.in_flight
+        )
+        return True
+
+    def _pass_on(self, owner: SlotOwner, decision: Forwarded) -> None:
+        key = replace(owner.key, zone=decision.zone)
+        other = self._roster.find_owner(key) or ""
+        number = next(self._numbers)
+        client = (decision.client, decision.number)
+        self._passed_on[number] = _PassedOn(*client, key, decision.request, other)
+        self._passed_numbers[client] = number
+        message = encode_request(
+            number, key, decision.request, time.monotonic(), for_other_zone=True
+        )
+        if not other or other == self._name or not self._deliver(other, message):
+            gevent.spawn(self._take_back, number)
+        else:
+            gevent.spawn_later(FORWARD_TIMEOUT_S, self._take_back, number)
+
+    def _take_back(self, number: int) -> None:
+        """Decide here on a request that another zone declined or did not answer."""
+        item = self._passed_on.get(number)
+        if item is None or item.target:
+            return
+        del self._passed_on[number]
+        self._passed_numbers.pop((item.client, item.number), None)
+        self._withdraw_at(item.owner, number, item.key)
+        owner = self.find(item.key)
+        now = time.monotonic()
+        decisions = owner.take_back(item.client, item.number, item.request, now)
+        self._carry_out(owner, decisions)
+
+    def _withdraw_at(self, name: str, number: int, key: SlotKey) -> None:
+        if name and name != self._name:
+            self._deliver(name, _build_unused(number, key))
+
+    def _release_passed_on(self, client: str, message: SlotRelease) -> bool:
+        """Pass a release on to the zone that granted the slot, if another did."""
+        number = self._passed_numbers.pop((client, message.number), None)
+        item = self._passed_on.pop(number, None)
+        if item is None:
+            return False
+        self._deliver(
+            item.owner, structs.replace(message, number=number, zone=item.key.zone)
+        )
+        return True
+
+    def _note_outcome(self, owner: SlotOwner, message: SlotRelease, now: float) -> None:
+        match Outcome(message.outcome):
+            case Outcome.SERVED:
+                owner.record_times(message.service_s, message.first_s)
+                self._progress.record_progress(message.target, message.epoch, now)
+            case Outcome.MISDIRECTED | Outcome.STALLED | Outcome.UNREACHABLE:
+                self._suspect(message.target, message.epoch, now)
+            case Outcome.BROKEN:
+                self.on_broken(message.fingerprint, message.target)
+
+    def _suspect(self, target: str, epoch: int, now: float) -> None:
+        """Give a replica no new requests for a while, and tell the peers."""
+        if self._progress.suspect(target, epoch, now):
+            self._new_suspicions.append((target, epoch))
+            logger.info("target suspected", extra={"target": target, "epoch": epoch})
+
+
+def _build_unused(number: int, key: SlotKey) -> SlotRelease:
+    return SlotRelease(number, key.zone, key.service, key.model, "", 0, UNUSED)
--- a/waxwingpitch/slots/ledger.py
+++ b/waxwingpitch/slots/ledger.py
@@ -6,13 +6,13 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
-# Time in which a report of what a client holds may have been sent before a grant arrived.
+# Age of a grant below which a client's report may have been sent before it arrived.
 REPORT_DELAY_S = 0.6
 
 
 @dataclass(frozen=True, slots=True)
 class HeldSlot:
-    """A slot that a client holds; ``since`` is the time of its grant or first report."""
+    """A slot that a client holds, since its grant or its first report."""
 
     target: str
     since: float
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -145,7 +145,7 @@
 def test_silent_target_is_not_abandoned_without_retry_budget(platform, gateway):
     empty = SharedRetryBudget(ratio=0.0, slack=0.0, window_s=1.0, now=0.0)
     for key in gateway.view.list_slot_keys("z"):
-        gateway.slots.find_owner(key)._budget = empty
+        gateway.slots.owners.find(key)._budget = empty
     check_stream_survives_a_pause(platform, gateway.settings.front, "b1")
 
 
@@ -339,8 +339,8 @@
     gevent.sleep(0.1)
     caller.close()
     wait_for(lambda: "gone" in platform.disconnected, 1.0)
-    wait_for(lambda: gateway.slots.count_held() == 0)
-    owners = map(gateway.slots.find_owner, gateway.view.list_slot_keys("z"))
+    wait_for(lambda: not gateway.slots.client.held)
+    owners = map(gateway.slots.owners.find, gateway.view.list_slot_keys("z"))
     assert all(owner.summarize(time.monotonic()).in_flight == 0 for owner in owners)
 
 
--- a/waxwingpitch/tests/test_slot_owner.py
+++ b/waxwingpitch/tests/test_slot_owner.py
@@ -227,9 +227,8 @@
 class OwnerMachine(RuleBasedStateMachine):
     """Two processes that may both own a key, and hosts whose messages come late.
 
-    Hosts ask the one that they believe in. What must hold: no host holds a slot that the
-    owner it got it from does not count, once its reports have arrived; a grant without a
-    request is impossible; nobody waits for ever.
+    Hosts ask the one that they believe in. No slot is held that the owner does not
+    count once reports have arrived, none is granted twice, and nobody waits for ever.
     """
 
     @initialize()
--- a/waxwingpitch/tests/test_target_notices.py
+++ b/waxwingpitch/tests/test_target_notices.py
@@ -155,7 +155,7 @@
     set_script(platform, _refuse_once)
     now = time.monotonic()
     for target in platform.plain[1:]:
-        gateway.slots.pauses.pause(target, until=now + 0.7)
+        gateway.slots.client.pauses.pause(target, until=now + 0.7)
     answer = call(gateway.settings.front, "/file/x", "w1")
     assert answer.status == 200
     assert 0.5 < time.monotonic() - now < 1.4
@@ -164,7 +164,7 @@
 def test_refusal_tells_the_end_of_the_pause_of_all_targets(platform, gateway):
     now = time.monotonic()
     for target in platform.plain:
-        gateway.slots.pauses.pause(target, until=now + 2.0)
+        gateway.slots.client.pauses.pause(target, until=now + 2.0)
     answer = call(gateway.settings.front, "/file/x", "w2", deadline_ms=3900)
     assert answer.status == 503
     assert 0.9 < float(answer.headers["retry-after"]) <= 2.0
