--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -47,6 +47,8 @@
     ----------
     idle_until
         Monotonic time until which the idle connection may be used again.
+    is_reused
+        Whether it has carried another request before.
     """
 
     def __init__(self, sock: socket.socket, address: str):
@@ -54,6 +56,7 @@
         self.address = address
         self._reader = AnswerReader()
         self.idle_until = 0.0
+        self.is_reused = False
         self._peer_closed = False
 
     def send(self, data: bytes) -> None:
@@ -228,6 +231,7 @@
             conn.close()
             return
         conn.idle_until = now + idle_s
+        conn.is_reused = True
         self._idle[conn.address].append(conn)
 
     def close_idle(self, now: float) -> None:
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -187,6 +187,8 @@
         for _ in range(MAX_FOREIGN_ANSWERS):
             head = conn.read_head(until)
             echoed = head.find(HeaderNames.REQUEST_ID)
+            if echoed is None and conn.is_reused and head.status < 300:
+                raise TargetBrokenError(f"{replica.id}: answer names no request")
             if echoed is None or echoed.decode("latin-1") == ctx.id:
                 self._notices.read(replica.id, head, time.monotonic())
                 return head
