--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -51,6 +51,9 @@
 TARGET_WATCH_PAUSE_BUSY_S = 0.05
 HOUSEKEEPING_INTERVAL_S = 0.1
 SLOW_TICK_S = 0.25
+# Time for which a process must be the head or the next host before it plans, so that
+# hosts that start at the same time know each other.
+CANDIDATE_DELAY_S = 0.8
 # Time without a link after which the record of an entry host is removed.
 LOST_HOST_S = 20.0
 # Time until the load balancer has removed a process that is not ready: it does so after
@@ -190,6 +193,7 @@
             settings.ready, settings.metrics, self.find_unready_reason, self.dump
         )
         self._slow_tick_at = 0.0
+        self._candidate_since: float | None = None
         self._unready_reason: str | None = "starting"
         self._housekeeper: gevent.Greenlet | None = None
 
@@ -341,13 +345,7 @@
         if self._registration.is_settled:
             zones = self.roster.list_served_zones(self.settings.zones)
         is_head = self.roster.find_head(zone) == self.settings.name
-        may_plan = is_head or self.roster.is_among_first(f"head {zone}", zone)
-        may_plan &= self._registration.is_settled and not self._stopping
-        self._lease_keeper.require(may_plan or bool(self._list_planned_zones()))
-        for planner in self._planners:
-            planner.set_role(
-                is_candidate=may_plan and planner.zone in zones, is_preferred=is_head
-            )
+        self._assign_planning(zones, is_head, now)
         self.roster.is_ready = self._is_ready_to_own()
         self.slots.tick(zones)
         self._follow_store(is_head)
@@ -358,6 +356,29 @@
             self.view.expire_removed()
             self.progress.expire(now)
 
+    def _assign_planning(
+        self, zones: tuple[str, ...], is_head: bool, now: float
+    ) -> None:
+        """Let the head and the next host plan, and others give planning up."""
+        zone = self.settings.zone
+        may_plan = is_head or self.roster.is_among_first(f"head {zone}", zone)
+        if not may_plan or self._stopping or not self._registration.is_settled:
+            self._candidate_since = None
+        elif self._candidate_since is None:
+            self._candidate_since = now
+        since = self._candidate_since
+        is_candidate = since is not None and now - since >= CANDIDATE_DELAY_S
+        for planner in self._planners:
+            planner.set_role(
+                is_candidate=is_candidate and planner.zone in zones,
+                is_preferred=is_head,
+            )
+        planned = self._list_planned_zones()
+        self._lease_keeper.require(may_plan or bool(planned))
+        if planned and not may_plan and not self._peers.is_store_unavailable():
+            logger.info("planning given up", extra={"zones": planned})
+            self._lease_keeper.end()
+
     def _follow_store(self, is_head: bool) -> None:
         """Read the store, or follow the one that this process should follow now."""
         if not self._registration.is_settled:
@@ -376,6 +397,7 @@
         zone = self.settings.zone
         return (
             is_head
+            or bool(self._list_planned_zones())
             or self.roster.is_among_first(f"head {zone}", zone)
             or any(
                 self.roster.is_among_first(f"slots {key}", zone)
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -238,13 +238,21 @@
                     return None
                 continue
             head = self._roster.find_head(zone)
-            if head is not None and self._is_in_touch(head):
-                if self._sources.get(head) != self._local.name:
-                    return head
-            elif head is None and self._roster.may_have_head(zone):
+            if head is not None and self._is_followable(head):
+                return head
+            if head is None and self._roster.may_have_head(zone):
                 if self.follower.source == "":
                     return ""
-        return None
+        if has_own_answers:
+            return None
+        deputies = self._roster.list_heads(self._local.zone)
+        return next(filter(self._is_followable, deputies), None)
+
+    def _is_followable(self, peer: str) -> bool:
+        """Return whether a peer's knowledge is fresh and does not come from here."""
+        if peer == self._local.name or self._sources.get(peer) == self._local.name:
+            return False
+        return self._is_in_touch(peer)
 
     def may_be_reachable(self, target: str, address: str) -> bool:
         """Return whether any other entry host may reach a target.
--- a/waxwingpitch/gateway/slot_client.py
+++ b/waxwingpitch/gateway/slot_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
@@ -33,6 +34,8 @@
 OWNER_WAIT_S = 0.6
 # Outcome of a slot that was not used.
 UNUSED = -1
+# Times that a slot of a target is given back which must not be used from here.
+MAX_VETOES = 3
 
 logger = logging.getLogger(__name__)
 
@@ -104,9 +107,23 @@
 
     def acquire(self, req: SlotRequest) -> Slot | Refused:
         """Return a slot for a request, waiting for one if needed."""
+        slot = self._acquire_once(req)
+        for _ in range(MAX_VETOES):
+            if not isinstance(slot, Slot) or not self._is_excluded(slot.offer.id):
+                break
+            self.release(slot, None, service_s=0.0, first_s=0.0)
+            slot = self._acquire_once(replace(req, is_retry=False))
+        return slot
+
+    def _acquire_once(self, req: SlotRequest) -> Slot | Refused:
         now = time.monotonic()
         key = SlotKey(self._roster.local.zone, req.service, req.model)
-        req = replace(req, excluded=frozenset(self._iter_excluded(now)))
+        paused = self.pauses.list_paused(now)
+        req = replace(
+            req,
+            excluded=frozenset((*self._leaving, *paused)),
+            excluded_until=self.pauses.find_first_end(paused, now) or math.inf,
+        )
         number = next(self._numbers)
         result: AsyncResult = AsyncResult()
         timeout = gevent.Timeout((req.resume_deadline or req.deadline) - now)
@@ -126,7 +143,7 @@
     def release(
         self,
         slot: Slot,
-        outcome: Outcome,
+        outcome: Outcome | None,
         *,
         service_s: float,
         first_s: float,
@@ -136,6 +153,8 @@
 
         Parameters
         ----------
+        outcome
+            None if it was not used.
         service_s, first_s
             Time to the whole answer and to its first part.
         fingerprint
@@ -149,7 +168,7 @@
             slot.key.model,
             slot.offer.id,
             slot.offer.epoch,
-            int(outcome),
+            UNUSED if outcome is None else int(outcome),
             service_s,
             first_s,
             fingerprint,
@@ -219,12 +238,15 @@
         self.resolve(peer, message.number, offer, message.in_flight)
         return True
 
-    def handle_refusal(self, peer: str, message: SlotRefusal) -> None:
-        """Give a refusal to the request that it is for."""
+    def handle_refusal(self, peer: str, message: SlotRefusal) -> bool:
+        """Give a refusal to the request that it is for; return whether there is one."""
         pending = self._pending.get(message.number)
-        if pending is not None and pending.owner == peer:
+        if pending is None:
+            return False
+        if pending.owner == peer:
             refused = decode_refusal(self._roster.local.name, message)
             self.finish_refused(message.number, refused)
+        return True
 
     def handle_stall_reply(self, message: StallReply) -> None:
         """Give a reply to the stream that it is for."""
@@ -275,7 +297,6 @@
             pending.key,
             pending.request,
             time.monotonic(),
-            for_other_zone=False,
         )
         if not self._deliver(owner, message):
             self._pending[number] = replace(pending, owner="")
@@ -299,9 +320,9 @@
                 SlotRelease(number, key.zone, key.service, key.model, "", 0, UNUSED),
             )
 
-    def _iter_excluded(self, now: float) -> Iterator[str]:
-        yield from self._leaving
-        yield from self.pauses.list_paused(now)
+    def _is_excluded(self, target: str) -> bool:
+        paused = self.pauses.is_paused(target, time.monotonic())
+        return paused or target in self._leaving
 
     def _refuse(self, number: int, reason: str) -> Refused:
         pressure = Pressure(0, 0, 0.0)
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -40,6 +40,7 @@
 from .slot_client import UNUSED, SlotClient
 from .slot_wire import (
     decode_grant,
+    decode_refusal,
     decode_request,
     encode_grant,
     encode_refusal,
@@ -158,7 +159,11 @@
         """Decide on a request for a slot."""
         owner = self.find(SlotKey(self._zone, message.service, message.model))
         req = decode_request(message, now)
-        decide = owner.request_for_zone if message.for_other_zone else owner.request
+        decide = owner.request
+        if message.for_other_zone and message.may_wait:
+            decide = owner.request_passed_on
+        elif message.for_other_zone:
+            decide = owner.request_for_zone
         self._carry_out(owner, decide(peer, message.number, req, now))
 
     def handle_grant(self, peer: str, message: SlotGrant, now: float) -> None:
@@ -173,9 +178,21 @@
         if not self._give(granted, now):
             self.handle_release(item.client, _build_unused(item.number, item.key), now)
 
-    def handle_declined(self, message: SlotRefusal) -> None:
-        """Decide here on a request that another zone declined."""
-        self._take_back(message.number)
+    def handle_refusal(self, message: SlotRefusal) -> None:
+        """Decide on a request that another zone declined, or pass its refusal on."""
+        if message.declined:
+            self._take_back(message.number)
+            return
+        item = self._passed_on.pop(message.number, None)
+        if item is None:
+            return
+        self._passed_numbers.pop((item.client, item.number), None)
+        refusal = structs.replace(message, number=item.number)
+        if item.client == self._name:
+            refused = decode_refusal(self._name, refusal)
+            self._client.finish_refused(item.number, refused)
+        else:
+            self._deliver(item.client, refusal)
 
     def handle_release(self, peer: str, message: SlotRelease, now: float) -> None:
         """Free a slot, and learn from how it was used."""
@@ -326,11 +343,16 @@
         self._passed_on[number] = _PassedOn(*client, key, decision.request, other)
         self._passed_numbers[client] = number
         message = encode_request(
-            number, key, decision.request, time.monotonic(), for_other_zone=True
+            number,
+            key,
+            decision.request,
+            time.monotonic(),
+            for_other_zone=True,
+            may_wait=decision.may_wait,
         )
         if not other or other == self._name or not self._deliver(other, message):
             gevent.spawn(self._take_back, number)
-        else:
+        elif not decision.may_wait:
             gevent.spawn_later(FORWARD_TIMEOUT_S, self._take_back, number)
 
     def _take_back(self, number: int) -> None:
--- a/waxwingpitch/gateway/slot_wire.py
+++ b/waxwingpitch/gateway/slot_wire.py
@@ -20,12 +20,18 @@
     SlotRequest,
 )
 
-# Sent for requests whose answer is not due at a time.
-NOT_DUE_S = 1e6
+# Sent for times that never come.
+NEVER_S = 1e6
 
 
 def encode_request(
-    number: int, key: SlotKey, req: SlotRequest, now: float, *, for_other_zone: bool
+    number: int,
+    key: SlotKey,
+    req: SlotRequest,
+    now: float,
+    *,
+    for_other_zone: bool = False,
+    may_wait: bool = False,
 ) -> SlotRequestMessage:
     """Return the message for a request, at a monotonic time."""
     resume = req.resume_deadline
@@ -39,19 +45,20 @@
         priority=req.priority,
         cost=req.cost,
         left_s=req.deadline - now,
-        due_left_s=min(NOT_DUE_S, req.due_at - now),
+        due_left_s=min(NEVER_S, req.due_at - now),
         resume_left_s=-1.0 if resume is None else max(0.0, resume - now),
         avoid=tuple(req.avoid),
         excluded=tuple(req.excluded),
+        excluded_left_s=min(NEVER_S, req.excluded_until - now),
         is_retry=req.is_retry,
         for_other_zone=for_other_zone,
+        may_wait=may_wait,
     )
 
 
 def decode_request(message: SlotRequestMessage, now: float) -> SlotRequest:
     """Return the request of a message that arrived at a monotonic time."""
     resume_s = message.resume_left_s
-    due_s = message.due_left_s
     return SlotRequest(
         request=message.request,
         service=message.service,
@@ -62,12 +69,17 @@
         deadline=now + message.left_s,
         avoid=frozenset(message.avoid),
         excluded=frozenset(message.excluded),
+        excluded_until=_decode_time(message.excluded_left_s, now),
         resume_deadline=None if resume_s < 0 else now + resume_s,
-        due_at=math.inf if due_s >= NOT_DUE_S else now + due_s,
+        due_at=_decode_time(message.due_left_s, now),
         is_retry=message.is_retry,
     )
 
 
+def _decode_time(left_s: float, now: float) -> float:
+    return math.inf if left_s >= NEVER_S else now + left_s
+
+
 def encode_grant(number: int, granted: Granted, now: float) -> SlotGrant:
     """Return the message for a grant."""
     offer = granted.offer
@@ -132,6 +144,7 @@
         summary.lowest_utilisation,
         summary.waiting,
         summary.unmet,
+        summary.service_s,
     )
 
 
@@ -144,4 +157,5 @@
         item.lowest_utilisation,
         item.waiting,
         item.unmet,
+        item.service_s,
     )
--- a/waxwingpitch/gateway/slots.py
+++ b/waxwingpitch/gateway/slots.py
@@ -86,10 +86,9 @@
             case SlotGrant():
                 if not self.client.handle_grant(peer, message, now):
                     self.owners.handle_grant(peer, message, now)
-            case SlotRefusal(declined=True):
-                self.owners.handle_declined(message)
             case SlotRefusal():
-                self.client.handle_refusal(peer, message)
+                if not self.client.handle_refusal(peer, message):
+                    self.owners.handle_refusal(message)
             case SlotRelease():
                 self.owners.handle_release(peer, message, now)
             case StallCheck():
--- a/waxwingpitch/gateway/store_tasks.py
+++ b/waxwingpitch/gateway/store_tasks.py
@@ -205,16 +205,25 @@
             entry = self._store.get(key)
             return entry.version if entry and entry.value == value else None
 
+    def end(self) -> None:
+        """Hold no lease from now on, and revoke the one held, in the background."""
+        lease, self.lease, self.valid_until = self.lease, None, 0.0
+        if lease is not None:
+            gevent.spawn(self._revoke, lease)
+
     def revoke(self) -> None:
         """Revoke the lease, so that others need not wait for it to expire."""
         if self.lease is not None:
-            try:
-                self._store.revoke_lease(self.lease)
-            except StoreError as exc:
-                logger.info(
-                    "own lease not revoked; its keys stay until it expires",
-                    extra={"reason": exc.message},
-                )
+            self._revoke(self.lease)
+
+    def _revoke(self, lease: str) -> None:
+        try:
+            self._store.revoke_lease(lease)
+        except StoreError as exc:
+            logger.info(
+                "own lease not revoked; its keys stay until it expires",
+                extra={"reason": exc.message},
+            )
 
     def revoke_peer_lease(self, lease: str) -> None:
         """Revoke the lease of a peer that has stopped.
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -17,10 +17,14 @@
         Number of the request among those of the sender.
     left_s, due_left_s
         Time until the deadline, and until the answer is due.
+    excluded_left_s
+        Time until the first excluded target may be used again.
     resume_left_s
         Time for which the caller waits for the next part; negative if none was sent.
     for_other_zone
-        Whether the sender owns another zone's slots and wants an answer at once.
+        Whether the sender owns another zone's slots.
+    may_wait
+        Whether a request of another zone may wait; otherwise it is declined at once.
     """
 
     number: int
@@ -36,8 +40,10 @@
     resume_left_s: float
     avoid: tuple[str, ...]
     excluded: tuple[str, ...]
+    excluded_left_s: float
     is_retry: bool
     for_other_zone: bool = False
+    may_wait: bool = False
 
 
 class SlotGrant(MeshMessage, tag=31):
@@ -163,6 +169,7 @@
     lowest_utilisation: float
     waiting: int
     unmet: float
+    service_s: float
 
 
 class FleetStatus(MeshMessage, tag=36):
--- a/waxwingpitch/slots/common.py
+++ b/waxwingpitch/slots/common.py
@@ -74,8 +74,9 @@
         Monotonic time by which the final answer is sent.
     avoid
         Ids of replicas that it was already sent to.
-    excluded
-        Ids of replicas that the entry host must not use.
+    excluded, excluded_until
+        Ids of replicas that the entry host must not use, and the monotonic time at
+        which it may use the first of them again.
     resume_deadline
         Monotonic time until which the caller of a request that has run in part waits
         for the next part; None if it has not run.
@@ -95,6 +96,7 @@
     deadline: float
     avoid: frozenset[str] = frozenset()
     excluded: frozenset[str] = frozenset()
+    excluded_until: float = math.inf
     resume_deadline: float | None = None
     due_at: float = math.inf
     is_retry: bool = False
@@ -135,12 +137,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Forwarded:
-    """A client's request is passed on to the owner of another zone's slots."""
+    """A client's request is passed on to the owner of another zone's slots.
+
+    Attributes
+    ----------
+    may_wait
+        Whether it may wait there; otherwise that owner grants a slot or declines.
+    """
 
     client: str
     number: int
     zone: str
     request: SlotRequest
+    may_wait: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +180,8 @@
         Requests in the queue.
     unmet
         Slots that waiting and recently refused requests would use.
+    service_s
+        Mean service time.
     """
 
     slots: int
@@ -179,3 +190,10 @@
     lowest_utilisation: float
     waiting: int
     unmet: float
+    service_s: float = 1.0
+
+    def find_wait_s(self, added: int) -> float:
+        """Return the time until the queue, with requests added to it, is served."""
+        if not self.slots:
+            return math.inf
+        return (self.waiting + added) * self.service_s / self.slots
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from ..admission import OnTimeFirstQueue, Ticket
 from ..admission.forecast import Pressure, Refuse, decide_admission
@@ -39,6 +40,9 @@
 REFUSED_WINDOW_S = 1.0
 # Age at which the summary of another zone is no longer used.
 SUMMARY_TTL_S = 1.0
+# A request waits in another zone if its queue there is served this much sooner.
+QUEUE_RATIO = 1.5
+QUEUE_MARGIN_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +118,22 @@
             decision = self._place(waiting, now)
             if decision is not None:
                 return [decision]
+        zone = self._find_shorter_queue(now)
+        if zone is not None:
+            return [self._pass_on(waiting, zone, may_wait=True)]
+        return self._queue_or_refuse(waiting, now)
+
+    def request_passed_on(
+        self, client: str, number: int, req: SlotRequest, now: float
+    ) -> list[Decision]:
+        """Decide on a request that another zone's owner passed on, and that may wait.
+
+        The retry that it may be was taken from that owner's budget.
+        """
+        waiting = _Waiting(client, number, req)
+        offer = None if len(self._queue) else self._choose(req, now)
+        if offer is not None:
+            return [self._grant(client, number, offer, now)]
         return self._queue_or_refuse(waiting, now)
 
     def request_for_zone(
@@ -209,6 +229,7 @@
             ),
             waiting=len(self._queue),
             unmet=self._estimate_unmet(now),
+            service_s=self._service_s,
         )
 
     def count_waiting(self) -> int:
@@ -229,11 +250,35 @@
             here = (self.ledger.count(offer.id) + 1) / offer.capacity
         zone = self._choose_zone(here, now)
         if zone is not None:
-            self._other_zones[zone].passed_on += 1
-            self._passed_on[client, number] = zone
-            return Forwarded(client, number, zone, req)
+            return self._pass_on(waiting, zone, may_wait=False)
         return None if offer is None else self._grant(client, number, offer, now)
 
+    def _pass_on(self, waiting: _Waiting, zone: str, *, may_wait: bool) -> Forwarded:
+        client, number = waiting.client, waiting.number
+        self._other_zones[zone].passed_on += 1
+        self._passed_on[client, number] = zone
+        return Forwarded(client, number, zone, waiting.request, may_wait)
+
+    def _find_shorter_queue(self, now: float) -> str | None:
+        """Return the zone whose queue is served clearly sooner than this one's."""
+        slots = sum(
+            item.capacity
+            for item in self._offers.values()
+            if self._is_usable(item, now)
+        )
+        here_s = math.inf
+        if slots:
+            here_s = (len(self._queue) + 1) * self._service_s / slots
+        waits = {
+            zone: other.summary.find_wait_s(other.passed_on + 1)
+            for zone, other in self._other_zones.items()
+            if now - other.at < SUMMARY_TTL_S
+        }
+        zone = min(waits, key=waits.get, default=None)
+        if zone is None or waits[zone] * QUEUE_RATIO + QUEUE_MARGIN_S > here_s:
+            return None
+        return zone
+
     def _grant(self, client: str, number: int, offer: SlotOffer, now: float) -> Granted:
         self.ledger.add(client, number, offer.id, now)
         if offer.cold_until > now:
@@ -247,8 +292,7 @@
         loads = [
             ReplicaLoad(offer.id, "", self.ledger.count(offer.id), offer.capacity)
             for offer in self._offers.values()
-            if offer.id not in req.excluded
-            and self._is_usable(offer, now)
+            if self._is_usable_for(offer, req, now)
             and (offer.cold_until <= now or self._cold.has_room(offer.id, now))
         ]
         untried = [load for load in loads if load.id not in req.avoid]
@@ -278,6 +322,10 @@
         zone = min(costs, key=costs.get, default=None)
         return zone if zone is not None and costs[zone] < here else None
 
+    def _is_usable_for(self, offer: SlotOffer, req: SlotRequest, now: float) -> bool:
+        is_excluded = offer.id in req.excluded and now < req.excluded_until
+        return not is_excluded and self._is_usable(offer, now)
+
     def _is_usable(self, offer: SlotOffer, now: float) -> bool:
         return self._accepts(offer.id, offer.epoch, now)
 
@@ -323,10 +371,15 @@
         slots = sum(
             offer.capacity
             for offer in self._offers.values()
-            if offer.id not in req.excluded and self._is_usable(offer, now)
+            if self._is_usable_for(offer, req, now)
+        )
+        has_paused = now < req.excluded_until < math.inf
+        return Pressure(
+            slots=slots,
+            waiting=self._queue.count_ahead(req.priority),
+            service_s=self._service_s,
+            pause_s=req.excluded_until - now if has_paused else None,
         )
-        ahead = self._queue.count_ahead(req.priority)
-        return Pressure(slots=slots, waiting=ahead, service_s=self._service_s)
 
     def _drop_expired(self, now: float) -> list[Ticket]:
         expired = [item for item in self._queue if item.deadline <= now]
@@ -342,14 +395,3 @@
 
 def _name_ticket(client: str, number: int) -> str:
     return f"{client}/{number}"
-
-
-def shift_times(req: SlotRequest, offset_s: float) -> SlotRequest:
-    """Return a request with its times moved to another process's clock."""
-    resume = req.resume_deadline
-    return replace(
-        req,
-        deadline=req.deadline + offset_s,
-        due_at=req.due_at + offset_s,
-        resume_deadline=None if resume is None else resume + offset_s,
-    )
