--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -51,6 +51,8 @@
 TARGET_WATCH_PAUSE_BUSY_S = 0.05
 HOUSEKEEPING_INTERVAL_S = 0.1
 SLOW_TICK_S = 0.25
+# Link of an entry host below which it leads and owns less than its processor allows.
+FAST_LINK_MBPS = 100.0
 # Time for which a process must be the head or the next host before it plans, so that
 # hosts that start at the same time know each other.
 CANDIDATE_DELAY_S = 0.8
@@ -87,7 +89,7 @@
             settings.name,
             str(settings.peers),
             settings.zone,
-            settings.processor_share,
+            settings.processor_share * min(1.0, settings.link_mbps / FAST_LINK_MBPS),
             uuid.uuid4().hex,
         )
         self.roster = Roster(local, self.view.list_hosts, boot_time)
@@ -114,6 +116,7 @@
             self.view,
             self._store_health,
             self._peers.send,
+            self._peers.multicast,
             self._find_target_watch_pause,
         )
         self._peers.slots = self.slots
--- a/waxwingpitch/gateway/following.py
+++ b/waxwingpitch/gateway/following.py
@@ -9,7 +9,10 @@
 
 import logging
 import time
+import zlib
+from collections import defaultdict
 from collections.abc import Callable, Iterable
+from functools import lru_cache
 
 import gevent
 
@@ -29,8 +32,13 @@
 # Interval at which a subscription is repeated, and time after which it has ended.
 SUBSCRIBE_INTERVAL_S = 0.5
 SUBSCRIPTION_TTL_S = 2.0
-# Time without an update or a status after which the followed gateway is left.
+# Time in which changes are collected for one message.
 PUSH_DELAY_S = 0.01
+# Values from this size on are compressed: a head sends its zone a configuration of
+# half a megabyte over a link of 10 Mbit/s and more.
+MIN_COMPRESSED_BYTES = 4096
+COMPRESSION_LEVEL = 1
+MAX_VALUE_BYTES = 2 * 1024 * 1024
 PREFIXES = (OPERATOR_PREFIX, GATEWAY_PREFIX)
 
 logger = logging.getLogger(__name__)
@@ -43,6 +51,8 @@
     ----------
     send
         Sends a message to a peer; returns False if it is not linked.
+    multicast
+        Sends a message to several peers, encoding it once.
     find_pause_s
         Returns the time between two watch calls for targets, in seconds.
     """
@@ -53,12 +63,14 @@
         view: GatewayView,
         store_health: StoreHealth,
         send: Callable[[str, Message], bool],
+        multicast: Callable[[Message, list[str]], None],
         find_pause_s: Callable[[], float],
     ):
         self._store = store
         self._view = view
         self._store_health = store_health
         self._send = send
+        self._multicast = multicast
         self._find_pause_s = find_pause_s
         self._source: str | None = ""
         self._subscribed_at = 0.0
@@ -104,7 +116,7 @@
     def handle_subscription(self, peer: str, message: Subscription) -> None:
         """Send a peer what it lacks, now and whenever something changes."""
         self._followers[peer] = (time.monotonic(), dict(message.positions))
-        self._push(peer)
+        self._push([peer])
 
     def handle_update(self, peer: str, message: StoreUpdate) -> None:
         """Apply changes that the followed gateway sent."""
@@ -149,15 +161,21 @@
         for peer, (at, _) in list(self._followers.items()):
             if now - at > SUBSCRIPTION_TTL_S:
                 del self._followers[peer]
-            else:
-                self._push(peer)
-
-    def _push(self, peer: str) -> None:
-        _, positions = self._followers[peer]
-        for prefix, position in positions.items():
+        self._push(list(self._followers))
+
+    def _push(self, peers: list[str]) -> None:
+        """Send peers what they lack; those at the same position get one message."""
+        behind: dict[tuple[str, int], list[str]] = defaultdict(list)
+        for peer in peers:
+            for prefix, position in self._followers[peer][1].items():
+                behind[prefix, position].append(peer)
+        for (prefix, position), receivers in behind.items():
             update = build_store_update(self._view.mirror, prefix, position)
-            if update is not None and self._send(peer, update):
-                positions[prefix] = update.version
+            if update is None:
+                continue
+            self._multicast(update, receivers)
+            for peer in receivers:
+                self._followers[peer][1][prefix] = update.version
 
 
 def build_store_update(
@@ -190,9 +208,7 @@
 
 def apply_store_update(view: GatewayView, message: StoreUpdate) -> None:
     """Apply changes that another gateway sent."""
-    entries = tuple(
-        StoredEntry(item.key, item.version, item.value) for item in message.items
-    )
+    entries = tuple(map(_decode_item, message.items))
     if message.complete:
         listed = StoredChange(message.version, entries)
         if message.version > view.mirror.get_synced(message.prefix):
@@ -207,5 +223,23 @@
     view.mirror.mark_synced(message.prefix, message.version)
 
 
+def _encode_item(entry: StoredEntry) -> StoredItem:
+    if len(entry.value) < MIN_COMPRESSED_BYTES:
+        return StoredItem(entry.key, entry.version, entry.value)
+    return StoredItem(entry.key, entry.version, _compress(entry.value), True)
+
+
+@lru_cache(maxsize=4)
+def _compress(value: bytes) -> bytes:
+    return zlib.compress(value, COMPRESSION_LEVEL)
+
+
+def _decode_item(item: StoredItem) -> StoredEntry:
+    value = item.value
+    if item.is_compressed:
+        value = zlib.decompressobj().decompress(value, MAX_VALUE_BYTES)
+    return StoredEntry(item.key, item.version, value)
+
+
 def _no_pause() -> float:
     return 0.0
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -153,6 +153,10 @@
         """Send a message to a peer; return False if it is not linked."""
         return self._node.send(peer, message)
 
+    def multicast(self, message: Message, peers: Iterable[str]) -> None:
+        """Send a message to several peers, encoding it once."""
+        self._node.multicast(message, peers)
+
     def announce_stop(self) -> None:
         """Tell the peers that this process owns nothing any more."""
         self._is_stopping = True
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -221,11 +221,12 @@
 
 
 class StoredItem(MeshItem):
-    """An entry of the store."""
+    """An entry of the store; its value may be compressed with zlib."""
 
     key: str
     version: int
     value: bytes
+    is_compressed: bool = False
 
 
 class RemovedItem(MeshItem):
--- a/waxwingpitch/platform/settings.py
+++ b/waxwingpitch/platform/settings.py
@@ -55,6 +55,7 @@
         min_lease_s=reader.number("provider", "ttl_min_ms") / 1000,
         processor_share=reader.number("limits", "cpu_share")
         * reader.number("limits", "cpu_cores"),
+        link_mbps=reader.number("limits", "link_mbps"),
     )
 
 
--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -80,6 +80,8 @@
         Minimum lease time of the key-value service, in seconds.
     processor_share
         Processor share of the process, in cores.
+    link_mbps
+        Bandwidth of the host's link, in megabits a second.
     """
 
     name: str
@@ -93,3 +95,4 @@
     bounds: OperatingBounds
     min_lease_s: float
     processor_share: float
+    link_mbps: float
--- a/waxwingpitch/slots/ranking.py
+++ b/waxwingpitch/slots/ranking.py
@@ -24,7 +24,7 @@
     address
         ``IP:port`` of its mesh listener.
     weight
-        Its processor share, in cores.
+        What it can carry, in cores; less if its link is slow.
     incarnation
         Differs after each restart of its process.
     """
