--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -79,8 +79,8 @@
         self.settings = settings
         self._stopped = Event()
         self._stopping = False
-        self._store = store or PlatformStore(str(settings.store))
         self.metrics = GatewayMetrics()
+        self._store = store or self._build_store()
         self.pool = ConnectionPool()
         self.progress = ProgressBook()
         self.view = GatewayView(time.monotonic, self._on_view_change)
@@ -200,6 +200,11 @@
         self._unready_reason: str | None = "starting"
         self._housekeeper: gevent.Greenlet | None = None
 
+    def _build_store(self) -> PlatformStore:
+        store = PlatformStore(str(self.settings.store))
+        store.on_call = self.metrics.count_store_call
+        return store
+
     def start(self) -> None:
         """Start all tasks."""
         self._registration.start()
--- a/waxwingpitch/platform/store.py
+++ b/waxwingpitch/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+from collections.abc import Callable
 from urllib.parse import urlencode
 
 import msgspec
@@ -65,9 +66,15 @@
         ``IP:port`` of the service.
     timeout_s
         Timeout of each call in seconds, except for watches.
+
+    Attributes
+    ----------
+    on_call
+        Called with the kind of each call, before it is made.
     """
 
     def __init__(self, address: str, *, timeout_s: float = CALL_TIMEOUT_S):
+        self.on_call: Callable[[str], None] = lambda kind: None
         self._client = HttpClient(f"http://{address}", max_body_bytes=MAX_ANSWER_BYTES)
         self._timeout_s = timeout_s
         self._era = 0
@@ -201,6 +208,7 @@
         return era
 
     def _read(self, path: str, query, timeout_s: float | None = None):
+        self.on_call(_name_call(path))
         try:
             resp = self._client.send(
                 "GET",
@@ -217,6 +225,7 @@
         return resp, era
 
     def _write(self, method: str, path: str, body):
+        self.on_call(_name_call(path))
         data = None if body is None else msgspec.json.encode(body)
         headers = {"Content-Type": "application/json"}
         try:
@@ -252,6 +261,11 @@
         raise StoreUnavailableError(f"malformed answer of the store: {exc}") from exc
 
 
+def _name_call(path: str) -> str:
+    """Return the kind of a call: its path without the prefix and without ids."""
+    return path.split("/")[2]
+
+
 def _format_lease(number: int, era: int) -> str:
     return f"{era}.{number}" if era else str(number)
 
--- a/waxwingpitch/telemetry/metrics.py
+++ b/waxwingpitch/telemetry/metrics.py
@@ -68,6 +68,9 @@
             "waxwingpitch_target_pauses",
             description="Times that a target asked for a pause, by target",
         )
+        self._store_calls = meter.create_counter(
+            "waxwingpitch_store_calls", description="Calls to the store by kind"
+        )
         self._oversized = meter.create_counter(
             "waxwingpitch_oversized_answers",
             description="Answers of targets that were over a limit",
@@ -77,6 +80,10 @@
         """Count that the store came back from an older copy."""
         self._store_restored.add(1)
 
+    def count_store_call(self, kind: str) -> None:
+        """Count a call to the store."""
+        self._store_calls.add(1, {"kind": kind})
+
     def count_leaving_answer(self) -> None:
         """Count that a target said in an answer that it leaves."""
         self._leaving_answers.add(1)
