--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -84,7 +84,7 @@
         self.pool = ConnectionPool()
         self.progress = ProgressBook()
         self.view = GatewayView(time.monotonic, self._on_view_change)
-        self._store_health = StoreHealth(self.view.start_relist_grace_period)
+        self._store_health = StoreHealth(self._on_store_recovery)
         local = EntryHost(
             settings.name,
             str(settings.peers),
@@ -320,6 +320,10 @@
         self.slots.owners.handle_view_change()
         self._follower.schedule_push()
 
+    def _on_store_recovery(self) -> None:
+        self.view.start_relist_grace_period()
+        gevent.spawn(self._follower.restart_watches)
+
     def _on_store_restored(self) -> None:
         self.metrics.count_store_restored()
         self._lease_keeper.wake()
--- a/waxwingpitch/gateway/following.py
+++ b/waxwingpitch/gateway/following.py
@@ -109,6 +109,12 @@
             if self._send(source, Subscription(positions)):
                 self._subscribed_at = now
 
+    def restart_watches(self) -> None:
+        """Call the store anew, as it answers again and may have lost earlier calls."""
+        prefixes = tuple(self._watchers)
+        self._run_watchers(())
+        self._run_watchers(prefixes)
+
     def stop(self) -> None:
         """Stop reading the store."""
         self._run_watchers(())
--- a/waxwingpitch/gateway/store_tasks.py
+++ b/waxwingpitch/gateway/store_tasks.py
@@ -20,6 +20,9 @@
 from .beliefs import GatewayView
 
 WATCH_WAIT_S = 10.0
+# Wait of the first watch call, and of those while calls fail. A call that the store has
+# swallowed is only given up at its timeout.
+CAUTIOUS_WATCH_WAIT_S = 0.5
 BACKOFF_MIN_S = 0.2
 BACKOFF_MAX_S = 1.0
 
@@ -88,6 +91,7 @@
         self._view = view
         self._store_health = store_health
         self._pause_s = pause_s
+        self._is_proved = False
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -101,6 +105,7 @@
 
     def _run(self) -> None:
         version = self._view.mirror.get_synced(self._prefix) or None
+        self._is_proved = False
         backoff_s = BACKOFF_MIN_S
         while True:
             try:
@@ -126,7 +131,10 @@
         return listed.version
 
     def _watch(self, version: int) -> int:
-        change = self._store.watch(self._prefix, version, wait_s=WATCH_WAIT_S)
+        is_cautious = self._store_health.failing or not self._is_proved
+        wait_s = CAUTIOUS_WATCH_WAIT_S if is_cautious else WATCH_WAIT_S
+        change = self._store.watch(self._prefix, version, wait_s=wait_s)
+        self._is_proved = True
         self._store_health.record_answer()
         self._view.apply(change)
         self._view.mirror.mark_synced(self._prefix, change.version)
--- a/waxwingpitch/platform/store.py
+++ b/waxwingpitch/platform/store.py
@@ -25,8 +25,8 @@
 )
 from .headers import STORE_ERA
 
-CALL_TIMEOUT_S = 1.0
-WATCH_MARGIN_S = 1.0
+CALL_TIMEOUT_S = 1.5
+WATCH_MARGIN_S = 3.0
 # A page holds about 1 MB of values, in base64, or one value of up to 1 MB.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
