--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -47,7 +47,7 @@
 STATUS_INTERVAL_S = 0.2
 # Interval of statuses while this gateway holds slots, whose progress others ask for.
 BUSY_STATUS_INTERVAL_S = 0.1
-DIAL_INTERVAL_S = 0.25
+DIAL_INTERVAL_S = 0.1
 # Age after which a peer's status says nothing about the store or its weight loads.
 STATUS_TTL_S = 2.0
 PROBE_TIMEOUT_S = 0.8
--- a/waxwingpitch/gateway/registration.py
+++ b/waxwingpitch/gateway/registration.py
@@ -17,8 +17,8 @@
 
 # Bounds of the time for which a starting process waits to be found before it lists the
 # entry hosts itself.
-MIN_DISCOVERY_DELAY_S = 0.3
-MAX_DISCOVERY_DELAY_S = 1.2
+MIN_DISCOVERY_DELAY_S = 0.05
+MAX_DISCOVERY_DELAY_S = 0.5
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = 2.0
 CHECK_INTERVAL_S = 1.0
--- a/waxwingpitch/gateway/slot_client.py
+++ b/waxwingpitch/gateway/slot_client.py
@@ -11,7 +11,7 @@
 import gevent
 from gevent.event import AsyncResult
 
-from ..admission.forecast import Pressure
+from ..admission.forecast import MAX_WAIT_SHARE, Pressure
 from ..mesh.fleet_messages import (
     SlotGrant,
     SlotRefusal,
@@ -30,8 +30,6 @@
 # Time for which a target that said that it leaves is avoided here.
 LEAVING_TTL_S = 30.0
 RETRY_WITHOUT_OWNER_S = 0.5
-# Time for which a request waits for an owner of its slots to be found.
-OWNER_WAIT_S = 0.6
 # Outcome of a slot that was not used.
 UNUSED = -1
 # Times that a slot of a target is given back which must not be used from here.
@@ -304,9 +302,13 @@
     def _give_up_without_owner(
         self, number: int, pending: _Pending, now: float
     ) -> None:
-        """Refuse a request for which no owner was found in time, unless it has run."""
+        """Refuse a request for which no owner was found in time, unless it has run.
+
+        Owners are missing while many hosts start; the first is found in a second or two.
+        """
         has_run = pending.request.resume_deadline is not None
-        if not has_run and now - pending.since > OWNER_WAIT_S:
+        time_s = pending.request.deadline - pending.since
+        if not has_run and now - pending.since > time_s * MAX_WAIT_SHARE:
             refused = self._refuse(number, "no owner of the slots is known")
             self.finish_refused(number, refused)
 
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -49,9 +49,8 @@
 
 # Time in which the owner of another zone's slots answers a request passed on to it.
 FORWARD_TIMEOUT_S = 0.1
-# Share of the fleet's retry slack and ratio that owners use; two that believe that they
-# own a key stay within the whole together with their bursts.
-OWNER_BUDGET_SHARE = 0.6
+# Share of the fleet's retry slack and ratio that its owners use.
+OWNER_BUDGET_SHARE = 0.9
 # Share of a cold target's limit that one owner uses, as two may own its key.
 COLD_SHARE = 0.5
 # Time after its link is lost for which a client's slots are still counted.
--- a/waxwingpitch/slots/budget.py
+++ b/waxwingpitch/slots/budget.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+# Share of the slack that can be spent at once.
+BURST_SHARE = 2 / 3
+
 
 class SharedRetryBudget:
     """Token bucket filled by first attempts and by time, emptied by retries.
@@ -11,25 +14,25 @@
     ratio
         Retries that each first attempt adds.
     slack
-        Retries that are allowed in a window besides; half are available at once, the
-        other half are added over the window.
+        Retries that are allowed in a window besides; two thirds are available at once,
+        the rest is added over the window.
     window_s
         Length of the window.
 
     Examples
     --------
-    >>> budget = SharedRetryBudget(ratio=0.1, slack=4.0, window_s=10.0, now=0.0)
+    >>> budget = SharedRetryBudget(ratio=0.1, slack=3.0, window_s=10.0, now=0.0)
     >>> [budget.spend(0.0) for _ in range(3)]
     [True, True, False]
-    >>> budget.spend(5.0)
+    >>> budget.spend(11.0)
     True
     """
 
     def __init__(self, *, ratio: float, slack: float, window_s: float, now: float):
         self._ratio = ratio
-        self._max_balance = slack / 2
-        self._refill_per_s = slack / 2 / window_s
-        self._balance = slack / 2
+        self._max_balance = slack * BURST_SHARE
+        self._refill_per_s = slack * (1.0 - BURST_SHARE) / window_s
+        self._balance = self._max_balance
         self._refilled_at = now
 
     def earn(self) -> None:
