--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -62,6 +62,7 @@
 # two readiness checks, one a second.
 BALANCER_REMOVAL_S = 2.6
 STOP_MARGIN_S = 0.8
+REMOVAL_TIMEOUT_S = 0.2
 
 logger = logging.getLogger(__name__)
 
@@ -455,7 +456,6 @@
         self._lease_keeper.stop()
         self._registration.stop()
         gevent.spawn(self._lease_keeper.revoke)
-        gevent.spawn(self._registration.remove)
         self._peers.announce_stop()
         self._listener.disable_keep_alive()
         gevent.sleep(BALANCER_REMOVAL_S)
@@ -463,6 +463,8 @@
         while self._listener.active_connections and time.monotonic() < deadline:
             self._listener.close_idle()
             gevent.sleep(0.05)
+        # Only now, as peers end their links to a host that is not registered.
+        gevent.spawn(self._registration.remove).join(REMOVAL_TIMEOUT_S)
         logger.info(
             "gateway stopped",
             extra={
--- a/waxwingpitch/gateway/slot_client.py
+++ b/waxwingpitch/gateway/slot_client.py
@@ -304,7 +304,7 @@
     ) -> None:
         """Refuse a request for which no owner was found in time, unless it has run.
 
-        Owners are missing while many hosts start; the first is found in a second or two.
+        Owners are missing while many hosts start, for a second or two.
         """
         has_run = pending.request.resume_deadline is not None
         time_s = pending.request.deadline - pending.since
