--- a/benchmarks/slot_sharing.py
+++ b/benchmarks/slot_sharing.py
@@ -317,7 +317,9 @@
         self.owners = {
             zone: SlotOwner(
                 SlotKey(str(zone), "s", "m"),
-                SharedRetryBudget(ratio=0.2, slack=100, window_s=10, now=0),
+                SharedRetryBudget(
+                    ratio=0.2, slack=100, window_s=10, owners=world.zones
+                ),
             )
             for zone in range(world.zones)
         }
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -403,7 +403,7 @@
     def _is_ready_to_own(self) -> bool:
         """Return whether this process can place requests of others."""
         has_targets = self.view.mirror.get_synced(TARGET_PREFIX) > 0
-        return self.view.cfg is not None and has_targets and not self._stopping
+        return self.view.cfg is not None and has_targets
 
     def _wants_targets(self, is_head: bool) -> bool:
         """Return whether this process needs the targets' entries."""
--- a/waxwingpitch/gateway/roster.py
+++ b/waxwingpitch/gateway/roster.py
@@ -87,12 +87,7 @@
 
     def is_live(self, peer: str) -> bool:
         """Return whether a peer is linked, was heard lately and does not stop."""
-        if peer in self._stopping:
-            return False
-        if peer == self.local.name:
-            return True
-        heard_at = self._heard.get(peer)
-        return heard_at is not None and self._clock() - heard_at < SILENCE_S
+        return peer not in self._stopping and self.is_heard(peer)
 
     def is_pending(self, peer: str) -> bool:
         """Return whether it is not known yet if a peer is live."""
@@ -102,12 +97,19 @@
         return wanted_at is None or self._clock() - wanted_at < CONNECT_GRACE_S
 
     def find_owner(self, key: SlotKey) -> str | None:
-        """Return the host that owns a zone's slots; None if none is known."""
-        text = f"slots {key}"
-        for host in self._iter_zone(text, key.zone):
-            if self.is_live(host.name) and self._is_host_ready(host.name):
+        """Return the host that owns a zone's slots; None if none is known.
+
+        A host that stops owns them only if no other does.
+        """
+        last_resort = None
+        for host in self._iter_zone(f"slots {key}", key.zone):
+            if not self._is_host_ready(host.name):
+                continue
+            if self.is_live(host.name):
                 return host.name
-        return None
+            if host.name in self._stopping and self.is_heard(host.name):
+                last_resort = last_resort or host.name
+        return last_resort
 
     def find_head(self, zone: str) -> str | None:
         """Return the host that leads a zone; None if none is known."""
@@ -210,6 +212,13 @@
             and now - self._first_wanted.setdefault(host.name, now) > lost_s
         ]
 
+    def is_heard(self, peer: str) -> bool:
+        """Return whether a peer is linked and was heard lately, even if it stops."""
+        if peer == self.local.name:
+            return True
+        heard_at = self._heard.get(peer)
+        return heard_at is not None and self._clock() - heard_at < SILENCE_S
+
     def _is_host_ready(self, name: str) -> bool:
         return self.is_ready if name == self.local.name else name in self._ready
 
--- a/waxwingpitch/gateway/slot_client.py
+++ b/waxwingpitch/gateway/slot_client.py
@@ -279,7 +279,7 @@
         for target in [item for item, until in self._leaving.items() if until <= now]:
             del self._leaving[target]
         for number, pending in list(self._pending.items()):
-            if not pending.owner or not self._roster.is_live(pending.owner):
+            if not pending.owner or not self._roster.is_heard(pending.owner):
                 self._submit(number, pending)
             if number in self._pending and not self._pending[number].owner:
                 self._give_up_without_owner(number, pending, now)
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -274,9 +274,9 @@
         models = 1 if service is None else max(1, len(service.list_models()))
         return SharedRetryBudget(
             ratio=self._bounds.retry_ratio * OWNER_BUDGET_SHARE,
-            slack=self._bounds.retry_slack * OWNER_BUDGET_SHARE / self._zones / models,
+            slack=self._bounds.retry_slack * OWNER_BUDGET_SHARE / models,
             window_s=self._bounds.retry_window_s,
-            now=time.monotonic(),
+            owners=self._zones,
         )
 
     def _accepts(self, target: str, epoch: int, now: float) -> bool:
--- a/waxwingpitch/gateway/slot_wire.py
+++ b/waxwingpitch/gateway/slot_wire.py
@@ -19,6 +19,7 @@
     SlotOffer,
     SlotRequest,
 )
+from ..slots.budget import RetryCounts
 
 # Sent for times that never come.
 NEVER_S = 1e6
@@ -145,6 +146,8 @@
         summary.waiting,
         summary.unmet,
         summary.service_s,
+        summary.retry_counts.requests,
+        summary.retry_counts.retries,
     )
 
 
@@ -158,4 +161,5 @@
         item.waiting,
         item.unmet,
         item.service_s,
+        RetryCounts(item.requests, item.retries),
     )
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -170,6 +170,8 @@
     waiting: int
     unmet: float
     service_s: float
+    requests: int
+    retries: int
 
 
 class FleetStatus(MeshMessage, tag=36):
--- a/waxwingpitch/slots/common.py
+++ b/waxwingpitch/slots/common.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from ..admission.forecast import Pressure
+from .budget import RetryCounts
 
 
 class Outcome(enum.IntEnum):
@@ -182,6 +183,8 @@
         Slots that waiting and recently refused requests would use.
     service_s
         Mean service time.
+    retry_counts
+        First attempts and retries within the window of the retry budget.
     """
 
     slots: int
@@ -191,6 +194,7 @@
     waiting: int
     unmet: float
     service_s: float = 1.0
+    retry_counts: RetryCounts = RetryCounts()
 
     def find_wait_s(self, added: int) -> float:
         """Return the time until the queue, with requests added to it, is served."""
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -110,7 +110,7 @@
         ``number`` names it among those of the client.
         """
         if not req.is_retry:
-            self._budget.earn()
+            self._budget.earn(now)
         elif not self._budget.spend(now):
             return [self._refuse(client, number, 0.5, "retry budget is spent", now)]
         waiting = _Waiting(client, number, req)
@@ -195,6 +195,7 @@
 
     def update_zone(self, zone: str, summary: KeySummary, now: float) -> list[Decision]:
         """Take note of another zone's summary, and pass waiting requests on to it."""
+        self._budget.update(zone, summary.retry_counts, now)
         known = self._other_zones.get(zone)
         declined_at = -1.0 if known is None else known.declined_at
         self._other_zones[zone] = _OtherZone(summary, now, declined_at=declined_at)
@@ -230,6 +231,7 @@
             waiting=len(self._queue),
             unmet=self._estimate_unmet(now),
             service_s=self._service_s,
+            retry_counts=self._budget.count(now),
         )
 
     def count_waiting(self) -> int:
