--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import logging
-from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, replace
-
-import msgspec
+from dataclasses import replace
 
 from ..agreed.mirror import StoreMirror
 from ..agreed.versions import get_era
@@ -26,10 +23,11 @@
 from ..ports import StoredChange
 from ..routing.routes import RouteTable
 from ..slots import EntryHost, SlotKey
-from ..targets.records import MembershipReport, MemberState, TargetRecord
+from ..targets.records import MembershipReport, TargetRecord
+from .host_records import HOST_PREFIX, decode_host
+from .replicas import KnownTarget, Replica, ReplicaIndex, affects_replicas
 
 GATEWAY_PREFIX = "waxwingpitch/"
-HOST_PREFIX = "waxwingpitch/hosts/"
 PLANNER_PREFIX = "waxwingpitch/planners/"
 
 # Grace period after the store recovers, in which targets that were listed before the
@@ -46,50 +44,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class KnownTarget:
-    """A target's record, its version, and times computed when the record arrived.
-
-    Attributes
-    ----------
-    version
-        Version of the store's entry that holds the record.
-    cold_until
-        Monotonic time until which the target is cold.
-    membership_since
-        Monotonic time since which it has been listed without interruption and with the
-        same group, if any.
-    """
-
-    record: TargetRecord
-    version: int
-    cold_until: float
-    membership_since: float
-
-
-@dataclass(frozen=True, slots=True)
-class Replica:
-    """An endpoint for requests: a plain target, or the head of a complete group.
-
-    Attributes
-    ----------
-    members
-        Ids of all targets that it needs; the loss of any one stops it.
-    epoch
-        Epoch of the group; 0 for a plain target.
-    """
-
-    id: str
-    address: str
-    zone: str
-    service: str
-    model: str
-    capacity: int
-    epoch: int
-    members: tuple[str, ...]
-    cold_until: float
-
-
 class GatewayView:
     """Owns the mirror of the store and everything derived from it.
 
@@ -143,10 +97,9 @@
         )
         self._clock = clock
         self._on_change = on_change
-        self._by_zone: dict[str, dict[tuple[str, str], tuple[Replica, ...]]] = {}
-        self._replicas: dict[tuple[str, str], tuple[Replica, ...]] = {}
-        self._dirty_zones: set[str] | None = set()
-        self._generation = 0
+        self._replicas = ReplicaIndex(
+            self.iter_targets, self.find_service, lambda: self.evacuated
+        )
 
     @property
     def cfg(self) -> RoutedConfiguration | None:
@@ -159,8 +112,7 @@
 
     def refresh(self) -> int:
         """Derive the replicas anew if needed; return a number that then grows."""
-        self._rebuild_dirty()
-        return self._generation
+        return self._replicas.refresh()
 
     def list_slot_keys(self, zone: str) -> list[SlotKey]:
         """Return the keys of a zone's slots, by the configuration in force."""
@@ -173,14 +125,11 @@
 
     def find_replicas(self, service: str, model: str) -> tuple[Replica, ...]:
         """Return the replicas to which requests may be sent."""
-        self._rebuild_dirty()
-        return self._replicas.get((service, model), ())
+        return self._replicas.find(service, model)
 
     def iter_replicas(self) -> Iterable[Replica]:
         """Yield all replicas."""
-        self._rebuild_dirty()
-        for replicas in self._replicas.values():
-            yield from replicas
+        return self._replicas.iter_all()
 
     def list_hosts(self) -> dict[str, EntryHost]:
         """Return the entry hosts registered in the store, by name."""
@@ -232,7 +181,7 @@
         if record == known.record:
             return False
         self.targets[target] = replace(known, record=record)
-        self._mark_dirty(record.zone)
+        self._replicas.mark_dirty(record.zone)
         self._on_change()
         return True
 
@@ -264,7 +213,7 @@
         if target in self.targets and known.record.started_ms == started_ms:
             record = replace(known.record, leaving=True)
             self.targets[target] = replace(known, record=record)
-        self._mark_dirty(None if known is None else known.record.zone)
+        self._replicas.mark_dirty(None if known is None else known.record.zone)
         self._on_change()
         return started_ms
 
@@ -291,7 +240,7 @@
             self._load_evacuations()
             expired.append("zones of before")
         if expired:
-            self._mark_dirty()
+            self._replicas.mark_dirty()
             self._on_change()
 
     def _check_era(self, change: StoredChange) -> None:
@@ -317,10 +266,10 @@
         for key in changed:
             if key == CONFIGURATION_KEY:
                 self._load_configuration()
-                self._mark_dirty()
+                self._replicas.mark_dirty()
             elif key.startswith(EVACUATION_PREFIX):
                 self._load_evacuations()
-                self._mark_dirty()
+                self._replicas.mark_dirty()
             elif key.startswith(TARGET_PREFIX):
                 self._load_target(key)
             elif key.startswith(HOST_PREFIX):
@@ -384,7 +333,7 @@
             if now < self.relist_deadline and not known.record.leaving:
                 self.retained[target] = (known, self.relist_deadline)
             logger.info("target gone from the list", extra={"target": target})
-            self._mark_dirty(known.record.zone)
+            self._replicas.mark_dirty(known.record.zone)
             return
         try:
             record = decode_target_record(key, entry.value)
@@ -392,7 +341,7 @@
             logger.warning("entry names no target", extra={"reason": str(exc)})
             self.targets.pop(target, None)
             if known is not None:
-                self._mark_dirty(known.record.zone)
+                self._replicas.mark_dirty(known.record.zone)
             return
         if self._said_leaving.get(target) == record.started_ms:
             record = replace(record, leaving=True)
@@ -415,10 +364,10 @@
         )
         if known is not None and known.record.started_ms != record.started_ms:
             self.on_target_lost(target, record.started_ms)
-        if known is None or _affects_replicas(known.record, record):
-            self._mark_dirty(record.zone)
+        if known is None or affects_replicas(known.record, record):
+            self._replicas.mark_dirty(record.zone)
             if known is not None:
-                self._mark_dirty(known.record.zone)
+                self._replicas.mark_dirty(known.record.zone)
 
     def _is_copy_of_before(self, record: TargetRecord, version: int) -> bool:
         """Return whether a restored store shows a target as it was earlier."""
@@ -431,114 +380,6 @@
             return record.order < known.record.order
         return record.order <= known.record.order
 
-    def _mark_dirty(self, zone: str | None = None) -> None:
-        """Derive a zone's replicas, by default all, anew when next asked for."""
-        if zone is None:
-            self._dirty_zones = None
-        elif self._dirty_zones is not None:
-            self._dirty_zones.add(zone)
-
-    def _rebuild_dirty(self) -> None:
-        """Derive the replicas from the targets, their groups and the configuration."""
-        dirty = self._dirty_zones
-        if dirty is not None and not dirty:
-            return
-        self._dirty_zones = set()
-        self._generation += 1
-        targets: dict[str, list[KnownTarget]] = defaultdict(list)
-        for known in self.iter_targets():
-            zone = known.record.zone
-            if dirty is None or zone in dirty:
-                targets[zone].append(known)
-        for zone in list(self._by_zone) if dirty is None else dirty:
-            self._by_zone.pop(zone, None)
-        for zone, known in targets.items():
-            self._by_zone[zone] = self._build_zone(known)
-        merged: dict[tuple[str, str], list[Replica]] = defaultdict(list)
-        for by_key in self._by_zone.values():
-            for key, replicas in by_key.items():
-                merged[key].extend(replicas)
-        self._replicas = {key: tuple(replicas) for key, replicas in merged.items()}
-
-    def _build_zone(self, targets: Iterable[KnownTarget]) -> dict:
-        found: dict[tuple[str, str], list[Replica]] = defaultdict(list)
-        groups: dict[tuple[str, int], dict[int, KnownTarget]] = defaultdict(dict)
-        for known in targets:
-            record = known.record
-            service = self.find_service(record.service)
-            if service is None or service.engine is None:
-                if not record.leaving and record.zone not in self.evacuated:
-                    found[(record.service, "")].append(_build_replica(known, (known,)))
-            elif record.membership is not None:
-                place = record.membership
-                groups[(place.group, place.epoch)][place.rank] = known
-        for members in groups.values():
-            replica = self._build_group(members)
-            if replica is not None:
-                found[(replica.service, replica.model)].append(replica)
-        return {key: tuple(replicas) for key, replicas in found.items()}
-
-    def _build_group(self, members: dict[int, KnownTarget]) -> Replica | None:
-        head = members.get(0)
-        if head is None or head.record.membership.state is not MemberState.OPEN:
-            return None
-        record = head.record
-        engine = self.find_service(record.service).engine
-        model = engine.find_model(record.model)
-        if model is None or set(members) != set(range(model.size)):
-            return None
-        by_rank = tuple(members[rank] for rank in range(model.size))
-        if any(known.record.leaving for known in by_rank):
-            return None
-        if record.zone in self.evacuated:
-            return None
-        return _build_replica(head, by_rank, engine.capacity)
-
-
-class _HostRecord(msgspec.Struct):
-    address: str
-    zone: str
-    weight: float
-    incarnation: str
-
-
-def encode_host(host: EntryHost) -> bytes:
-    """Encode the record of an entry host."""
-    return msgspec.json.encode(
-        _HostRecord(host.address, host.zone, host.weight, host.incarnation)
-    )
-
-
-def decode_host(name: str, data: bytes) -> EntryHost | None:
-    """Decode the record of an entry host; None if it is malformed."""
-    try:
-        record = msgspec.json.decode(data, type=_HostRecord)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        logger.warning(
-            "record names no entry host", extra={"host": name, "reason": str(exc)}
-        )
-        return None
-    return EntryHost(
-        name, record.address, record.zone, record.weight, record.incarnation
-    )
-
-
-def _build_replica(
-    known: KnownTarget, members: tuple[KnownTarget, ...], capacity: int = 0
-) -> Replica:
-    record = known.record
-    return Replica(
-        id=record.id,
-        address=record.address,
-        zone=record.zone,
-        service=record.service,
-        model=record.model if record.membership is not None else "",
-        capacity=capacity or record.capacity,
-        epoch=0 if record.membership is None else record.membership.epoch,
-        members=tuple(member.record.id for member in members),
-        cold_until=known.cold_until,
-    )
-
 
 def _is_same_group(before: TargetRecord, after: TargetRecord) -> bool:
     """Return whether two records name the same group and epoch, or both none."""
@@ -546,17 +387,3 @@
     if former is None or current is None:
         return former is current
     return (former.group, former.epoch) == (current.group, current.epoch)
-
-
-def _affects_replicas(before: TargetRecord, after: TargetRecord) -> bool:
-    """Return whether a change of a target's record may change the replicas."""
-    return (
-        before.membership != after.membership
-        or before.zone != after.zone
-        or before.model != after.model
-        or before.leaving != after.leaving
-        or before.address != after.address
-        or before.service != after.service
-        or before.started_ms != after.started_ms
-        or (before.cold_s > 0) != (after.cold_s > 0)
-    )
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -22,7 +22,7 @@
 )
 from ..groups.load_limit import LoadLimit
 from ..mesh.messages import PlanningHandover
-from ..platform import TARGET_PREFIX, PlatformStore
+from ..platform import PlatformStore
 from ..ports import KeyValueStore
 from ..settings.gateway import GatewaySettings
 from ..slots import EntryHost
@@ -36,7 +36,8 @@
 from .planning import ZonePlanner
 from .probing import fetch_report
 from .registration import Registration
-from .roster import Roster, order_zones
+from .roles import Roles
+from .roster import Roster
 from .serving import RequestServer
 from .slots import SlotTask
 from .store_tasks import LeaseKeeper, StoreHealth
@@ -53,6 +54,8 @@
 SLOW_TICK_S = 0.25
 # Link of an entry host below which it leads and owns less than its processor allows.
 FAST_LINK_MBPS = 100.0
+# Link of an entry host below which it leads and owns less than its processor allows.
+FAST_LINK_MBPS = 100.0
 # Time for which a process must be the head or the next host before it plans, so that
 # hosts that start at the same time know each other.
 CANDIDATE_DELAY_S = 0.8
@@ -94,7 +97,6 @@
             uuid.uuid4().hex,
         )
         self.roster = Roster(local, self.view.list_hosts, boot_time)
-        self._zone_order = order_zones(settings.zones)
         self._peers = PeerTask(
             settings,
             local,
@@ -172,15 +174,15 @@
                     name=settings.name,
                     view=self.view,
                     lease_keeper=self._lease_keeper,
-                    is_store_unavailable=self._peers.is_store_unavailable,
+                    is_store_unavailable=self._peers.witnesses.is_store_unavailable,
                 ),
                 view=self.view,
                 pool=self.pool,
                 progress=self.progress,
                 load_limit=self._load_limits[zone],
                 slots=self.slots,
-                peers_may_reach=self._peers.may_be_reachable,
-                is_store_unavailable=self._peers.is_store_unavailable,
+                peers_may_reach=self._peers.witnesses.may_be_reachable,
+                is_store_unavailable=self._peers.witnesses.is_store_unavailable,
                 announce=self._peers.announce_report,
                 metrics=self.metrics,
             )
@@ -197,7 +199,16 @@
             settings.ready, settings.metrics, self.find_unready_reason, self.dump
         )
         self._slow_tick_at = 0.0
-        self._candidate_since: float | None = None
+        self._roles = Roles(
+            settings.zones,
+            roster=self.roster,
+            view=self.view,
+            peers=self._peers,
+            follower=self._follower,
+            registration=self._registration,
+            lease_keeper=self._lease_keeper,
+            planners=self._planners,
+        )
         self._unready_reason: str | None = "starting"
         self._housekeeper: gevent.Greenlet | None = None
 
@@ -271,7 +282,7 @@
             "configuration": None if cfg is None else cfg.version,
             "evacuated": sorted(self.view.evacuated),
             "peers": sorted(self._peers.peers),
-            "plans": [item.zone for item in self._planners if item.is_holder],
+            "plans": self._roles.planned_zones,
             "replicas": list(self.view.iter_replicas()),
             "slots": self.slots.describe(),
             "store_source": self._follower.source,
@@ -351,83 +362,15 @@
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
 
     def _tick(self) -> None:
-        """Adapt the roles of this process to the live entry hosts."""
         now = time.monotonic()
-        zone = self.settings.zone
-        zones = (zone,)
-        if self._registration.is_settled:
-            zones = self.roster.list_served_zones(self.settings.zones)
-        is_head = self.roster.find_head(zone) == self.settings.name
-        self._assign_planning(zones, is_head, now)
-        self.roster.is_ready = self._is_ready_to_own()
-        self.slots.tick(zones)
-        self._follow_store(is_head)
-        self._remove_lost_hosts(is_head)
+        served_zones = self._roles.tick(now, is_stopping=self._stopping)
+        self.slots.tick(served_zones)
         if now - self._slow_tick_at >= SLOW_TICK_S:
             self._slow_tick_at = now
             self.pool.close_idle(now)
             self.view.expire_removed()
             self.progress.expire(now)
 
-    def _assign_planning(
-        self, zones: tuple[str, ...], is_head: bool, now: float
-    ) -> None:
-        """Let the head and the next host plan, and others give planning up."""
-        zone = self.settings.zone
-        may_plan = is_head or self.roster.is_among_first(f"head {zone}", zone)
-        if not may_plan or self._stopping or not self._registration.is_settled:
-            self._candidate_since = None
-        elif self._candidate_since is None:
-            self._candidate_since = now
-        since = self._candidate_since
-        is_candidate = since is not None and now - since >= CANDIDATE_DELAY_S
-        for planner in self._planners:
-            planner.set_role(
-                is_candidate=is_candidate and planner.zone in zones,
-                is_preferred=is_head,
-            )
-        planned = self._list_planned_zones()
-        self._lease_keeper.require(may_plan or bool(planned))
-        if planned and not may_plan and not self._peers.is_store_unavailable():
-            logger.info("planning given up", extra={"zones": planned})
-            self._lease_keeper.end()
-
-    def _follow_store(self, is_head: bool) -> None:
-        """Read the store, or follow the one that this process should follow now."""
-        if not self._registration.is_settled:
-            return
-        source = self._peers.find_source(self._zone_order)
-        if source != "":
-            self._follower.follow(source, wants_targets=self._wants_targets(is_head))
-
-    def _is_ready_to_own(self) -> bool:
-        """Return whether this process can place requests of others."""
-        has_targets = self.view.mirror.get_synced(TARGET_PREFIX) > 0
-        return self.view.cfg is not None and has_targets
-
-    def _wants_targets(self, is_head: bool) -> bool:
-        """Return whether this process needs the targets' entries."""
-        zone = self.settings.zone
-        return (
-            is_head
-            or bool(self._list_planned_zones())
-            or self.roster.is_among_first(f"head {zone}", zone)
-            or any(
-                self.roster.is_among_first(f"slots {key}", zone)
-                for key in self.view.list_slot_keys(zone)
-            )
-        )
-
-    def _list_planned_zones(self) -> list[str]:
-        return [planner.zone for planner in self._planners if planner.is_holder]
-
-    def _remove_lost_hosts(self, is_head: bool) -> None:
-        """Remove the records of this zone's hosts that have been lost for long."""
-        if not is_head:
-            return
-        for name in self.roster.list_long_lost(LOST_HOST_S):
-            gevent.spawn(self._registration.remove_lost, name)
-
     def _on_hangup(self) -> None:
         logger.info(
             "SIGHUP received; settings are not reloaded",
--- /dev/null
+++ b/waxwingpitch/gateway/peer_statuses.py
@@ -0,0 +1,120 @@
+"""What the statuses of peers tell about the store, and whom to follow by them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from ..clocks import boot_time
+from ..mesh.fleet_messages import FleetStatus
+from .roster import Roster
+from .store_tasks import StoreHealth
+
+# Age after which a peer's status says nothing about the store or its weight loads.
+STATUS_TTL_S = 2.0
+# Age of the store's last answer from which what a peer knows of it is no longer fresh.
+STORE_SILENT_AFTER_S = 2.0
+
+
+class PeerStatuses:
+    """The latest status of each linked peer."""
+
+    def __init__(self, roster: Roster, store_health: StoreHealth):
+        self._roster = roster
+        self._store_health = store_health
+        self._statuses: dict[str, tuple[float, FleetStatus]] = {}
+
+    def record(self, peer: str, status: FleetStatus) -> None:
+        """Replace a peer's status."""
+        self._statuses[peer] = (boot_time(), status)
+
+    def drop(self, peer: str) -> None:
+        """Forget a peer whose link ended."""
+        self._statuses.pop(peer, None)
+
+    def iter_recent(self) -> Iterator[tuple[float, FleetStatus]]:
+        """Yield the recent statuses, each with its age."""
+        now = boot_time()
+        for at, status in self._statuses.values():
+            if now - at < STATUS_TTL_S:
+                yield now - at, status
+
+    @property
+    def store_age_s(self) -> float:
+        """Time since the store last answered this process."""
+        return boot_time() - self._store_health.answered_at
+
+    def find_data_age_s(self, source: str | None) -> float:
+        """Return the age of what this process knows of the store.
+
+        Parameters
+        ----------
+        source
+            Gateway that it follows; None or empty if it reads the store.
+        """
+        if not source:
+            return self.store_age_s
+        known = self._statuses.get(source)
+        if known is None:
+            return 0.0
+        at, status = known
+        return status.data_age_ms / 1000 + boot_time() - at
+
+    def find_source(self, zones: Iterable[str], present: str | None) -> str | None:
+        """Return the gateway to follow; None to read the store, "" if not yet known.
+
+        Parameters
+        ----------
+        zones
+            All zones, in the order in which their heads are followed.
+        present
+            Whom this process follows now.
+        """
+        name, zone = self._roster.local.name, self._roster.local.zone
+        head = self._roster.find_head(zone)
+        if head == name:
+            return self._find_source_of_head(zones, present)
+        if head is None:
+            return ""
+        if self._is_in_touch(head):
+            return head
+        deputies = [item for item in self._roster.list_heads(zone) if item != head]
+        if name in deputies:
+            return None
+        return next(filter(self._is_in_touch, deputies), head)
+
+    def _find_source_of_head(
+        self, zones: Iterable[str], present: str | None
+    ) -> str | None:
+        is_answered = (
+            not self._store_health.failing or self.store_age_s < STORE_SILENT_AFTER_S
+        )
+        for zone in zones:
+            if zone == self._roster.local.zone:
+                if is_answered:
+                    return None
+                continue
+            head = self._roster.find_head(zone)
+            if head is not None and self._is_followable(head):
+                return head
+            if head is None and present == "" and self._roster.may_have_head(zone):
+                return ""
+        if is_answered:
+            return None
+        deputies = self._roster.list_heads(self._roster.local.zone)
+        return next(filter(self._is_followable, deputies), None)
+
+    def _is_followable(self, peer: str) -> bool:
+        """Return whether a peer's knowledge is fresh and does not come from here."""
+        name = self._roster.local.name
+        known = self._statuses.get(peer)
+        if peer == name or (known is not None and known[1].follows == name):
+            return False
+        return self._is_in_touch(peer)
+
+    def _is_in_touch(self, peer: str) -> bool:
+        """Return whether a peer's knowledge of the store is fresh."""
+        known = self._statuses.get(peer)
+        if known is None:
+            return True  # linked just now
+        at, status = known
+        return status.data_age_ms / 1000 + boot_time() - at < STORE_SILENT_AFTER_S
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -10,7 +10,6 @@
 import gevent
 from msgspec import structs
 
-from ..clocks import boot_time
 from ..mesh import Identity, MeshNode, decode_message, encode_message
 from ..mesh.fleet_messages import (
     FleetNews,
@@ -40,26 +39,16 @@
 from ..targets.records import Membership, MembershipReport, MemberState
 from .beliefs import GatewayView
 from .following import StoreFollower
+from .peer_statuses import PeerStatuses
 from .roster import KEPT_HOSTS, Roster
 from .slots import SlotTask
 from .store_tasks import StoreHealth
+from .witnesses import Witnesses
 
 STATUS_INTERVAL_S = 0.2
 # Interval of statuses while this gateway holds slots, whose progress others ask for.
 BUSY_STATUS_INTERVAL_S = 0.1
 DIAL_INTERVAL_S = 0.1
-# Age after which a peer's status says nothing about the store or its weight loads.
-STATUS_TTL_S = 2.0
-PROBE_TIMEOUT_S = 0.8
-# Gateways of each zone that are asked whether they reach a target.
-ASKED_PER_ZONE = 2
-# Share of those asked that must agree that a target, or the store, is unreachable. It
-# exceeds a third, as a partial partition may cut a target off from that many.
-QUORUM_SHARE = 0.6
-# Age of its last answer from which the store counts as unavailable.
-STORE_UNAVAILABLE_AFTER_S = 1.2
-# Age of its last answer to a head from which that head is no longer followed.
-STORE_SILENT_AFTER_S = 2.0
 # Largest age that a status tells.
 MAX_AGE_S = 600.0
 FRAME_BYTES = 4 * 1024 * 1024
@@ -85,6 +74,10 @@
         Returns the number of weight loads in progress that this process began.
     slots, follower
         Tasks that messages about slots and about the store are for.
+    statuses
+        Latest statuses of the peers.
+    witnesses
+        Asks peers about targets and the store.
     """
 
     def __init__(
@@ -103,7 +96,6 @@
         self._view = view
         self._progress = progress
         self._store_health = store_health
-        self._is_reachable = is_reachable
         self.on_suspects: Callable[[tuple[SuspectItem, ...], float], None] = _ignore
         self.on_planning_handover: Callable[[PlanningHandover], None] = (
             lambda handover: None
@@ -111,9 +103,7 @@
         self.count_weight_loads: Callable[[], int] = lambda: 0
         self.slots: SlotTask
         self.follower: StoreFollower
-        self._statuses: dict[str, tuple[float, FleetStatus]] = {}
-        self._sources: dict[str, str] = {}
-        self._probe_results: dict[str, dict[str, bool]] = {}
+        self.statuses = PeerStatuses(roster, store_health)
         self._is_status_urgent = False
         self._is_stopping = False
         self._status_sent_at = 0.0
@@ -126,6 +116,14 @@
             frame_bytes=FRAME_BYTES,
             deliver=self._deliver,
         )
+        self.witnesses = Witnesses(
+            self._node,
+            roster,
+            self.statuses,
+            store_health,
+            settings.zones,
+            is_reachable,
+        )
         self._greenlet: gevent.Greenlet | None = None
 
     @property
@@ -182,7 +180,7 @@
 
     def count_peer_weight_loads(self, now: float) -> int:
         """Return the number of weight loads in progress that the peers began."""
-        return sum(status.weight_loads for _, status in self._iter_recent_statuses())
+        return sum(status.weight_loads for _, status in self.statuses.iter_recent())
 
     def announce_leaving(self) -> None:
         """Tell all peers at once which targets said that they leave."""
@@ -211,146 +209,6 @@
             )
         self._node.multicast(update, self.follower.list_followers_of_targets())
 
-    def find_source(self, zones: Iterable[str]) -> str | None:
-        """Return the gateway to follow; None to read the store, "" if not yet known.
-
-        Parameters
-        ----------
-        zones
-            All zones, in the order in which their heads are followed.
-        """
-        name, zone = self._local.name, self._local.zone
-        head = self._roster.find_head(zone)
-        if head == name:
-            return self._find_source_of_head(zones)
-        if head is None:
-            return ""
-        if self._is_in_touch(head):
-            return head
-        deputies = [item for item in self._roster.list_heads(zone) if item != head]
-        if name in deputies:
-            return None
-        return next(filter(self._is_in_touch, deputies), head)
-
-    def _find_source_of_head(self, zones: Iterable[str]) -> str | None:
-        has_own_answers = (
-            not self._store_health.failing or self._store_age_s < STORE_SILENT_AFTER_S
-        )
-        for zone in zones:
-            if zone == self._local.zone:
-                if has_own_answers:
-                    return None
-                continue
-            head = self._roster.find_head(zone)
-            if head is not None and self._is_followable(head):
-                return head
-            if head is None and self._roster.may_have_head(zone):
-                if self.follower.source == "":
-                    return ""
-        if has_own_answers:
-            return None
-        deputies = self._roster.list_heads(self._local.zone)
-        return next(filter(self._is_followable, deputies), None)
-
-    def _is_followable(self, peer: str) -> bool:
-        """Return whether a peer's knowledge is fresh and does not come from here."""
-        if peer == self._local.name or self._sources.get(peer) == self._local.name:
-            return False
-        return self._is_in_touch(peer)
-
-    def may_be_reachable(self, target: str, address: str) -> bool:
-        """Return whether any other entry host may reach a target.
-
-        False only if no peer reaches it of those asked in each zone, and this entry
-        host and those that replied are a quorum of them; see ``QUORUM_SHARE``.
-        """
-        asked = self._choose_witnesses()
-        results = self._probe_results.get(target)
-        if results is None:
-            self._probe_results[target] = results = {}
-            self._node.multicast(ProbeRequest(target, address), asked)
-        deadline = time.monotonic() + PROBE_TIMEOUT_S
-        while (
-            time.monotonic() < deadline
-            and len(results) < len(asked)
-            and not any(results.values())
-        ):
-            gevent.sleep(0.02)
-        if self._probe_results.get(target) is results:
-            del self._probe_results[target]
-        is_quorum = len(results) + 1 >= QUORUM_SHARE * (len(asked) + 1)
-        zones_known = len(self._list_zones_linked()) + 1
-        is_majority = zones_known >= QUORUM_SHARE * len(self._settings.zones)
-        return any(results.values()) or not (is_quorum and is_majority)
-
-    def is_store_unavailable(self) -> bool:
-        """Return whether the store answers neither this process nor other heads.
-
-        Requires recent statuses of the heads of a quorum of the zones; see
-        ``QUORUM_SHARE``.
-        """
-        health = self._store_health
-        if (
-            not health.failing
-            or boot_time() - health.answered_at < STORE_UNAVAILABLE_AFTER_S
-        ):
-            return False
-        ages = [
-            status.store_age_ms / 1000 + boot_time() - at
-            for at, status in self._iter_recent_statuses()
-            if status.store_age_ms >= 0
-        ]
-        zones_known = len(self._list_zones_linked() | {self._local.zone})
-        if zones_known < QUORUM_SHARE * len(self._settings.zones):
-            return False
-        return all(age_s >= STORE_UNAVAILABLE_AFTER_S for age_s in ages)
-
-    def _is_in_touch(self, peer: str) -> bool:
-        """Return whether a peer's knowledge of the store is fresh."""
-        known = self._statuses.get(peer)
-        if known is None:
-            return True  # linked just now
-        at, status = known
-        return status.data_age_ms / 1000 + boot_time() - at < STORE_SILENT_AFTER_S
-
-    @property
-    def _store_age_s(self) -> float:
-        return boot_time() - self._store_health.answered_at
-
-    def _find_data_age_s(self) -> float:
-        source = self.follower.source
-        if not source:
-            return self._store_age_s
-        known = self._statuses.get(source)
-        if known is None:
-            return 0.0
-        at, status = known
-        return status.data_age_ms / 1000 + boot_time() - at
-
-    def _iter_recent_statuses(self) -> Iterable[tuple[float, FleetStatus]]:
-        now = boot_time()
-        for peer, (at, status) in self._statuses.items():
-            if peer in self._node.peers and now - at < STATUS_TTL_S:
-                yield at, status
-
-    def _choose_witnesses(self) -> list[str]:
-        witnesses: list[str] = []
-        for zone in self._settings.zones:
-            live = [
-                peer
-                for peer in self._node.list_peers_in(zone)
-                if self._roster.is_live(peer)
-            ]
-            witnesses.extend(live[:ASKED_PER_ZONE])
-        return witnesses
-
-    def _list_zones_linked(self) -> set[str]:
-        return {
-            zone
-            for zone in self._settings.zones
-            if any(map(self._roster.is_live, self._node.list_peers_in(zone)))
-        }
-
     def _apply_target_update(self, message: TargetUpdate) -> None:
         place = None
         if message.state:
@@ -366,10 +224,6 @@
         )
         self._view.apply_report(message.target, message.version, report)
 
-    def _answer_probe(self, peer: str, message: ProbeRequest) -> None:
-        reachable = self._is_reachable(message.target, message.address)
-        self._node.send(peer, ProbeResult(message.target, reachable))
-
     def _run(self) -> None:
         while True:
             try:
@@ -397,8 +251,8 @@
         for target in self.slots.client.list_leaving():
             leaving.setdefault(target, 0)
         common = FleetStatus(
-            store_age_ms=_to_ms(self._store_age_s) if calls_store else -1,
-            data_age_ms=_to_ms(self._find_data_age_s()),
+            store_age_ms=_to_ms(self.statuses.store_age_s) if calls_store else -1,
+            data_age_ms=_to_ms(self.statuses.find_data_age_s(self.follower.source)),
             weight_loads=self.count_weight_loads(),
             leaving=leaving,
             suspected=self.slots.owners.take_new_suspicions(),
@@ -459,7 +313,7 @@
             case LinkDown(peer=peer):
                 logger.info("peer lost", extra={"peer": peer.id})
                 self._roster.record_lost(peer.id)
-                self._statuses.pop(peer.id, None)
+                self.statuses.drop(peer.id)
                 self.follower.handle_lost_peer(peer.id)
                 self.slots.handle_lost_peer(peer.id)
 
@@ -492,21 +346,19 @@
             case FleetNews():
                 self._handle_news(peer, zone, message, at)
             case ProbeRequest():
-                gevent.spawn(self._answer_probe, peer, message)
+                gevent.spawn(self.witnesses.answer, peer, message)
             case ProbeResult():
-                if message.target in self._probe_results:
-                    self._probe_results[message.target][peer] = message.reachable
+                self.witnesses.take_result(peer, message)
             case PlanningHandover():
                 self.on_planning_handover(message)
             case TargetUpdate():
                 self._apply_target_update(message)
 
     def _handle_status(self, peer: str, message: FleetStatus, at: float) -> None:
-        self._statuses[peer] = (boot_time(), message)
+        self.statuses.record(peer, message)
         self._roster.record_state(
             peer, is_ready=message.is_ready, is_stopping=message.is_stopping
         )
-        self._sources[peer] = message.follows
         for target, started_ms in message.leaving.items():
             self._view.mark_leaving(target, started_ms or None)
         for target, epoch in message.suspected:
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -21,8 +21,9 @@
 from ..targets.progress import ProgressBook
 from ..targets.records import MembershipReport
 from ..telemetry import GatewayMetrics
-from .beliefs import GatewayView, KnownTarget
+from .beliefs import GatewayView
 from .probing import TargetProbes
+from .replicas import KnownTarget
 from .slots import SlotTask
 from .zone_key import ZoneKey
 
--- a/waxwingpitch/gateway/registration.py
+++ b/waxwingpitch/gateway/registration.py
@@ -12,7 +12,8 @@
 from ..errors import StoreError
 from ..ports import KeyValueStore
 from ..slots import EntryHost
-from .beliefs import GATEWAY_PREFIX, HOST_PREFIX, GatewayView, encode_host
+from .beliefs import GATEWAY_PREFIX, GatewayView
+from .host_records import HOST_PREFIX, encode_host
 from .store_tasks import StoreHealth
 
 # Bounds of the time for which a starting process waits to be found before it lists the
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -464,7 +464,7 @@
         )
         wait_for(lambda: len(first.view.list_hosts()) == 2)
         platform.store.down = True
-        wait_for(lambda: first._peers.is_store_unavailable())
+        wait_for(lambda: first._peers.witnesses.is_store_unavailable())
         first._begin_stop()
         wait_for(lambda: second.dump()["plans"] == ["z"], 3.0)
         platform.kill(platform.find_group(QUAD.name)[2])
--- a/waxwingpitch/tests/test_store_restore.py
+++ b/waxwingpitch/tests/test_store_restore.py
@@ -12,8 +12,9 @@
 from ..agreed.versions import combine_version, get_era, get_revision
 from ..errors import StoreConflictError, StoreHistoryLostError
 from ..gateway import beliefs, zone_key
-from ..gateway.beliefs import HOST_PREFIX, GatewayView, encode_host
+from ..gateway.beliefs import GatewayView
 from ..gateway.following import apply_store_update, build_store_update
+from ..gateway.host_records import HOST_PREFIX, encode_host
 from ..gateway.zone_key import ZoneKey
 from ..groups.naming import parse_head
 from ..platform import PlatformStore
