--- a/waxwingpitch/gateway/roles.py
+++ b/waxwingpitch/gateway/roles.py
@@ -83,6 +83,8 @@
         )
         self._assign_planning(zones, is_head, may_plan, now, is_stopping=is_stopping)
         wants_targets = may_plan or bool(self.planned_zones) or self._may_own()
+        # A host that stops is the last resort of its zone, while it drains.
+        wants_targets |= is_stopping and self._wanted_targets
         self._update_readiness(wants_targets, now)
         if is_settled:
             self._follow_store(wants_targets)
--- a/waxwingpitch/tests/test_process_gateway.py
+++ b/waxwingpitch/tests/test_process_gateway.py
@@ -120,6 +120,15 @@
     raise AssertionError(f"gateway answered no request within {START_S} s")
 
 
+def _wait_for_line(log: Path, message: str) -> None:
+    deadline = time.monotonic() + 2.0
+    while time.monotonic() < deadline:
+        if f'"message":"{message}"' in log.read_text():
+            return
+        gevent.sleep(0.005)
+    raise AssertionError(f"no line {message!r} within 2 s")
+
+
 def test_stop_cuts_nothing_off(platform, gateway):
     process, address, log = gateway
     streams = [Caller(address) for _ in range(8)]
@@ -127,6 +136,7 @@
         caller.send_chat(f"s{number}", model=PAIR.name, events=60)
     gevent.sleep(0.5)
     process.send_signal(signal.SIGTERM)
+    _wait_for_line(log, "gateway stops")
     late = call(address, "/file/x", "late")
     assert late.status == 200
     assert late.headers["connection"] == "close"
