--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -74,6 +74,23 @@
     assert 0 < int(seen["deadline-ms"]) <= 4000
 
 
+def test_request_names_the_target_that_is_meant(platform, front):
+    """Addresses are used again by other targets, which refuse it then."""
+    call(front, "/file/x", "e1")
+    chat(front, "e2", model=PAIR.name, events=2)
+    assert platform.request_headers["e1"]["expect-instance"] in platform.plain
+    assert platform.request_headers["e2"]["expect-instance"] == platform.ran_on["e2"]
+
+
+def test_two_owners_may_both_use_their_part_of_a_cold_targets_limit(gateway):
+    bounds = gateway.settings.bounds
+    for key in gateway.view.list_slot_keys("z"):
+        service = gateway.view.find_service(key.service)
+        if service.cold_per_s:
+            limit = service.cold_per_s * bounds.cold_factor + bounds.cold_slack
+            assert 2 * gateway.slots.owners.find(key)._cold.per_s <= limit
+
+
 def test_stream_is_resumed_elsewhere_after_loss_of_a_member(platform, front):
     caller = Caller(front)
     caller.send_chat("r3", model=QUAD.name, events=60)
