Drop the running watch in tests of a gateway that the store refuses

Cause: the call in progress still brought the change, so that the tests passed without the relay by peers (found by taking the relay out).

--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -458,6 +458,7 @@
         wait_for(lambda: second.dump()["peers"] and first.dump()["peers"])
         wait_for(lambda: second.find_unready_reason() is None)
         second._store._client = _RefusingClient()
+        second._follower.restart_watches()
         platform.configure(keys=("key-4",))
         front = second.settings.front
         wait_for(lambda: call(front, "/file/x", "p", key="key-4").status == 200, 5.0)
--- a/waxwingpitch/tests/test_store_restore.py
+++ b/waxwingpitch/tests/test_store_restore.py
@@ -317,6 +317,7 @@
         for front in fronts:
             wait_for(lambda: call(front, "/file/x", "k", key="key-2").status == 401)
         second._store._client = _RefusingClient()
+        second._follower.restart_watches()
         platform.store.restore(copy)
         wait_for(lambda: second.dump()["store_era"] == 1, 5.0)
         for number in range(20):
