--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -297,6 +297,8 @@
         Body of each request that was read, by request id.
     refused_orders
         Number of orders that were refused.
+    expected_counts
+        Count that each order expected its target to have begun; None if it named none.
     misdirected
         Number of requests sent to targets that head no open group, by target.
     invariant_violations
@@ -321,6 +323,7 @@
         self.invariant_violations: list[str] = []
         self.bodies: dict[str, bytes] = {}
         self.refused_orders = 0
+        self.expected_counts: list[int | None] = []
         self.misdirected: Counter[str] = Counter()
         for target in self.fleet.targets:
             self._listen(target)
@@ -546,6 +549,7 @@
             self._serve_stream(target, sock, request, headers)
 
     def _handle_order(self, target, sock, body) -> None:
+        self.expected_counts.append(body.get("expected"))
         if body.get("expected", self._orders[target]) != self._orders[target]:
             self.refused_orders += 1
             _send(sock, 409, {})
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -228,6 +228,11 @@
     assert platform.refused_orders == 0
 
 
+def test_orders_name_the_count_that_makes_late_ones_fail(platform, gateway):
+    assert len(platform.expected_counts) >= 10
+    assert None not in platform.expected_counts
+
+
 def _orders(platform):
     return platform.fleet.orders
 
