Merge owners of slots, heads that read the store, and links to few

Change: a zone's slots for a service and model have one owner, which places, queues, refuses and keeps the limits for all hosts of the zone (slots/); requests wait in the zone whose queue is served sooner; one retry budget for all zones. The head of a zone plans it and passes the store's changes on; one head reads the store. Links go to owners, heads and the next by rank.

--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import logging
-from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from ..agreed.mirror import StoreMirror
 from ..agreed.versions import get_era
@@ -23,10 +22,12 @@
 )
 from ..ports import StoredChange
 from ..routing.routes import RouteTable
-from ..targets.records import MembershipReport, MemberState, TargetRecord
+from ..slots import EntryHost, SlotKey
+from ..targets.records import MembershipReport, TargetRecord
+from .host_records import HOST_PREFIX, decode_host
+from .replicas import KnownTarget, Replica, ReplicaIndex, affects_replicas
 
 GATEWAY_PREFIX = "waxwingpitch/"
-MEMBER_PREFIX = "waxwingpitch/members/"
 PLANNER_PREFIX = "waxwingpitch/planners/"
 
 # Grace period after the store recovers, in which targets that were listed before the
@@ -43,50 +44,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class KnownTarget:
-    """A target's record, its version, and times computed when the record arrived.
-
-    Attributes
-    ----------
-    version
-        Version of the store's entry that holds the record.
-    cold_until
-        Monotonic time until which the target is cold.
-    membership_since
-        Monotonic time since which it has been listed without interruption and with the
-        same group, if any.
-    """
-
-    record: TargetRecord
-    version: int
-    cold_until: float
-    membership_since: float
-
-
-@dataclass(frozen=True, slots=True)
-class Replica:
-    """An endpoint for requests: a plain target, or the head of a complete group.
-
-    Attributes
-    ----------
-    members
-        Ids of all targets that it needs; the loss of any one stops it.
-    epoch
-        Epoch of the group; 0 for a plain target.
-    """
-
-    id: str
-    address: str
-    zone: str
-    service: str
-    model: str
-    capacity: int
-    epoch: int
-    members: tuple[str, ...]
-    cold_until: float
-
-
 class GatewayView:
     """Owns the mirror of the store and everything derived from it.
 
@@ -132,14 +89,17 @@
         self.older_keys_until = 0.0
         self.on_restored: Callable[[], None] = lambda: None
         self._said_leaving: dict[str, int] = {}
-        self._peers_of_before: dict[str, str] = {}
+        self._hosts: dict[str, EntryHost] = {}
+        self._hosts_of_before: dict[str, EntryHost] = {}
         self._evacuated_before: frozenset[str] = frozenset()
         self.on_target_lost: Callable[[str, int | None], None] = (
             lambda target, start: None
         )
         self._clock = clock
         self._on_change = on_change
-        self._replicas: dict[tuple[str, str], tuple[Replica, ...]] = {}
+        self._replicas = ReplicaIndex(
+            self.iter_targets, self.find_service, lambda: self.evacuated
+        )
 
     @property
     def cfg(self) -> RoutedConfiguration | None:
@@ -150,22 +110,30 @@
         """Return a service of the configuration in force."""
         return None if self.cfg is None else self.cfg.services.get(name)
 
+    def refresh(self) -> int:
+        """Derive the replicas anew if needed; return a number that then grows."""
+        return self._replicas.refresh()
+
+    def list_slot_keys(self, zone: str) -> list[SlotKey]:
+        """Return the keys of a zone's slots, by the configuration in force."""
+        services = () if self.cfg is None else self.cfg.services.values()
+        return [
+            SlotKey(zone, service.name, model)
+            for service in services
+            for model in service.list_models()
+        ]
+
     def find_replicas(self, service: str, model: str) -> tuple[Replica, ...]:
         """Return the replicas to which requests may be sent."""
-        return self._replicas.get((service, model), ())
+        return self._replicas.find(service, model)
 
     def iter_replicas(self) -> Iterable[Replica]:
         """Yield all replicas."""
-        for replicas in self._replicas.values():
-            yield from replicas
+        return self._replicas.iter_all()
 
-    def list_peers(self) -> dict[str, str]:
-        """Return the addresses of the entry hosts registered in the store, by name."""
-        listed = {
-            entry.key.removeprefix(MEMBER_PREFIX): entry.value.decode()
-            for entry in self.mirror.iter_prefix(MEMBER_PREFIX)
-        }
-        return self._peers_of_before | listed
+    def list_hosts(self) -> dict[str, EntryHost]:
+        """Return the entry hosts registered in the store, by name."""
+        return self._hosts_of_before | self._hosts
 
     def find_planner(self, zone: str) -> str | None:
         """Return the name of the entry host that holds a zone's planner key."""
@@ -213,7 +181,7 @@
         if record == known.record:
             return False
         self.targets[target] = replace(known, record=record)
-        self._rebuild()
+        self._replicas.mark_dirty(record.zone)
         self._on_change()
         return True
 
@@ -245,7 +213,7 @@
         if target in self.targets and known.record.started_ms == started_ms:
             record = replace(known.record, leaving=True)
             self.targets[target] = replace(known, record=record)
-        self._rebuild()
+        self._replicas.mark_dirty(None if known is None else known.record.zone)
         self._on_change()
         return started_ms
 
@@ -266,13 +234,14 @@
         expired = [key for key, (_, until) in self.retained.items() if until <= now]
         for target in expired:
             del self.retained[target]
-        if self._peers_of_before and self.restore_deadline <= now:
-            self._peers_of_before = {}
+        if self._hosts_of_before and self.restore_deadline <= now:
+            self._hosts_of_before = {}
             self._evacuated_before = frozenset()
             self._load_evacuations()
             expired.append("zones of before")
         if expired:
-            self._rebuild()
+            self._replicas.mark_dirty()
+            self._on_change()
 
     def _check_era(self, change: StoredChange) -> None:
         """Go on believing the store of before for a while if it was restored."""
@@ -287,25 +256,24 @@
             self.relist_deadline = self._clock() + RELIST_GRACE_S
             self.restore_deadline = self.relist_deadline
             self.older_keys_until = boot_time() + OLDER_KEYS_S
-            self._peers_of_before = self.list_peers()
+            self._hosts_of_before = self.list_hosts()
             self._evacuated_before = self.evacuated
             self.on_restored()
 
     def _apply_changed_keys(self, changed: list[str]) -> None:
         if not changed:
             return
-        needs_rebuild = False
         for key in changed:
             if key == CONFIGURATION_KEY:
                 self._load_configuration()
-                needs_rebuild = True
+                self._replicas.mark_dirty()
             elif key.startswith(EVACUATION_PREFIX):
                 self._load_evacuations()
-                needs_rebuild = True
+                self._replicas.mark_dirty()
             elif key.startswith(TARGET_PREFIX):
-                needs_rebuild |= self._load_target(key)
-        if needs_rebuild:
-            self._rebuild()
+                self._load_target(key)
+            elif key.startswith(HOST_PREFIX):
+                self._load_host(key)
         self._on_change()
 
     def _load_configuration(self) -> None:
@@ -341,15 +309,23 @@
         self.evacuated = listed | self._evacuated_before
         logger.info("zones out of service", extra={"zones": sorted(self.evacuated)})
 
-    def _load_target(self, key: str) -> bool:
-        """Update a target from its entry; return whether the replicas may change."""
+    def _load_host(self, key: str) -> None:
+        name, entry = key.removeprefix(HOST_PREFIX), self.mirror.get(key)
+        host = None if entry is None else decode_host(name, entry.value)
+        if host is None:
+            self._hosts.pop(name, None)
+        else:
+            self._hosts[name] = host
+
+    def _load_target(self, key: str) -> None:
+        """Update a target from its entry."""
         target = decode_target_id(key)
         known = self.targets.get(target)
         entry = self.mirror.get(key)
         now = self._clock()
         if entry is None:
             if known is None:
-                return False
+                return
             del self.targets[target]
             self.removed[target] = (known, now)
             if not known.record.leaving and now >= self.restore_deadline:
@@ -357,20 +333,23 @@
             if now < self.relist_deadline and not known.record.leaving:
                 self.retained[target] = (known, self.relist_deadline)
             logger.info("target gone from the list", extra={"target": target})
-            return True
+            self._replicas.mark_dirty(known.record.zone)
+            return
         try:
             record = decode_target_record(key, entry.value)
         except ValueError as exc:
             logger.warning("entry names no target", extra={"reason": str(exc)})
             self.targets.pop(target, None)
-            return known is not None
+            if known is not None:
+                self._replicas.mark_dirty(known.record.zone)
+            return
         if self._said_leaving.get(target) == record.started_ms:
             record = replace(record, leaving=True)
         if self._is_copy_of_before(record, entry.version):
             logger.info("older record ignored", extra={"target": target})
             if known is not None:
                 self.targets[target] = replace(known, version=entry.version)
-            return False
+            return
         self.retained.pop(target, None)
         self.removed.pop(target, None)
         self.targets[target] = KnownTarget(
@@ -385,7 +364,10 @@
         )
         if known is not None and known.record.started_ms != record.started_ms:
             self.on_target_lost(target, record.started_ms)
-        return known is None or _affects_replicas(known.record, record)
+        if known is None or affects_replicas(known.record, record):
+            self._replicas.mark_dirty(record.zone)
+            if known is not None:
+                self._replicas.mark_dirty(known.record.zone)
 
     def _is_copy_of_before(self, record: TargetRecord, version: int) -> bool:
         """Return whether a restored store shows a target as it was earlier."""
@@ -398,58 +380,6 @@
             return record.order < known.record.order
         return record.order <= known.record.order
 
-    def _rebuild(self) -> None:
-        """Derive the replicas from the targets, their groups and the configuration."""
-        found: dict[tuple[str, str], list[Replica]] = defaultdict(list)
-        groups: dict[tuple[str, int], dict[int, KnownTarget]] = defaultdict(dict)
-        for known in self.iter_targets():
-            record = known.record
-            service = self.find_service(record.service)
-            if service is None or service.engine is None:
-                if not record.leaving and record.zone not in self.evacuated:
-                    found[(record.service, "")].append(_build_replica(known, (known,)))
-            elif record.membership is not None:
-                place = record.membership
-                groups[(place.group, place.epoch)][place.rank] = known
-        for members in groups.values():
-            replica = self._build_group(members)
-            if replica is not None:
-                found[(replica.service, replica.model)].append(replica)
-        self._replicas = {key: tuple(replicas) for key, replicas in found.items()}
-
-    def _build_group(self, members: dict[int, KnownTarget]) -> Replica | None:
-        head = members.get(0)
-        if head is None or head.record.membership.state is not MemberState.OPEN:
-            return None
-        record = head.record
-        engine = self.find_service(record.service).engine
-        model = engine.find_model(record.model)
-        if model is None or set(members) != set(range(model.size)):
-            return None
-        by_rank = tuple(members[rank] for rank in range(model.size))
-        if any(known.record.leaving for known in by_rank):
-            return None
-        if record.zone in self.evacuated:
-            return None
-        return _build_replica(head, by_rank, engine.capacity)
-
-
-def _build_replica(
-    known: KnownTarget, members: tuple[KnownTarget, ...], capacity: int = 0
-) -> Replica:
-    record = known.record
-    return Replica(
-        id=record.id,
-        address=record.address,
-        zone=record.zone,
-        service=record.service,
-        model=record.model if record.membership is not None else "",
-        capacity=capacity or record.capacity,
-        epoch=0 if record.membership is None else record.membership.epoch,
-        members=tuple(member.record.id for member in members),
-        cold_until=known.cold_until,
-    )
-
 
 def _is_same_group(before: TargetRecord, after: TargetRecord) -> bool:
     """Return whether two records name the same group and epoch, or both none."""
@@ -457,16 +387,3 @@
     if former is None or current is None:
         return former is current
     return (former.group, former.epoch) == (current.group, current.epoch)
-
-
-def _affects_replicas(before: TargetRecord, after: TargetRecord) -> bool:
-    """Return whether a change of a target's record may change the replicas."""
-    return (
-        before.membership != after.membership
-        or before.model != after.model
-        or before.leaving != after.leaving
-        or before.address != after.address
-        or before.service != after.service
-        or before.started_ms != after.started_ms
-        or (before.cold_s > 0) != (after.cold_s > 0)
-    )
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -6,13 +6,11 @@
 import signal
 import time
 import uuid
-from collections.abc import Callable
 from functools import partial
 
 import gevent
 from gevent.event import Event
 
-from ..admission import RetryBudget
 from ..clocks import boot_time
 from ..configuration.routes import CallerLimits
 from ..forwarding import (
@@ -24,25 +22,25 @@
 )
 from ..groups.load_limit import LoadLimit
 from ..mesh.messages import PlanningHandover
-from ..platform import (
-    OPERATOR_PREFIX,
-    TARGET_PREFIX,
-    PlatformStore,
-)
+from ..platform import PlatformStore
 from ..ports import KeyValueStore
 from ..settings.gateway import GatewaySettings
-from ..targets.loads import LoadBook
+from ..slots import EntryHost
 from ..targets.progress import ProgressBook
 from ..telemetry import GatewayMetrics
-from .beliefs import GATEWAY_PREFIX, GatewayView
-from .dispatch import Dispatcher
+from .beliefs import GatewayView
 from .exchange import TargetExchange
+from .following import StoreFollower
 from .notices import TargetNotices
 from .peers import PeerTask
 from .planning import ZonePlanner
 from .probing import fetch_report
+from .registration import Registration
+from .roles import Roles
+from .roster import Roster
 from .serving import RequestServer
-from .store_tasks import LeaseKeeper, PrefixWatcher, StoreHealth
+from .slots import SlotTask
+from .store_tasks import LeaseKeeper, StoreHealth
 from .suspect_task import SuspectTracker
 from .web import GatewayWeb
 from .zone_key import ZoneKey
@@ -50,16 +48,24 @@
 LEASE_S = 3.0
 # Pause between two watch calls for targets. It saves calls to the store, but a leaving
 # target must still be noticed well within ``OperatingBounds.leaving_s``.
-TARGET_WATCH_PAUSE_S = 0.5
+TARGET_WATCH_PAUSE_S = 0.2
 TARGET_WATCH_PAUSE_BUSY_S = 0.05
-# Share of ``OperatingBounds.retry_ratio`` and ``retry_slack`` that the retry budgets of
-# all entry hosts together use.
-RETRY_BUDGET_SHARE = 0.8
-HOUSEKEEPING_INTERVAL_S = 0.25
+HOUSEKEEPING_INTERVAL_S = 0.1
+SLOW_TICK_S = 0.25
+# Link of an entry host below which it leads and owns less than its processor allows.
+FAST_LINK_MBPS = 100.0
+# Link of an entry host below which it leads and owns less than its processor allows.
+FAST_LINK_MBPS = 100.0
+# Time for which a process must be the head or the next host before it plans, so that
+# hosts that start at the same time know each other.
+CANDIDATE_DELAY_S = 0.8
+# Time without a link after which the record of an entry host is removed.
+LOST_HOST_S = 20.0
 # Time until the load balancer has removed a process that is not ready: it does so after
 # two readiness checks, one a second.
 BALANCER_REMOVAL_S = 2.6
 STOP_MARGIN_S = 0.8
+REMOVAL_TIMEOUT_S = 0.2
 
 logger = logging.getLogger(__name__)
 
@@ -77,56 +83,78 @@
         self.settings = settings
         self._stopped = Event()
         self._stopping = False
-        self._store = store or PlatformStore(str(settings.store))
         self.metrics = GatewayMetrics()
+        self._store = store or self._build_store()
         self.pool = ConnectionPool()
-        self.loads = LoadBook()
         self.progress = ProgressBook()
         self.view = GatewayView(time.monotonic, self._on_view_change)
-        self._store_health = StoreHealth(self.view.start_relist_grace_period)
-        self._budgets: dict[str, RetryBudget] = {}
-        self.dispatcher = Dispatcher(
-            settings.zone, self.view, self.loads, self.progress
-        )
-        self._lease_keeper = LeaseKeeper(
-            self._store,
-            self._store_health,
+        self._store_health = StoreHealth(self._on_store_recovery)
+        local = EntryHost(
             settings.name,
             str(settings.peers),
-            max(LEASE_S, settings.min_lease_s),
+            settings.zone,
+            settings.processor_share * min(1.0, settings.link_mbps / FAST_LINK_MBPS),
+            uuid.uuid4().hex,
         )
-        self.view.on_restored = self._on_store_restored
+        self.roster = Roster(local, self.view.list_hosts, boot_time)
         self._peers = PeerTask(
             settings,
-            uuid.uuid4().hex,
+            local,
+            self.roster,
             self.view,
-            self.loads,
             self.progress,
             self._store_health,
-            self.dispatcher.assign_free_slots,
             self._is_reachable,
         )
+        self.slots = SlotTask(
+            self.roster,
+            self.view,
+            self.progress,
+            settings.bounds,
+            settings.zones,
+            self._peers.send,
+        )
+        self._follower = StoreFollower(
+            self._store,
+            self.view,
+            self._store_health,
+            self._peers.send,
+            self._peers.multicast,
+            self._find_target_watch_pause,
+        )
+        self._peers.slots = self.slots
+        self._peers.follower = self._follower
+        self._lease_keeper = LeaseKeeper(
+            self._store, self._store_health, max(LEASE_S, settings.min_lease_s)
+        )
+        self._registration = Registration(
+            self._store,
+            self.view,
+            self._store_health,
+            local,
+            lambda: bool(self._peers.peers),
+        )
         self._suspects = SuspectTracker(self.view, self._peers.announce_suspects)
         self._peers.on_suspects = self._suspects.merge
+        self.slots.owners.on_broken = self._suspects.record_broken
+        self.slots.client.on_leaving = self._on_leaving
         self.view.on_target_lost = self._on_target_lost
+        self.view.on_restored = self._on_store_restored
         self._server = RequestServer(
             self.view,
-            self.dispatcher,
+            self.slots.client,
             TargetExchange(
                 self.pool,
                 self.progress,
                 self.metrics,
-                self._on_suspect,
+                self.slots.client,
                 self._is_reachable,
                 TargetNotices(
-                    self.view,
-                    self.dispatcher.pauses,
+                    self.slots.client.pauses,
                     self.metrics,
-                    self._peers.announce_leaving,
+                    self.slots.client.note_leaving,
                 ),
             ),
-            self._find_budget,
-            self._on_suspect,
             self.metrics,
             self._suspects,
         )
@@ -144,30 +172,23 @@
                 ZoneKey(
                     zone,
                     name=settings.name,
-                    is_local_zone=zone == settings.zone,
                     view=self.view,
                     lease_keeper=self._lease_keeper,
-                    is_store_unavailable=self._peers.is_store_unavailable,
+                    is_store_unavailable=self._peers.witnesses.is_store_unavailable,
                 ),
                 view=self.view,
                 pool=self.pool,
-                loads=self.loads,
                 progress=self.progress,
                 load_limit=self._load_limits[zone],
-                unmet_demand=self.dispatcher.estimate_unmet_demand,
-                peers_may_reach=self._peers.may_be_reachable,
-                is_store_unavailable=self._peers.is_store_unavailable,
+                slots=self.slots,
+                peers_may_reach=self._peers.witnesses.may_be_reachable,
+                is_store_unavailable=self._peers.witnesses.is_store_unavailable,
                 announce=self._peers.announce_report,
                 metrics=self.metrics,
             )
             for zone in settings.zones
         ]
         self._peers.on_planning_handover = self._take_over_planning
-        self._watchers = [
-            self._watch(OPERATOR_PREFIX, lambda: 0.0),
-            self._watch(TARGET_PREFIX, self._find_target_watch_pause),
-            self._watch(GATEWAY_PREFIX, lambda: 0.1),
-        ]
         self._listener = CallerListener(
             settings.front.host,
             settings.front.port,
@@ -177,12 +198,28 @@
         self._web = GatewayWeb(
             settings.ready, settings.metrics, self.find_unready_reason, self.dump
         )
+        self._slow_tick_at = 0.0
+        self._roles = Roles(
+            settings.zones,
+            roster=self.roster,
+            view=self.view,
+            peers=self._peers,
+            follower=self._follower,
+            registration=self._registration,
+            lease_keeper=self._lease_keeper,
+            planners=self._planners,
+        )
+        self._unready_reason: str | None = "starting"
         self._housekeeper: gevent.Greenlet | None = None
 
+    def _build_store(self) -> PlatformStore:
+        store = PlatformStore(str(self.settings.store))
+        store.on_call = self.metrics.count_store_call
+        return store
+
     def start(self) -> None:
         """Start all tasks."""
-        for watcher in self._watchers:
-            watcher.start()
+        self._registration.start()
         self._lease_keeper.start()
         self._peers.start()
         for planner in self._planners:
@@ -209,7 +246,9 @@
         self._web.stop()
         self._peers.stop()
         self._lease_keeper.stop()
-        for task in (*self._planners, *self._watchers):
+        self._registration.stop()
+        self._follower.stop()
+        for task in self._planners:
             task.stop()
         if self._housekeeper is not None:
             self._housekeeper.kill(block=False)
@@ -217,11 +256,18 @@
 
     def find_unready_reason(self) -> str | None:
         """Return why this process accepts no requests, or None if it does."""
+        reason = self._find_unready_reason()
+        if reason != self._unready_reason:
+            self._unready_reason = reason
+            logger.info("readiness changed", extra={"unready": reason})
+        return reason
+
+    def _find_unready_reason(self) -> str | None:
         if self._stopping:
             return "stopping"
         if self.view.cfg is None:
             return "no configuration"
-        if not any(True for _ in self.view.iter_replicas()):
+        if not self.slots.has_slots:
             return "no target"
         return None
 
@@ -236,20 +282,17 @@
             "configuration": None if cfg is None else cfg.version,
             "evacuated": sorted(self.view.evacuated),
             "peers": sorted(self._peers.peers),
-            "plans": [item.zone for item in self._planners if item.is_holder],
+            "plans": self._roles.planned_zones,
             "replicas": list(self.view.iter_replicas()),
-            "loads": self.loads.get_own(),
+            "slots": self.slots.describe(),
+            "store_source": self._follower.source,
+            "head": self.roster.find_head(self.settings.zone),
             "suspects": [list(key) for key in self.progress.list_suspicions(now)],
-            "waiting": self.dispatcher.count_queued(),
+            "waiting": self.slots.client.count_pending(),
             "store_answered_s_ago": boot_time() - self._store_health.answered_at,
             "store_era": self.view.mirror.era,
         }
 
-    def _watch(self, prefix: str, pause_s: Callable[[], float]) -> PrefixWatcher:
-        return PrefixWatcher(
-            self._store, prefix, self.view, self._store_health, pause_s
-        )
-
     def _is_reachable(self, target: str, address: str) -> bool:
         """Return whether a target answers this process."""
         try:
@@ -285,36 +328,26 @@
         cfg = self.view.cfg
         return CallerLimits() if cfg is None else cfg.limits
 
-    def _find_budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            bounds = self.settings.bounds
-            peers = max(1, len(self.view.list_peers()))
-            slack = bounds.retry_slack * RETRY_BUDGET_SHARE / peers
-            budget = RetryBudget(
-                ratio=bounds.retry_ratio * RETRY_BUDGET_SHARE,
-                balance=slack,
-                max_balance=slack,
-            )
-            self._budgets[service] = budget
-        return budget
-
     def _on_view_change(self) -> None:
-        self.dispatcher.assign_free_slots()
+        self.slots.owners.handle_view_change()
+        self._follower.schedule_push()
+
+    def _on_store_recovery(self) -> None:
+        self.view.start_relist_grace_period()
+        gevent.spawn(self._follower.restart_watches)
 
     def _on_store_restored(self) -> None:
         self.metrics.count_store_restored()
         self._lease_keeper.wake()
 
+    def _on_leaving(self, target: str) -> None:
+        self.view.mark_leaving(target)
+        self._peers.announce_leaving()
+
     def _on_target_lost(self, target: str, started_ms: int | None) -> None:
-        self.dispatcher.pauses.forget(target)
+        self.slots.client.pauses.forget(target)
         self._suspects.handle_lost_target(target, started_ms)
 
-    def _on_suspect(self, target: str, epoch: int) -> None:
-        if self.progress.suspect(target, epoch, time.monotonic()):
-            logger.info("target suspected", extra={"target": target, "epoch": epoch})
-            self._peers.announce_stall(target, epoch)
-
     def _take_over_planning(self, handover: PlanningHandover) -> None:
         for planner in self._planners:
             if planner.zone == handover.zone and not self._stopping:
@@ -322,11 +355,21 @@
 
     def _run_housekeeping(self) -> None:
         while True:
+            try:
+                self._tick()
+            except Exception:
+                logger.exception("housekeeping failed")
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
-            now = time.monotonic()
+
+    def _tick(self) -> None:
+        now = time.monotonic()
+        served_zones = self._roles.tick(now, is_stopping=self._stopping)
+        self.slots.tick(served_zones)
+        if now - self._slow_tick_at >= SLOW_TICK_S:
+            self._slow_tick_at = now
             self.pool.close_idle(now)
             self.view.expire_removed()
-            self.dispatcher.assign_free_slots()
+            self.progress.expire(now)
 
     def _on_hangup(self) -> None:
         logger.info(
@@ -354,13 +397,17 @@
                     "planning handed over", extra={"zone": handover.zone, "peer": peer}
                 )
         self._lease_keeper.stop()
+        self._registration.stop()
         gevent.spawn(self._lease_keeper.revoke)
+        self._peers.announce_stop()
         self._listener.disable_keep_alive()
         gevent.sleep(BALANCER_REMOVAL_S)
         self._listener.stop_accepting()
         while self._listener.active_connections and time.monotonic() < deadline:
             self._listener.close_idle()
             gevent.sleep(0.05)
+        # Only now, as peers end their links to a host that is not registered.
+        gevent.spawn(self._registration.remove).join(REMOVAL_TIMEOUT_S)
         logger.info(
             "gateway stopped",
             extra={
--- a/waxwingpitch/gateway/store_tasks.py
+++ b/waxwingpitch/gateway/store_tasks.py
@@ -17,9 +17,12 @@
 )
 from ..ports import KeyValueStore
 from ..task import PeriodicTask
-from .beliefs import MEMBER_PREFIX, GatewayView
+from .beliefs import GatewayView
 
-WATCH_WAIT_S = 20.0
+WATCH_WAIT_S = 10.0
+# Wait of the first watch call, and of those while calls fail. A call that the store has
+# swallowed is only given up at its timeout.
+CAUTIOUS_WATCH_WAIT_S = 0.5
 BACKOFF_MIN_S = 0.2
 BACKOFF_MAX_S = 1.0
 
@@ -40,11 +43,14 @@
         Boot time of the last answer to any call.
     failing
         Whether a call has failed since that answer.
+    is_checked
+        Whether this process calls the store at least every second.
     """
 
     def __init__(self, on_recovery: Callable[[], None]):
         self.answered_at = 0.0
         self.failing = False
+        self.is_checked = False
         self._on_recovery = on_recovery
 
     def record_answer(self) -> None:
@@ -85,8 +91,7 @@
         self._view = view
         self._store_health = store_health
         self._pause_s = pause_s
-        self.listed = False
-        view.mirror.mark_synced(prefix, 0)
+        self._is_proved = False
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -99,7 +104,8 @@
             self._greenlet.kill(block=False)
 
     def _run(self) -> None:
-        version = None
+        version = self._view.mirror.get_synced(self._prefix) or None
+        self._is_proved = False
         backoff_s = BACKOFF_MIN_S
         while True:
             try:
@@ -122,11 +128,13 @@
         self._store_health.record_answer()
         self._view.apply_list(self._prefix, listed)
         self._view.mirror.mark_synced(self._prefix, listed.version)
-        self.listed = True
         return listed.version
 
     def _watch(self, version: int) -> int:
-        change = self._store.watch(self._prefix, version, wait_s=WATCH_WAIT_S)
+        is_cautious = self._store_health.failing or not self._is_proved
+        wait_s = CAUTIOUS_WATCH_WAIT_S if is_cautious else WATCH_WAIT_S
+        change = self._store.watch(self._prefix, version, wait_s=wait_s)
+        self._is_proved = True
         self._store_health.record_answer()
         self._view.apply(change)
         self._view.mirror.mark_synced(self._prefix, change.version)
@@ -137,10 +145,12 @@
 
 
 class LeaseKeeper(PeriodicTask):
-    """Renews this process's lease and registers the process under it.
+    """Keeps a lease of this process while one is needed.
 
     Attributes
     ----------
+    is_needed
+        Whether this process may hold keys.
     lease
         Id of the lease; None while there is none.
     valid_until
@@ -150,41 +160,33 @@
 
     interval_s = 1.0
 
-    def __init__(
-        self,
-        store: KeyValueStore,
-        store_health: StoreHealth,
-        name: str,
-        address: str,
-        ttl_s: float,
-    ):
+    def __init__(self, store: KeyValueStore, store_health: StoreHealth, ttl_s: float):
         super().__init__()
         self._store = store
         self._store_health = store_health
-        self._key = MEMBER_PREFIX + name
-        self._address = address
         self._ttl_s = ttl_s
+        self.is_needed = False
         self.lease: str | None = None
         self.valid_until = 0.0
-        self._registered = False
+
+    def require(self, is_needed: bool) -> None:
+        """Say whether a lease is needed."""
+        if is_needed and not self.is_needed:
+            self.wake()
+        self.is_needed = is_needed
+        self._store_health.is_checked = is_needed
 
     def tick(self) -> None:
-        """Renew the lease and register this process."""
+        """Renew the lease, or get one."""
+        if not self.is_needed:
+            return
         started_at = boot_time()
         try:
             if self.lease is None or not self._store.renew_lease(self.lease):
-                self._registered = False
                 self.lease = None
                 self.lease = self._store.grant_lease(self._ttl_s)
             self.valid_until = started_at + self._ttl_s
             self._store_health.record_answer()
-            if not self._registered:
-                self._register()
-        except StoreConflictError:
-            logger.info(
-                "member record was changed by another process; retrying",
-                extra={"key": self._key},
-            )
         except StoreError as exc:
             self._store_health.record_failure(exc)
 
@@ -211,16 +213,25 @@
             entry = self._store.get(key)
             return entry.version if entry and entry.value == value else None
 
+    def end(self) -> None:
+        """Hold no lease from now on, and revoke the one held, in the background."""
+        lease, self.lease, self.valid_until = self.lease, None, 0.0
+        if lease is not None:
+            gevent.spawn(self._revoke, lease)
+
     def revoke(self) -> None:
         """Revoke the lease, so that others need not wait for it to expire."""
         if self.lease is not None:
-            try:
-                self._store.revoke_lease(self.lease)
-            except StoreError as exc:
-                logger.info(
-                    "own lease not revoked; its keys stay until it expires",
-                    extra={"reason": exc.message},
-                )
+            self._revoke(self.lease)
+
+    def _revoke(self, lease: str) -> None:
+        try:
+            self._store.revoke_lease(lease)
+        except StoreError as exc:
+            logger.info(
+                "own lease not revoked; its keys stay until it expires",
+                extra={"reason": exc.message},
+            )
 
     def revoke_peer_lease(self, lease: str) -> None:
         """Revoke the lease of a peer that has stopped.
@@ -231,11 +242,3 @@
             The store does not answer, or refuses the call.
         """
         self._store.revoke_lease(lease)
-
-    def _register(self) -> None:
-        known = self._store.get(self._key)
-        expect = 0 if known is None else known.version
-        self._store.put(
-            self._key, self._address.encode(), expect=expect, lease=self.lease
-        )
-        self._registered = True
--- a/waxwingpitch/tests/test_process_gateway.py
+++ b/waxwingpitch/tests/test_process_gateway.py
@@ -34,6 +34,10 @@
 [listen]
 front = "127.0.0.1:{front}"
 ready = "127.0.0.1:{ready}"
+[limits]
+cpu_share = 0.5
+cpu_cores = 2
+link_mbps = 1000.0
 [bounds]
 contact_ms = 3000
 drain_ms = 2000
@@ -42,6 +46,7 @@
 budget_slack = 100
 budget_window_s = 10
 cold_over = 1.5
+cold_slack = 5
 stall_ms = 6000
 pass_ms = 120
 [provider]
@@ -115,6 +120,15 @@
     raise AssertionError(f"gateway answered no request within {START_S} s")
 
 
+def _wait_for_line(log: Path, message: str) -> None:
+    deadline = time.monotonic() + 2.0
+    while time.monotonic() < deadline:
+        if f'"message":"{message}"' in log.read_text():
+            return
+        gevent.sleep(0.005)
+    raise AssertionError(f"no line {message!r} within 2 s")
+
+
 def test_stop_cuts_nothing_off(platform, gateway):
     process, address, log = gateway
     streams = [Caller(address) for _ in range(8)]
@@ -122,6 +136,7 @@
         caller.send_chat(f"s{number}", model=PAIR.name, events=60)
     gevent.sleep(0.5)
     process.send_signal(signal.SIGTERM)
+    _wait_for_line(log, "gateway stops")
     late = call(address, "/file/x", "late")
     assert late.status == 200
     assert late.headers["connection"] == "close"
