Take unused parts out of the owner of slots

Cause: reading the merge as a newcomer: functions that nothing calls, a table of requests passed on that the process's own table makes needless and that was not emptied when another zone refused, a number without a name, two data classes that are not frozen.

--- a/benchmarks/slot_sharing.py
+++ b/benchmarks/slot_sharing.py
@@ -400,14 +400,15 @@
         _, req = self.asked[number]
         (decision,) = self.owners[other].request_for_zone("h", number, req, world.now)
         if isinstance(decision, Declined):
-            world.at(world.now + ACROSS_S, self._take_back, zone, number)
+            world.at(world.now + ACROSS_S, self._take_back, zone, other, number)
         else:
             world.at(world.now + ACROSS_S, self._send, other, decision)
 
-    def _take_back(self, zone: int, number: int) -> None:
+    def _take_back(self, zone: int, other: int, number: int) -> None:
         _, req = self.asked[number]
         owner = self.owners[zone]
-        self._carry_out(zone, owner.take_back("h", number, req, self.world.now))
+        now = self.world.now
+        self._carry_out(zone, owner.take_back("h", number, req, str(other), now))
 
     def _send(self, zone: int, granted: Granted) -> None:
         world = self.world
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -364,7 +364,9 @@
         self._withdraw_at(item.owner, number, item.key)
         owner = self.find(item.key)
         now = time.monotonic()
-        decisions = owner.take_back(item.client, item.number, item.request, now)
+        decisions = owner.take_back(
+            item.client, item.number, item.request, item.key.zone, now
+        )
         self._carry_out(owner, decisions)
 
     def _withdraw_at(self, name: str, number: int, key: SlotKey) -> None:
--- a/waxwingpitch/slots/budget.py
+++ b/waxwingpitch/slots/budget.py
@@ -18,11 +18,13 @@
     retries: int = 0
 
 
-@dataclass(slots=True)
 class _Bucket:
-    start: float
-    requests: int = 0
-    retries: int = 0
+    """Counts of a part of the window."""
+
+    def __init__(self, start: float):
+        self.start = start
+        self.requests = 0
+        self.retries = 0
 
 
 class SharedRetryBudget:
--- a/waxwingpitch/slots/ledger.py
+++ b/waxwingpitch/slots/ledger.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 # Age of a grant below which a client's report may have been sent before it arrived.
@@ -73,7 +73,3 @@
     def count(self, target: str) -> int:
         """Return the number of requests in flight at a replica."""
         return self._in_flight[target]
-
-    def iter_clients(self) -> Iterator[str]:
-        """Yield the clients that hold slots."""
-        return (client for client, held in self._by_client.items() if held)
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -10,7 +10,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ..admission import OnTimeFirstQueue, Ticket
 from ..admission.forecast import Pressure, Refuse, decide_admission
@@ -38,6 +38,8 @@
 RESUME_PRIORITY = -1
 # Time for which a refused request counts as unmet demand.
 REFUSED_WINDOW_S = 1.0
+# Utilisation that stands for a zone without a free slot.
+NO_FREE_SLOT = 9.0
 # Age at which the summary of another zone is no longer used.
 SUMMARY_TTL_S = 1.0
 # A request waits in another zone if its queue there is served this much sooner.
@@ -52,14 +54,14 @@
     request: SlotRequest
 
 
-@dataclass(slots=True)
 class _OtherZone:
     """Another zone's summary, and the requests passed on to it since."""
 
-    summary: KeySummary
-    at: float
-    passed_on: int = 0
-    declined_at: float = field(default=-1.0)
+    def __init__(self, summary: KeySummary, at: float, declined_at: float):
+        self.summary = summary
+        self.at = at
+        self.passed_on = 0
+        self.declined_at = declined_at
 
 
 class SlotOwner:
@@ -86,7 +88,6 @@
         self._offers: dict[str, SlotOffer] = {}
         self._queue = OnTimeFirstQueue()
         self._refused: deque[float] = deque()
-        self._passed_on: dict[tuple[str, int], str] = {}
         self._other_zones: dict[str, _OtherZone] = {}
         self._service_s = INITIAL_SERVICE_S
         self._first_event_s = 0.0
@@ -151,10 +152,9 @@
         return self._budget.spend(now)
 
     def take_back(
-        self, client: str, number: int, req: SlotRequest, now: float
+        self, client: str, number: int, req: SlotRequest, zone: str, now: float
     ) -> list[Decision]:
         """Decide on a request that another zone declined, or did not answer."""
-        zone = self._passed_on.pop((client, number), None)
         other = self._other_zones.get(zone)
         if other is not None:
             other.declined_at = now
@@ -162,13 +162,8 @@
         decision = self._place(waiting, now)
         return [decision] if decision else self._queue_or_refuse(waiting, now)
 
-    def find_zone_passed_on_to(self, client: str, number: int) -> str | None:
-        """Return the zone that a client's request was passed on to, if any."""
-        return self._passed_on.get((client, number))
-
     def release(self, client: str, number: int, now: float) -> list[Decision]:
         """Free a client's slot, and assign it to a request that waits."""
-        self._passed_on.pop((client, number), None)
         self.ledger.remove(client, number)
         return self.assign(now)
 
@@ -182,9 +177,6 @@
         for ticket in [item for item in self._queue if item.payload.client == client]:
             self._queue.drop(ticket.request)
         self.ledger.drop_client(client)
-        self._passed_on = {
-            known: zone for known, zone in self._passed_on.items() if known[0] != client
-        }
         return self.assign(now)
 
     def record_times(self, service_s: float, first_event_s: float) -> None:
@@ -198,7 +190,7 @@
         self._budget.update(zone, summary.retry_counts, now)
         known = self._other_zones.get(zone)
         declined_at = -1.0 if known is None else known.declined_at
-        self._other_zones[zone] = _OtherZone(summary, now, declined_at=declined_at)
+        self._other_zones[zone] = _OtherZone(summary, now, declined_at)
         return self.assign(now)
 
     def assign(self, now: float) -> list[Decision]:
@@ -226,7 +218,8 @@
             in_flight=sum(count for _, count in counts),
             free=sum(max(0, item.capacity - count) for item, count in counts),
             lowest_utilisation=min(
-                ((count + 1) / item.capacity for item, count in counts), default=9.0
+                ((count + 1) / item.capacity for item, count in counts),
+                default=NO_FREE_SLOT,
             ),
             waiting=len(self._queue),
             unmet=self._estimate_unmet(now),
@@ -238,16 +231,11 @@
         """Return the number of requests that wait."""
         return len(self._queue)
 
-    def iter_waiting(self):
-        """Yield client and number of the requests that wait."""
-        for ticket in self._queue:
-            yield ticket.payload.client, ticket.payload.number
-
     def _place(self, waiting: _Waiting, now: float) -> Decision | None:
         """Grant a slot here or pass the request on; None if no slot is free."""
         client, number, req = waiting.client, waiting.number, waiting.request
         offer = self._choose(req, now)
-        here = 9.0
+        here = NO_FREE_SLOT
         if offer is not None:
             here = (self.ledger.count(offer.id) + 1) / offer.capacity
         zone = self._choose_zone(here, now)
@@ -258,7 +246,6 @@
     def _pass_on(self, waiting: _Waiting, zone: str, *, may_wait: bool) -> Forwarded:
         client, number = waiting.client, waiting.number
         self._other_zones[zone].passed_on += 1
-        self._passed_on[client, number] = zone
         return Forwarded(client, number, zone, waiting.request, may_wait)
 
     def _find_shorter_queue(self, now: float) -> str | None:
--- a/waxwingpitch/tests/test_slot_owner.py
+++ b/waxwingpitch/tests/test_slot_owner.py
@@ -207,7 +207,7 @@
     assert owner.update_zone("b", summary, 0.0) == []
     (passed_on,) = owner.request("h2", 10, build_request(), 0.0)
     assert isinstance(passed_on, Forwarded) and passed_on.zone == "b"
-    owner.take_back("h2", 10, build_request(), 0.1)
+    owner.take_back("h2", 10, build_request(), "b", 0.1)
     assert owner.count_waiting() == 1
     (later,) = owner.update_zone("b", summary, 0.3)
     assert isinstance(later, Forwarded) and later.number == 10
