Let the news that a target leaves die out

Cause: found by reading. Each gateway told its peers of every target that had said that it leaves, also of those it had heard of from peers, and forgot only those whose entry it followed. So the list in every status would have grown with each target that ever left.

Change: peers tell each other for 5 s after they first heard, and remember for 300 s, so that nothing comes back. Test: three views that echo, which fails before.

--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -38,6 +38,11 @@
 # still give orders under a planner's key of before: its lease's time to live.
 OLDER_KEYS_S = 3.0
 
+# Times for which peers tell each other that a target leaves, and for which it counts as
+# leaving if its entry does not say so.
+LEAVING_NEWS_S = 5.0
+LEAVING_RETENTION_S = 300.0
+
 # Time for which the removal of a target from the list is remembered, for the planner.
 REMOVED_RETENTION_S = 20.0
 
@@ -88,7 +93,7 @@
         self.restore_deadline = 0.0
         self.older_keys_until = 0.0
         self.on_restored: Callable[[], None] = lambda: None
-        self._said_leaving: dict[str, int] = {}
+        self._said_leaving: dict[str, tuple[int, float]] = {}
         self._hosts: dict[str, EntryHost] = {}
         self._hosts_of_before: dict[str, EntryHost] = {}
         self._evacuated_before: frozenset[str] = frozenset()
@@ -206,9 +211,9 @@
             if known is None:
                 return None
             started_ms = known.record.started_ms
-        if self._said_leaving.get(target) == started_ms:
+        if self._said_leaving.get(target, (None, 0.0))[0] == started_ms:
             return None
-        self._said_leaving[target] = started_ms
+        self._said_leaving[target] = (started_ms, self._clock())
         self.retained.pop(target, None)
         if target in self.targets and known.record.started_ms == started_ms:
             record = replace(known.record, leaving=True)
@@ -218,11 +223,17 @@
         return started_ms
 
     def list_said_leaving(self) -> dict[str, int]:
-        """Return the targets that said in an answer that they leave, and their starts.
+        """Return the targets that lately said that they leave, and their starts.
 
-        Starts are Unix times in milliseconds.
+        Starts are Unix times in milliseconds. Peers tell each other for a short time
+        only, so that the news dies out.
         """
-        return self._said_leaving
+        now = self._clock()
+        return {
+            target: started_ms
+            for target, (started_ms, since) in self._said_leaving.items()
+            if now - since < LEAVING_NEWS_S
+        }
 
     def expire_removed(self) -> None:
         """Forget removed targets whose retention or grace period is over."""
@@ -230,7 +241,9 @@
         for target, (_, removed_at) in list(self.removed.items()):
             if now - removed_at > REMOVED_RETENTION_S:
                 del self.removed[target]
-                self._said_leaving.pop(target, None)
+        for target, (_, since) in list(self._said_leaving.items()):
+            if now - since > LEAVING_RETENTION_S:
+                del self._said_leaving[target]
         expired = [key for key, (_, until) in self.retained.items() if until <= now]
         for target in expired:
             del self.retained[target]
@@ -343,7 +356,7 @@
             if known is not None:
                 self._replicas.mark_dirty(known.record.zone)
             return
-        if self._said_leaving.get(target) == record.started_ms:
+        if self._said_leaving.get(target, (None, 0.0))[0] == record.started_ms:
             record = replace(record, leaving=True)
         if self._is_copy_of_before(record, entry.version):
             logger.info("older record ignored", extra={"target": target})
--- a/waxwingpitch/tests/test_target_notices.py
+++ b/waxwingpitch/tests/test_target_notices.py
@@ -12,6 +12,7 @@
 from ..admission.forecast import Pressure, Refuse, Wait, decide_admission
 from ..forwarding import AnswerHead
 from ..forwarding.answers import parse_retry_after
+from ..gateway.beliefs import GatewayView
 from ..ports.http import ConnectionLostError, HttpClient, ResponseTimeoutError
 from ..targets.pauses import PauseBook
 from .fleet_fake import PAIR
@@ -111,6 +112,23 @@
     assert platform.runs["s1"] == 1
 
 
+def test_news_that_a_target_leaves_dies_out_between_peers():
+    now = [0.0]
+    views = [GatewayView(lambda: now[0], lambda: None) for _ in range(3)]
+    assert views[0].mark_leaving("t", 1000) == 1000
+    for _ in range(400):
+        now[0] += 0.1
+        for view in views:
+            for target, started_ms in view.list_said_leaving().items():
+                for other in views:
+                    other.mark_leaving(target, started_ms)
+    assert not any(view.list_said_leaving() for view in views)
+    now[0] += 300.0
+    for view in views:
+        view.expire_removed()
+        assert view.mark_leaving("t", 1000) == 1000
+
+
 # A target that refuses and asks for a pause.
 
 
