Give back the slots of other zones whose client is gone

Cause: found by reading. When an entry host died, its zone's owner dropped what it held there, but not what other zones' owners had granted through it: those were reported as held for ever, so that the slots were lost to the other zone.

--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
@@ -34,6 +35,7 @@
     SlotRequest,
 )
 from ..slots.budget import SharedRetryBudget
+from ..slots.ledger import REPORT_DELAY_S
 from ..targets.progress import ProgressBook
 from .beliefs import GatewayView
 from .roster import Roster
@@ -67,8 +69,8 @@
 
     Attributes
     ----------
-    target
-        Target that was granted; empty before.
+    target, since
+        Target that was granted, and the monotonic time of it; empty and 0 before.
     """
 
     client: str
@@ -77,6 +79,7 @@
     request: SlotRequest
     owner: str
     target: str = ""
+    since: float = 0.0
 
 
 class SlotOwners:
@@ -171,7 +174,9 @@
         if item is None:
             self._withdraw_at(peer, message.number, SlotKey(message.zone, "", ""))
             return
-        self._passed_on[message.number] = replace(item, target=message.target)
+        self._passed_on[message.number] = replace(
+            item, target=message.target, since=now
+        )
         offer = decode_grant(message, item.key.service, item.key.model, now)
         granted = Granted(item.client, item.number, offer, message.in_flight)
         if not self._give(granted, now):
@@ -231,6 +236,8 @@
             self.find(SlotKey(self._zone, service, model))
         for key, owner in self._owners.items():
             owner.ledger.reconcile(peer, by_key.get(key, {}), now)
+        numbers = {item.number for item in held}
+        self._drop_passed_on(peer, numbers, now - REPORT_DELAY_S)
 
     def handle_lost_peer(self, peer: str, now: float) -> None:
         """Take back what was passed on to a lost peer; drop what it holds soon."""
@@ -253,6 +260,7 @@
             self.handle_view_change(force=True)
         for client in [item for item, at in self._lost_clients.items() if at <= now]:
             del self._lost_clients[client]
+            self._drop_passed_on(client, set(), math.inf)
             for owner in self:
                 self._carry_out(owner, owner.drop_client(client, now))
         for owner in self:
@@ -369,6 +377,24 @@
         )
         self._carry_out(owner, decisions)
 
+    def _drop_passed_on(
+        self, client: str, held: set[int], granted_before: float
+    ) -> None:
+        """Give back the slots of other zones that a client no longer holds.
+
+        Parameters
+        ----------
+        granted_before
+            Monotonic time; slots granted later may be missing from the client's report.
+        """
+        for known, number in list(self._passed_numbers.items()):
+            item = self._passed_on[number]
+            is_gone = known[0] == client and known[1] not in held
+            if is_gone and (item.target or granted_before == math.inf):
+                if item.since < granted_before:
+                    release = _build_unused(known[1], item.key)
+                    self.handle_release(client, release, time.monotonic())
+
     def _withdraw_at(self, name: str, number: int, key: SlotKey) -> None:
         if name and name != self._name:
             self._deliver(name, _build_unused(number, key))
--- /dev/null
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -0,0 +1,100 @@
+"""Owners of slots in a process: what is passed on to other zones is given back."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from ..gateway.slot_owners import LOST_CLIENT_S, SlotOwners
+from ..gateway.slot_wire import encode_request
+from ..mesh.fleet_messages import SlotGrant, SlotRelease, SlotRequestMessage
+from ..slots import KeySummary, SlotKey, SlotRequest
+from ..targets.progress import ProgressBook
+from .gateway_client import BOUNDS
+
+KEY = SlotKey("a", "pool", "m")
+OTHER = SlotKey("b", "pool", "m")
+
+
+@pytest.fixture
+def sent():
+    return []
+
+
+@pytest.fixture
+def owners(sent):
+    roster = SimpleNamespace(
+        local=SimpleNamespace(name="a-owner", zone="a"),
+        find_owner=lambda key: "b-owner" if key.zone == "b" else "a-owner",
+    )
+    view = SimpleNamespace(
+        find_service=lambda name: None,
+        find_replicas=lambda service, model: (),
+        refresh=lambda: 0,
+    )
+    client = SimpleNamespace(has_pending=lambda number: False)
+
+    def _deliver(name, message) -> bool:
+        sent.append((name, message))
+        return True
+
+    return SlotOwners(
+        roster, view, ProgressBook(), BOUNDS, 2, itertools.count(1), client, _deliver
+    )
+
+
+def pass_on(owners, sent) -> int:
+    """Let a request of host h1 get a slot of zone b; return its number there."""
+    now = time.monotonic()
+    owners.find(KEY)
+    owners.update_zone(OTHER, KeySummary(8, 0, 8, 0.1, 0, 0.0), now)
+    req = SlotRequest("r", "pool", "m", "w", 1, 1.0, now + 5.0)
+    owners.handle_request("h1", encode_request(7, KEY, req, now), now)
+    name, message = sent[-1]
+    assert name == "b-owner" and isinstance(message, SlotRequestMessage)
+    grant = SlotGrant(message.number, "t", "x:1", "b", 8, 1, 0.0, 1)
+    owners.handle_grant("b-owner", grant, now)
+    assert sent[-1] == ("h1", SlotGrant(7, "t", "x:1", "b", 8, 1, 0.0, 1))
+    return message.number
+
+
+def list_releases(sent) -> list[tuple[str, int]]:
+    return [
+        (name, message.number)
+        for name, message in sent
+        if isinstance(message, SlotRelease)
+    ]
+
+
+def test_slot_of_another_zone_is_given_back_when_its_client_is_lost(owners, sent):
+    number = pass_on(owners, sent)
+    now = time.monotonic()
+    owners.handle_lost_peer("h1", now)
+    owners.tick(("a",), now + LOST_CLIENT_S / 2)
+    assert list_releases(sent) == []
+    owners.tick(("a",), now + LOST_CLIENT_S)
+    assert list_releases(sent) == [("b-owner", number)]
+    assert list(owners.iter_passed_on("b-owner")) == []
+
+
+def test_slot_of_another_zone_that_its_client_no_longer_holds_is_given_back(
+    owners, sent
+):
+    number = pass_on(owners, sent)
+    now = time.monotonic()
+    owners.reconcile("h1", (), now)
+    assert list_releases(sent) == [], "the report may be older than the grant"
+    owners.reconcile("h1", (), now + 1.0)
+    assert list_releases(sent) == [("b-owner", number)]
+
+
+def test_released_slot_of_another_zone_goes_back_with_its_outcome(owners, sent):
+    number = pass_on(owners, sent)
+    release = SlotRelease(7, "a", "pool", "m", "t", 1, 0, 1.2, 0.2)
+    owners.handle_release("h1", release, time.monotonic())
+    name, message = sent[-1]
+    assert (name, message.number, message.zone) == ("b-owner", number, "b")
+    assert (message.outcome, message.service_s) == (0, 1.2)
