Give back the start of a load that a target refuses

Cause: a planner that takes over does not know which hosts load weights for the planner before.

Change: a refused load is taken back from the limit and tried again after 2 s; the target's order that had no answer still counts. The line `fleet` names demand and slots, which had to be added to find this.

Test: another target gets the start within half a second; fails before, and with the give-back left out. The stand-in fleet now refuses a second load while one is under way, as targets do.

--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -165,7 +165,9 @@
             planner = self._planners.get(service.name)
             if planner is None:
                 planner = FormationPlanner(
-                    self._key.next_epoch, self._load_limit.try_begin
+                    self._key.next_epoch,
+                    self._load_limit.try_begin,
+                    cancel_load=self._load_limit.cancel,
                 )
                 self._planners[service.name] = planner
             if self._is_store_unavailable():
@@ -174,6 +176,10 @@
             if now - self._summarized_at >= SUMMARY_INTERVAL_S:
                 self._summarized_at = now
                 summary = asdict(summarize(fleet, planner.ledger.count_forming()))
+                summary["demand"] = {
+                    model: round(demand, 1) for model, demand in fleet.demand.items()
+                }
+                summary["slots"] = dict(fleet.slots)
                 logger.info("fleet", extra={"zone": self.zone, **summary})
             for target_order in planner.plan(fleet, now):
                 gevent.spawn(self._send_order, planner, target_order)
@@ -251,8 +257,11 @@
                 target_order.target, record.address, target_order.order, self._key.fence
             )
         if status not in (200, 202):
-            planner.ledger.record_refusal(
-                target_order.target, target_order.order, time.monotonic()
+            planner.record_refusal(
+                target_order.target,
+                target_order.order,
+                time.monotonic(),
+                is_answered=bool(status),
             )
         kind = type(target_order.order).__name__.lower()
         self._metrics.count_order(kind, status)
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -19,7 +19,7 @@
 from .fleet import FleetView, ObservedGroup, find_groups, find_join_s, is_member
 from .ledger import EFFECT_TIMEOUT_S, FormingGroup, OrderLedger, TargetOrder
 from .naming import GroupHead, name_group, parse_head
-from .orders_to_targets import Close, Join, Leave, Open, Stage
+from .orders_to_targets import Close, Join, Leave, Open, Order, Stage
 from .staging import HostStaging, MayLoad
 
 # Time within which a target that was dropped from the list by mistake is listed again.
@@ -45,10 +45,19 @@
     may_load
         Returns whether a model may be loaded onto a target's host at a given time;
         the last argument says whether the target is idle without it.
+    cancel_load
+        Takes back that a target's host loads a model, as the target refused the order.
     """
 
-    def __init__(self, next_epoch: Callable[[], int], may_load: MayLoad):
+    def __init__(
+        self,
+        next_epoch: Callable[[], int],
+        may_load: MayLoad,
+        *,
+        cancel_load: Callable[[str], None] = lambda target: None,
+    ):
         self._next_epoch = next_epoch
+        self._cancel_load = cancel_load
         self.ledger = OrderLedger()
         self._rebalancer = GroupRebalancer(self.ledger)
         self._staging = HostStaging(self.ledger, self._rebalancer, may_load)
@@ -57,6 +66,14 @@
         self._incomplete_since: dict[tuple[str, int], float] = {}
         self._domain_sizes: dict[str, tuple[int, float]] = {}
 
+    def record_refusal(
+        self, target: str, order: Order, now: float, *, is_answered: bool = True
+    ) -> None:
+        """Record that a target refused an order or, unless answered, said nothing."""
+        self.ledger.record_refusal(target, order, now)
+        if isinstance(order, Stage) and is_answered:
+            self._cancel_load(target)
+
     def plan(self, view: FleetView, now: float) -> list[TargetOrder]:
         """Return the orders to give now."""
         self.ledger.drop_finished(view, now)
--- a/waxwingpitch/groups/ledger.py
+++ b/waxwingpitch/groups/ledger.py
@@ -15,6 +15,8 @@
 EFFECT_TIMEOUT_S = 1.5
 # Time after a refusal before the order may be issued again.
 REFUSAL_BACKOFF_S = 0.3
+# The same for loads: a target whose host loads weights already refuses another load.
+LOAD_REFUSAL_BACKOFF_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +104,9 @@
         """Record that a target refused an order, or did not answer."""
         pending = self._pending.get(target)
         if pending is not None and pending.order == order:
-            deadline = min(pending.deadline, now + REFUSAL_BACKOFF_S)
+            is_load = isinstance(order, Stage)
+            backoff_s = LOAD_REFUSAL_BACKOFF_S if is_load else REFUSAL_BACKOFF_S
+            deadline = min(pending.deadline, now + backoff_s)
             self._pending[target] = PendingOrder(order, deadline)
 
     def drop_finished(self, view: FleetView, now: float) -> None:
--- a/waxwingpitch/groups/load_limit.py
+++ b/waxwingpitch/groups/load_limit.py
@@ -42,7 +42,7 @@
         self._zones = zones
         self._count_other_loads = count_other_loads
         self._in_progress: dict[str, LoadInProgress] = {}
-        self._starts: deque[float] = deque()
+        self._starts: deque[tuple[str, float]] = deque()
 
     def count_in_progress(self, now: float) -> int:
         """Return the number of this planner's loads in progress."""
@@ -58,6 +58,11 @@
             if record is None or load.model in record.staged:
                 del self._in_progress[target]
 
+    def cancel(self, target: str) -> None:
+        """Give back the start of a load that a target refused."""
+        self._in_progress.pop(target, None)
+        self._starts = deque(item for item in self._starts if item[0] != target)
+
     def try_begin(
         self, spec: EngineSpec, model: ModelSpec, target: str, now: float, urgent: bool
     ) -> bool:
@@ -76,13 +81,13 @@
             limit = min(
                 limit, spec.max_concurrent_loads // 2 - self._count_other_loads()
             )
-        while self._starts and now - self._starts[0] >= RATE_WINDOW_S:
+        while self._starts and now - self._starts[0][1] >= RATE_WINDOW_S:
             self._starts.popleft()
         if own >= max(limit, int(urgent)):
             return False
         if len(self._starts) >= max(1, int(spec.loads_per_s / self._zones)):
             return False
-        self._starts.append(now)
+        self._starts.append((target, now))
         self._in_progress[target] = LoadInProgress(
             model.name, now + model.load_s + LOAD_OVERDUE_S
         )
--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -136,7 +136,7 @@
         for _ in range(round(seconds / 0.05)):
             for target_order in planner.plan(self.view(), self.now):
                 if not self.carry_out(target_order.target, target_order.order):
-                    planner.ledger.record_refusal(
+                    planner.record_refusal(
                         target_order.target, target_order.order, self.now
                     )
             self.advance(0.05)
@@ -174,6 +174,8 @@
                 return self._close(item, order)
             case Leave():
                 return self._leave(item, order)
+            case Stage() if item.staging:
+                return False
             case Stage():
                 load_s = SPEC.find_model(order.model).load_s
                 item.staging = order.model
--- a/waxwingpitch/tests/test_formation.py
+++ b/waxwingpitch/tests/test_formation.py
@@ -9,10 +9,11 @@
 
 from ..groups.fleet import find_missing_heads, summarize
 from ..groups.formation import FormationPlanner
+from ..groups.load_limit import LoadLimit
 from ..groups.naming import GroupHead, name_group, parse_head
 from ..groups.orders_to_targets import Close, Join, Open, Stage
 from ..targets.records import MemberState
-from .fleet_fake import PAIR, QUAD, FleetFake
+from .fleet_fake import PAIR, QUAD, SPEC, FleetFake
 
 
 def build_planner(start: int = 1000) -> FormationPlanner:
@@ -54,6 +55,23 @@
         assert item.record.staged != (item.record.model,)
 
 
+def test_load_that_a_planner_of_before_began_does_not_hold_up_others(fleet, planner):
+    """A target that loads weights already refuses; one start a second is allowed."""
+    for item in fleet.targets.values():
+        item.record = replace(item.record, staged=(item.record.model,))
+        item.staging = ""
+    loading = next(iter(fleet.targets))
+    assert fleet.carry_out(loading, Stage(PAIR.name))
+    limit = LoadLimit(int(SPEC.loads_per_s), lambda: 0)
+    following = FormationPlanner(
+        itertools.count(9000).__next__, limit.try_begin, cancel_load=limit.cancel
+    )
+    fleet.run(following, 0.5)
+    staging = [target for target, item in fleet.targets.items() if item.staging]
+    assert len(staging) == 2 and loading in staging
+    assert limit.count_in_progress(fleet.now) == 1
+
+
 def test_groups_wait_until_a_new_domain_is_complete():
     fleet = FleetFake(domains=1, size=3)
     planner = build_planner()
--- a/waxwingpitch/tests/test_formation_machine.py
+++ b/waxwingpitch/tests/test_formation_machine.py
@@ -55,13 +55,13 @@
                 sent += 1
                 if target in self.cut or (lose_every and sent % lose_every == 0):
                     self.late.append((target, order, self._count_orders(target)))
-                    self.planner.ledger.record_refusal(target, order, self.fleet.now)
+                    self.planner.record_refusal(target, order, self.fleet.now)
                 elif self.delay_s:
                     due = self.fleet.now + self.delay_s
                     count = self._count_orders(target)
                     self.in_flight.append((due, target, order, count))
                 elif not self.fleet.carry_out(target, order):
-                    self.planner.ledger.record_refusal(target, order, self.fleet.now)
+                    self.planner.record_refusal(target, order, self.fleet.now)
             self.fleet.advance(TICK_S)
 
     def _deliver(self) -> None:
