Remember that a host loads weights when its target gets another order

The ledger held one pending order a target, so that an Open took the place of a Stage: once the group was open the planner gave the same load again. With traffic each such order also took the zone's start of a load, and the other way round a ready group was not opened while the host of its head loaded weights (`find_order` named the load), for up to twice the load time.

Change: loads are kept beside the other pending orders. Two tests without sockets fail before: no second load when a group opens; a ready group opens while its host loads.

--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -280,8 +280,7 @@
     ) -> bool:
         if record.leaving or record.id in view.unreachable:
             return False
-        order = self.ledger.find_order(record.id)
-        if order is not None and not isinstance(order, Stage):
+        if self.ledger.find_order(record.id) is not None:
             return False
         if self.ledger.is_forming(record.id):
             return False
--- a/waxwingpitch/groups/ledger.py
+++ b/waxwingpitch/groups/ledger.py
@@ -58,6 +58,7 @@
     def __init__(self):
         self.forming: dict[str, FormingGroup] = {}
         self._pending: dict[str, PendingOrder] = {}
+        self._loads: dict[str, PendingOrder] = {}
 
     @property
     def is_busy(self) -> bool:
@@ -70,11 +71,7 @@
 
     def list_busy_targets(self) -> set[str]:
         """Return the targets of forming groups and pending orders other than Stage."""
-        found = {
-            target
-            for target, pending in self._pending.items()
-            if not isinstance(pending.order, Stage)
-        }
+        found = set(self._pending)
         for forming in self.forming.values():
             found.update(forming.members)
         return found
@@ -84,41 +81,51 @@
         return any(target in forming.members for forming in self.forming.values())
 
     def find_order(self, target: str) -> Order | None:
-        """Return the pending order of a target, or None."""
+        """Return the pending order of a target other than Stage, or None."""
         pending = self._pending.get(target)
         return None if pending is None else pending.order
 
+    def find_load(self, target: str) -> Stage | None:
+        """Return the order to load weights that a target carries out, or None."""
+        pending = self._loads.get(target)
+        return None if pending is None else pending.order
+
     def issue(
         self, record: TargetRecord, order: Order, effect_timeout_s: float, now: float
     ) -> Iterator[TargetOrder]:
         """Yield an order, unless the target has another one pending.
 
-        A pending Stage order does not block other orders.
+        A host loads weights while its target carries out orders of other kinds.
         """
-        pending = self.find_order(record.id)
-        if pending is None or isinstance(pending, Stage):
-            self._pending[record.id] = PendingOrder(order, now + effect_timeout_s)
+        pending = self._find_pending(order)
+        if record.id not in pending:
+            pending[record.id] = PendingOrder(order, now + effect_timeout_s)
             yield TargetOrder(record.id, order)
 
     def record_refusal(self, target: str, order: Order, now: float) -> None:
         """Record that a target refused an order, or did not answer."""
-        pending = self._pending.get(target)
-        if pending is not None and pending.order == order:
+        pending = self._find_pending(order)
+        item = pending.get(target)
+        if item is not None and item.order == order:
             is_load = isinstance(order, Stage)
             backoff_s = LOAD_REFUSAL_BACKOFF_S if is_load else REFUSAL_BACKOFF_S
-            deadline = min(pending.deadline, now + backoff_s)
-            self._pending[target] = PendingOrder(order, deadline)
+            deadline = min(item.deadline, now + backoff_s)
+            pending[target] = PendingOrder(order, deadline)
 
     def drop_finished(self, view: FleetView, now: float) -> None:
         """Drop orders that took effect, are overdue or whose targets are not listed."""
-        for target, pending in list(self._pending.items()):
-            record = view.targets.get(target)
-            if (
-                record is None
-                or now >= pending.deadline
-                or _has_taken_effect(record, pending.order)
-            ):
-                del self._pending[target]
+        for pending in (self._pending, self._loads):
+            for target, item in list(pending.items()):
+                record = view.targets.get(target)
+                if (
+                    record is None
+                    or now >= item.deadline
+                    or _has_taken_effect(record, item.order)
+                ):
+                    del pending[target]
+
+    def _find_pending(self, order: Order) -> dict[str, PendingOrder]:
+        return self._loads if isinstance(order, Stage) else self._pending
 
 
 def _has_taken_effect(record: TargetRecord, order: Order) -> bool:
--- a/waxwingpitch/groups/staging.py
+++ b/waxwingpitch/groups/staging.py
@@ -64,6 +64,7 @@
                 or record.id in view.unreachable
                 or record.domain not in initialized_domains
                 or self._ledger.find_order(record.id) is not None
+                or self._ledger.find_load(record.id) is not None
             ):
                 continue
             model = self._choose_to_stage(view, record, idle)
@@ -107,9 +108,9 @@
         available = 0
         for target in idle:
             record = view.targets[target]
-            order = self._ledger.find_order(target)
+            load = self._ledger.find_load(target)
             available += record.domain == domain and (
                 find_join_s(model, record) is not None
-                or (isinstance(order, Stage) and order.model == model.name)
+                or (load is not None and load.model == model.name)
             )
         return model.size - available % model.size
--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -55,14 +55,15 @@
 
     Attributes
     ----------
-    orders
-        Orders that were carried out.
+    orders, refused
+        Orders that were carried out, and those that targets refused.
     """
 
     def __init__(self, domains: int = 1, size: int = 10):
         self.now = 0.0
         self.targets: dict[str, _Target] = {}
         self.orders: list[tuple[str, Order]] = []
+        self.refused: list[tuple[str, Order]] = []
         self.demand: dict[str, float] = {}
         self.inactive: set[str] = set()
         self.unreachable: set[str] = set()
@@ -136,6 +137,7 @@
         for _ in range(round(seconds / 0.05)):
             for target_order in planner.plan(self.view(), self.now):
                 if not self.carry_out(target_order.target, target_order.order):
+                    self.refused.append((target_order.target, target_order.order))
                     planner.record_refusal(
                         target_order.target, target_order.order, self.now
                     )
--- a/waxwingpitch/tests/test_formation.py
+++ b/waxwingpitch/tests/test_formation.py
@@ -55,6 +55,27 @@
         assert item.record.staged != (item.record.model,)
 
 
+def test_host_that_loads_weights_is_not_asked_again_when_its_group_opens(fleet):
+    fleet.run(build_planner(), 6.0)
+    assert sum(fleet.count_open().values()) == 8
+    assert fleet.refused == []
+
+
+def test_ready_group_is_opened_while_the_host_of_its_head_loads_weights(fleet):
+    planner = build_planner()
+    fleet.run(planner, 6.0)
+    fleet.has_traffic = True
+    head, *_ = find_group(fleet, QUAD.name)
+    item = fleet.targets[head]
+    item.record = replace(item.record, staged=(QUAD.name,))
+    fleet.run(planner, 0.1)
+    assert item.staging == PAIR.name
+    close_group(fleet, head)
+    fleet.run(planner, 2 * SPEC.open_s)
+    assert item.record.membership.state is MemberState.OPEN
+    assert item.staging == PAIR.name
+
+
 def test_load_that_a_planner_of_before_began_does_not_hold_up_others(fleet, planner):
     """A target that loads weights already refuses; one start a second is allowed."""
     for item in fleet.targets.values():
