Ask the zone that granted a slot whether its target makes progress

The owner of the caller's zone is asked, and knows only what its own clients see; the target's clients are in the zone that granted the slot, and tell that zone's owner.

Ruled out: late reports inside a zone (streams on targets of the same zone were abandoned as often as before).

What is passed on has a table of its own (passed_on.py), and so have the checks (stall_checks.py).

--- a/waxwingpitch/gateway/slot_client.py
+++ b/waxwingpitch/gateway/slot_client.py
@@ -246,11 +246,12 @@
             self.finish_refused(message.number, refused)
         return True
 
-    def handle_stall_reply(self, message: StallReply) -> None:
-        """Give a reply to the stream that it is for."""
+    def handle_stall_reply(self, message: StallReply) -> bool:
+        """Give a reply to the stream that it is for; return whether there is one."""
         result = self._stall_replies.get(message.number)
         if result is not None:
             result.set(message)
+        return result is not None
 
     def resolve(
         self, owner: str, number: int, offer: SlotOffer, in_flight: int
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import logging
-import math
 import time
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import gevent
 from msgspec import structs
@@ -32,12 +31,12 @@
     SlotKey,
     SlotOffer,
     SlotOwner,
-    SlotRequest,
 )
 from ..slots.budget import SharedRetryBudget
 from ..slots.ledger import REPORT_DELAY_S
 from ..targets.progress import ProgressBook
 from .beliefs import GatewayView
+from .passed_on import PassedOn, PassedOnTable
 from .roster import Roster
 from .slot_client import UNUSED, SlotClient
 from .slot_wire import (
@@ -48,6 +47,7 @@
     encode_refusal,
     encode_request,
 )
+from .stall_checks import StallChecks
 
 # Time in which the owner of another zone's slots answers a request passed on to it.
 FORWARD_TIMEOUT_S = 0.1
@@ -57,31 +57,10 @@
 COLD_SHARE = 0.5
 # Time after its link is lost for which a client's slots are still counted.
 LOST_CLIENT_S = 1.0
-# Age of the progress of a target of which nothing was seen.
-NO_PROGRESS_AGE_S = 1e6
 
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class _PassedOn:
-    """A client's request, or slot, at the owner of another zone.
-
-    Attributes
-    ----------
-    target, since
-        Target that was granted, and the monotonic time of it; empty and 0 before.
-    """
-
-    client: str
-    number: int
-    key: SlotKey
-    request: SlotRequest
-    owner: str
-    target: str = ""
-    since: float = 0.0
-
-
 class SlotOwners:
     """The owners in this process, and the requests that they pass on to other zones.
 
@@ -123,8 +102,13 @@
         self._zone = roster.local.zone
         self._name = roster.local.name
         self._owners: dict[tuple[str, str], SlotOwner] = {}
-        self._passed_on: dict[int, _PassedOn] = {}
-        self._passed_numbers: dict[tuple[str, int], int] = {}
+        self._passed_on = PassedOnTable()
+        self._stall_checks = StallChecks(
+            progress,
+            self._passed_on,
+            lambda service, model: self.find(SlotKey(self._zone, service, model)),
+            deliver,
+        )
         self._lost_clients: dict[str, float] = {}
         self._new_suspicions: list[tuple[str, int]] = []
         self._served_zones = (self._zone,)
@@ -170,13 +154,10 @@
 
     def handle_grant(self, peer: str, message: SlotGrant, now: float) -> None:
         """Pass a slot of another zone on to the client that asked for one."""
-        item = self._passed_on.get(message.number)
+        item = self._passed_on.grant(message.number, message.target, now)
         if item is None:
             self._withdraw_at(peer, message.number, SlotKey(message.zone, "", ""))
             return
-        self._passed_on[message.number] = replace(
-            item, target=message.target, since=now
-        )
         offer = decode_grant(message, item.key.service, item.key.model, now)
         granted = Granted(item.client, item.number, offer, message.in_flight)
         if not self._give(granted, now):
@@ -187,10 +168,9 @@
         if message.declined:
             self._take_back(message.number)
             return
-        item = self._passed_on.pop(message.number, None)
+        item = self._passed_on.pop(message.number)
         if item is None:
             return
-        self._passed_numbers.pop((item.client, item.number), None)
         refusal = structs.replace(message, number=item.number)
         if item.client == self._name:
             refused = decode_refusal(self._name, refusal)
@@ -210,11 +190,11 @@
 
     def handle_stall_check(self, peer: str, message: StallCheck, now: float) -> None:
         """Answer whether a silent stream may be resumed on another target."""
-        owner = self.find(SlotKey(self._zone, message.service, message.model))
-        at = self._progress.last_progress_at(message.target)
-        age_s = now - at if at else NO_PROGRESS_AGE_S
-        may_retry = age_s >= message.stalled_after_s and owner.spend_retry(now)
-        self._deliver(peer, StallReply(message.number, age_s, may_retry))
+        self._stall_checks.handle(peer, message, now)
+
+    def handle_stall_reply(self, message: StallReply, now: float) -> None:
+        """Answer the client on whose behalf another zone's owner was asked."""
+        self._stall_checks.handle_reply(message, now)
 
     def update_zone(self, key: SlotKey, summary: KeySummary, now: float) -> None:
         """Take note of the summary of another zone's owner."""
@@ -237,13 +217,14 @@
         for key, owner in self._owners.items():
             owner.ledger.reconcile(peer, by_key.get(key, {}), now)
         numbers = {item.number for item in held}
-        self._drop_passed_on(peer, numbers, now - REPORT_DELAY_S)
+        gone = self._passed_on.list_gone(peer, numbers, now - REPORT_DELAY_S)
+        self._give_back(gone, now)
 
     def handle_lost_peer(self, peer: str, now: float) -> None:
         """Take back what was passed on to a lost peer; drop what it holds soon."""
         self._lost_clients[peer] = now + LOST_CLIENT_S
-        for number, item in list(self._passed_on.items()):
-            if item.owner == peer and not item.target:
+        for number, item in self._passed_on.iter_at(peer):
+            if not item.target:
                 self._take_back(number)
 
     def tick(self, served_zones: tuple[str, ...], now: float) -> None:
@@ -260,7 +241,7 @@
             self.handle_view_change(force=True)
         for client in [item for item, at in self._lost_clients.items() if at <= now]:
             del self._lost_clients[client]
-            self._drop_passed_on(client, set(), math.inf)
+            self._give_back(self._passed_on.list_of(client), now)
             for owner in self:
                 self._carry_out(owner, owner.drop_client(client, now))
         for owner in self:
@@ -268,8 +249,8 @@
 
     def iter_passed_on(self, peer: str) -> Iterable[tuple[int, SlotKey, str]]:
         """Yield number, key and target of the slots that a peer granted here."""
-        for number, item in self._passed_on.items():
-            if item.owner == peer and item.target:
+        for number, item in self._passed_on.iter_at(peer):
+            if item.target:
                 yield number, item.key, item.target
 
     def take_new_suspicions(self) -> tuple[tuple[str, int], ...]:
@@ -346,9 +327,8 @@
         key = replace(owner.key, zone=decision.zone)
         other = self._roster.find_owner(key) or ""
         number = next(self._numbers)
-        client = (decision.client, decision.number)
-        self._passed_on[number] = _PassedOn(*client, key, decision.request, other)
-        self._passed_numbers[client] = number
+        item = PassedOn(decision.client, decision.number, key, decision.request, other)
+        self._passed_on.add(number, item)
         message = encode_request(
             number,
             key,
@@ -364,11 +344,10 @@
 
     def _take_back(self, number: int) -> None:
         """Decide here on a request that another zone declined or did not answer."""
-        item = self._passed_on.get(number)
+        item = self._passed_on.find(number)
         if item is None or item.target:
             return
-        del self._passed_on[number]
-        self._passed_numbers.pop((item.client, item.number), None)
+        self._passed_on.pop(number)
         self._withdraw_at(item.owner, number, item.key)
         owner = self.find(item.key)
         now = time.monotonic()
@@ -377,23 +356,11 @@
         )
         self._carry_out(owner, decisions)
 
-    def _drop_passed_on(
-        self, client: str, held: set[int], granted_before: float
-    ) -> None:
-        """Give back the slots of other zones that a client no longer holds.
-
-        Parameters
-        ----------
-        granted_before
-            Monotonic time; slots granted later may be missing from the client's report.
-        """
-        for known, number in list(self._passed_numbers.items()):
-            item = self._passed_on[number]
-            is_gone = known[0] == client and known[1] not in held
-            if is_gone and (item.target or granted_before == math.inf):
-                if item.since < granted_before:
-                    release = _build_unused(known[1], item.key)
-                    self.handle_release(client, release, time.monotonic())
+    def _give_back(self, items: Iterable[PassedOn], now: float) -> None:
+        """Give back the slots of other zones, or the places in their queues."""
+        for item in items:
+            release = _build_unused(item.number, item.key)
+            self.handle_release(item.client, release, now)
 
     def _withdraw_at(self, name: str, number: int, key: SlotKey) -> None:
         if name and name != self._name:
@@ -401,8 +368,8 @@
 
     def _release_passed_on(self, client: str, message: SlotRelease) -> bool:
         """Pass a release on to the zone that granted the slot, if another did."""
-        number = self._passed_numbers.pop((client, message.number), None)
-        item = self._passed_on.pop(number, None)
+        number = self._passed_on.find_number(client, message.number)
+        item = None if number is None else self._passed_on.pop(number)
         if item is None:
             return False
         self._deliver(
--- a/waxwingpitch/gateway/slots.py
+++ b/waxwingpitch/gateway/slots.py
@@ -94,7 +94,8 @@
             case StallCheck():
                 self.owners.handle_stall_check(peer, message, now)
             case StallReply():
-                self.client.handle_stall_reply(message)
+                if not self.client.handle_stall_reply(message):
+                    self.owners.handle_stall_reply(message, now)
 
     def handle_status(
         self,
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -115,6 +115,9 @@
     ----------
     stalled_after_s
         Time without progress after which the target counts as stalled.
+    for_other_zone
+        Whether the owner of another zone asks; it decides itself, and is told the age
+        of the progress only.
     """
 
     number: int
@@ -123,6 +126,7 @@
     model: str
     target: str
     stalled_after_s: float
+    for_other_zone: bool = False
 
 
 class StallReply(MeshMessage, tag=35):
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -6,11 +6,20 @@
 import time
 from types import SimpleNamespace
 
+import gevent
 import pytest
+from msgspec import structs
 
 from ..gateway.slot_owners import LOST_CLIENT_S, SlotOwners
 from ..gateway.slot_wire import encode_request
-from ..mesh.fleet_messages import SlotGrant, SlotRelease, SlotRequestMessage
+from ..gateway.stall_checks import STALL_FORWARD_TIMEOUT_S
+from ..mesh.fleet_messages import (
+    SlotGrant,
+    SlotRelease,
+    SlotRequestMessage,
+    StallCheck,
+    StallReply,
+)
 from ..slots import KeySummary, SlotKey, SlotRequest
 from ..targets.progress import ProgressBook
 from .gateway_client import BOUNDS
@@ -25,7 +34,12 @@
 
 
 @pytest.fixture
-def owners(sent):
+def progress():
+    return ProgressBook()
+
+
+@pytest.fixture
+def owners(sent, progress):
     roster = SimpleNamespace(
         local=SimpleNamespace(name="a-owner", zone="a"),
         find_owner=lambda key: "b-owner" if key.zone == "b" else "a-owner",
@@ -42,7 +56,7 @@
         return True
 
     return SlotOwners(
-        roster, view, ProgressBook(), BOUNDS, 2, itertools.count(1), client, _deliver
+        roster, view, progress, BOUNDS, 2, itertools.count(1), client, _deliver
     )
 
 
@@ -98,3 +112,53 @@
     name, message = sent[-1]
     assert (name, message.number, message.zone) == ("b-owner", number, "b")
     assert (message.outcome, message.service_s) == (0, 1.2)
+
+
+CHECK = StallCheck(7, "a", "pool", "m", "t", 0.3)
+
+
+def ask_b(owners, sent) -> int:
+    """Let host h1 ask about its stream on a target of zone b; return b's number."""
+    number = pass_on(owners, sent)
+    owners.handle_stall_check("h1", CHECK, time.monotonic())
+    name, message = sent[-1]
+    assert name == "b-owner" and isinstance(message, StallCheck)
+    assert (message.number, message.zone) == (number, "b")
+    return number
+
+
+def test_stream_on_a_target_that_works_for_its_own_zone_is_not_resumed(owners, sent):
+    """The clients of a target's zone see its progress before those of others do."""
+    number = ask_b(owners, sent)
+    owners.handle_stall_reply(StallReply(number, 0.1, False), time.monotonic())
+    name, reply = sent[-1]
+    assert (name, reply.number, reply.may_retry) == ("h1", 7, False)
+    assert reply.progress_age_s == pytest.approx(0.1, abs=0.05)
+
+
+def test_stream_on_a_target_that_is_silent_in_its_own_zone_too_is_resumed(owners, sent):
+    number = ask_b(owners, sent)
+    owners.handle_stall_reply(StallReply(number, 0.4, False), time.monotonic())
+    name, reply = sent[-1]
+    assert (name, reply.number, reply.may_retry) == ("h1", 7, True)
+    count = len(sent)
+    gevent.sleep(2 * STALL_FORWARD_TIMEOUT_S)
+    assert len(sent) == count, "it is answered once"
+
+
+def test_stream_is_resumed_if_the_zone_of_its_target_does_not_answer(owners, sent):
+    ask_b(owners, sent)
+    gevent.sleep(2 * STALL_FORWARD_TIMEOUT_S)
+    name, reply = sent[-1]
+    assert (name, reply.number, reply.may_retry) == ("h1", 7, True)
+
+
+def test_owner_of_a_zone_tells_others_how_old_the_progress_of_its_target_is(
+    owners, sent, progress
+):
+    now = time.monotonic()
+    progress.record_peer_progress("t", now - 0.2)
+    owners.handle_stall_check(
+        "b-owner", structs.replace(CHECK, for_other_zone=True), now
+    )
+    assert sent == [("b-owner", StallReply(7, pytest.approx(0.2), False))]
