Remember which model a target holds in memory after it has left its group

Cause: the list names the model of a target only while it is in a group. When a group lost a member, its head left it, counted as without a model from then on, and the others were one short of serving the same model again with a spare: they were split into groups of the smaller model.

Ruled out: the choice by pressure (the lost model was under .9, the other under .27), reservations, and a shortage of loads.

Change: the planner remembers the model of a target's last group until the target is started again (start time and count of its records). The stand-in fleet names no model for a target without a group, as the platform's list does; with that test_survivors_of_a_large_group_are_completed_from_a_small_one fails without the change, and so does a new test of a group with a spare. Second new test: a target that was started again holds nothing.

--- a/waxwingpitch/targets/records.py
+++ b/waxwingpitch/targets/records.py
@@ -51,7 +51,8 @@
     staged
         Models whose weights are stored on its host.
     model
-        Model of the group that it is a member of; empty if there is none.
+        Model that it holds in memory: that of the group that it is a member of or,
+        where that is remembered, was last a member of; else empty.
     started_ms
         Unix time of its start, in milliseconds; 0 if it is not given.
     writes
--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -154,6 +154,7 @@
             if not item.alive or place is None:
                 continue
             if place.state is MemberState.JOINING and self.now >= item.ready_at:
+                item.record = replace(item.record, model=item.last_model)
                 self._set_state(item, MemberState.READY)
             elif item.open_at and self.now >= item.open_at:
                 item.open_at = 0.0
@@ -218,9 +219,7 @@
         rank = order.members.index(target)
         place = Membership(order.group, order.epoch, rank, MemberState.JOINING)
         staged = item.record.staged or (order.model,)
-        item.record = replace(
-            item.record, membership=place, model=order.model, staged=staged
-        )
+        item.record = replace(item.record, membership=place, model="", staged=staged)
         self.orders.append((target, order))
         return True
 
@@ -271,7 +270,7 @@
     def _leave(self, item: _Target, order: Leave) -> bool:
         if not _is_addressed_by(item.record.membership, order):
             return False
-        item.record = replace(item.record, membership=None)
+        item.record = replace(item.record, membership=None, model="")
         self.orders.append((item.record.id, order))
         return True
 
--- a/waxwingpitch/tests/test_formation.py
+++ b/waxwingpitch/tests/test_formation.py
@@ -10,6 +10,7 @@
 from ..groups.fleet import find_missing_heads, summarize
 from ..groups.formation import FormationPlanner
 from ..groups.load_limit import LoadLimit
+from ..groups.loaded import LoadedModels
 from ..groups.naming import GroupHead, name_group, parse_head
 from ..groups.orders_to_targets import Close, Join, Open, Stage
 from ..targets.records import MemberState
@@ -76,6 +77,37 @@
     assert item.staging == PAIR.name
 
 
+def test_members_serve_again_with_a_spare_after_one_is_lost(fleet):
+    """The head leaves its group, and still holds the model that it served."""
+    planner = build_planner()
+    fleet.run(planner, 6.0)
+    fleet.has_traffic = True
+    fleet.demand = {QUAD.name: 12.0, PAIR.name: 10.0}
+    head, lost, *others = find_group(fleet, QUAD.name)
+    fleet.orders.clear()
+    fleet.add("spare", fleet.targets[head].record.domain)
+    spare = fleet.targets["spare"]
+    spare.record = replace(spare.record, staged=(QUAD.name,))
+    fleet.run(planner, 0.1)
+    fleet.kill(lost)
+    fleet.unreachable.add(lost)
+    fleet.run(planner, 4.0)
+    assert fleet.count_open() == {QUAD.name: 2, PAIR.name: 6}
+    assert all((target, Stage(QUAD.name)) not in fleet.orders for target in others)
+
+
+def test_target_that_was_started_again_holds_no_model_in_memory(fleet, planner):
+    loaded = LoadedModels()
+    target, *_ = find_group(fleet, QUAD.name)
+    record = fleet.targets[target].record
+    idle = replace(record, membership=None, model="")
+    loaded.complete({target: record})
+    assert loaded.complete({target: idle})[target].model == QUAD.name
+    started = replace(idle, started_ms=record.started_ms + 1)
+    assert loaded.complete({target: started})[target].model == ""
+    assert loaded.complete({target: idle})[target].model == ""
+
+
 def test_load_that_a_planner_of_before_began_does_not_hold_up_others(fleet, planner):
     """A target that loads weights already refuses; one start a second is allowed."""
     for item in fleet.targets.values():
