Form the largest groups first while no model is overloaded

Cause: free targets joined for the model under the higher pressure even when both had slots to spare.

Change: below the pressure of overload the largest model comes first.

--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -16,7 +16,7 @@
 
 from ..configuration.routes import ModelSpec
 from ..targets.records import MemberState, TargetRecord
-from .balance import CLOSE_TIMEOUT_S, GroupRebalancer
+from .balance import CLOSE_TIMEOUT_S, OVERLOAD_PRESSURE, GroupRebalancer
 from .fleet import FleetView, ObservedGroup, find_groups, find_join_s, is_member
 from .ledger import EFFECT_TIMEOUT_S, FormingGroup, OrderLedger, TargetOrder
 from .loaded import LoadedModels
@@ -318,7 +318,11 @@
     def _form_groups(
         self, view: FleetView, free: list[TargetRecord], now: float
     ) -> Iterator[TargetOrder]:
-        """Form groups of free targets, by descending pressure of their models."""
+        """Form groups of free targets, for the model under most pressure first.
+
+        While none is overloaded the largest groups come first: they lose members most
+        often, and enough targets for another are seldom free in one domain.
+        """
         while True:
             options = []
             for model in view.spec.models:
@@ -329,9 +333,10 @@
                     model, free[0], now
                 ):
                     ready.sort(key=lambda record: find_join_s(model, record))
-                    options.append(
-                        (self._rebalancer.find_pressure(view, model), model, ready)
-                    )
+                    pressure = self._rebalancer.find_pressure(view, model)
+                    if pressure < OVERLOAD_PRESSURE:
+                        pressure = 0.0
+                    options.append((pressure, model, ready))
             if not options:
                 return
             _, model, ready = max(options, key=lambda item: (item[0], item[1].size))
