Leave time between turns in which the other zones hear of a plan

Cause: one planner began at the end of its turn, the next 0.05 s later at the start of its own, before the news (test_rebalancing_zones.py, two closings for one).

Change: a turn is 0.3 s, then 0.3 s for news. The test passes with one closing.

--- a/waxwingpitch/groups/turns.py
+++ b/waxwingpitch/groups/turns.py
@@ -7,12 +7,15 @@
 
 from collections.abc import Sequence
 
-# Long enough for the others to hear of a planner's groups before their turns.
-TURN_S = 0.5
+# Time in which a planner may begin to move targets.
+ACTIVE_S = 0.3
+# Time after it in which the others hear of what it has begun.
+NEWS_S = 0.3
+TURN_S = ACTIVE_S + NEWS_S
 
 
 def has_turn(zone: str, zones: Sequence[str], unix_s: float) -> bool:
-    """Return whether it is a zone's turn.
+    """Return whether it is a zone's turn and its planner may still begin.
 
     Turns overlap where clocks differ; the groups that planners tell each other of then
     limit what they give up.
@@ -25,4 +28,6 @@
         Unix time, in seconds.
     """
     ordered = sorted(zones)
-    return int(unix_s / TURN_S) % len(ordered) == ordered.index(zone)
+    number, within_s = divmod(unix_s, TURN_S)
+    is_turn = int(number) % len(ordered) == ordered.index(zone)
+    return is_turn and within_s < ACTIVE_S
