--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -6,7 +6,6 @@
 import signal
 import time
 import uuid
-from functools import partial
 
 import gevent
 from gevent.event import Event
@@ -20,8 +19,6 @@
     TargetTimeoutError,
     UnreachableError,
 )
-from ..groups.load_limit import LoadLimit
-from ..mesh.fleet_messages import PlannedGroupsItem
 from ..mesh.messages import PlanningHandover
 from ..platform import PlatformStore
 from ..ports import KeyValueStore
@@ -159,17 +156,7 @@
             self.metrics,
             self._suspects,
         )
-        self._load_limits = {
-            zone: LoadLimit(
-                len(settings.zones), partial(self._count_other_weight_loads, zone)
-            )
-            for zone in settings.zones
-        }
-        self._peers.count_weight_loads = partial(
-            self._count_other_weight_loads, "", with_peers=False
-        )
-        self._peers.list_planned_groups = partial(self._list_own_planned, "")
-        self._planners = [
+        self._planners = self._peers.plans.planners = [
             ZonePlanner(
                 ZoneKey(
                     zone,
@@ -181,12 +168,10 @@
                 view=self.view,
                 pool=self.pool,
                 progress=self.progress,
-                load_limit=self._load_limits[zone],
+                plans=self._peers.plans,
                 slots=self.slots,
                 peers_may_reach=self._peers.witnesses.may_be_reachable,
                 is_store_unavailable=self._peers.witnesses.is_store_unavailable,
-                zones=settings.zones,
-                list_other_planned=self._list_other_planned,
                 announce=self._peers.announce_report,
                 metrics=self.metrics,
             )
@@ -305,37 +290,6 @@
             return False
         return True
 
-    def _count_other_weight_loads(self, zone: str, *, with_peers: bool = True) -> int:
-        """Return the number of weight loads in progress that other planners began.
-
-        Parameters
-        ----------
-        zone
-            Zone whose planner in this process is left out; empty for none.
-        with_peers
-            Whether to count the loads that peers began.
-        """
-        now = time.monotonic()
-        own = sum(
-            limit.count_in_progress(now)
-            for other, limit in self._load_limits.items()
-            if other != zone
-        )
-        return own + (self._peers.count_peer_weight_loads(now) if with_peers else 0)
-
-    def _list_own_planned(self, zone: str) -> tuple[PlannedGroupsItem, ...]:
-        """Return the groups that this process's planners form, but for one zone's."""
-        return tuple(
-            item
-            for planner in self._planners
-            if planner.zone != zone
-            for item in planner.list_planned()
-        )
-
-    def _list_other_planned(self, zone: str) -> list[PlannedGroupsItem]:
-        """Return the groups that the planners of other zones form."""
-        return [*self._list_own_planned(zone), *self._peers.list_peer_planned_groups()]
-
     def _find_target_watch_pause(self) -> float:
         if any(planner.is_busy for planner in self._planners):
             return TARGET_WATCH_PAUSE_BUSY_S
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -14,7 +14,6 @@
 from ..mesh.fleet_messages import (
     FleetNews,
     FleetStatus,
-    PlannedGroupsItem,
     SlotGrant,
     SlotRefusal,
     SlotRelease,
@@ -42,6 +41,7 @@
 from .following import StoreFollower
 from .peer_statuses import PeerStatuses
 from .roster import KEPT_HOSTS, Roster
+from .shared_plans import SharedPlans
 from .slots import SlotTask
 from .store_tasks import StoreHealth
 from .witnesses import Witnesses
@@ -71,10 +71,8 @@
         Called with a peer's suspects and the monotonic time of their receipt.
     on_planning_handover
         Called with a handover of a zone's planning to this process.
-    count_weight_loads
-        Returns the number of weight loads in progress that this process began.
-    list_planned_groups
-        Returns the groups that this process's planners are forming.
+    plans
+        What the planners in this process have begun, for those of other zones.
     slots, follower
         Tasks that messages about slots and about the store are for.
     statuses
@@ -103,11 +101,10 @@
         self.on_planning_handover: Callable[[PlanningHandover], None] = (
             lambda handover: None
         )
-        self.count_weight_loads: Callable[[], int] = lambda: 0
-        self.list_planned_groups: Callable[[], tuple[PlannedGroupsItem, ...]] = tuple
         self.slots: SlotTask
         self.follower: StoreFollower
         self.statuses = PeerStatuses(roster, store_health)
+        self.plans = SharedPlans(settings.zones, self.statuses)
         self._is_status_urgent = False
         self._is_stopping = False
         self._status_sent_at = 0.0
@@ -182,18 +179,6 @@
             self._node.send(peer, handover)
         return peer
 
-    def count_peer_weight_loads(self, now: float) -> int:
-        """Return the number of weight loads in progress that the peers began."""
-        return sum(status.weight_loads for _, status in self.statuses.iter_recent())
-
-    def list_peer_planned_groups(self) -> list[PlannedGroupsItem]:
-        """Return the groups that the planners of peers are forming."""
-        return [
-            item
-            for _, status in self.statuses.iter_recent()
-            for item in status.planned_groups
-        ]
-
     def announce_leaving(self) -> None:
         """Tell all peers at once which targets said that they leave."""
         self._is_status_urgent = True
@@ -265,7 +250,7 @@
         common = FleetStatus(
             store_age_ms=_to_ms(self.statuses.store_age_s) if calls_store else -1,
             data_age_ms=_to_ms(self.statuses.find_data_age_s(self.follower.source)),
-            weight_loads=self.count_weight_loads(),
+            weight_loads=self.plans.count_own_loads(),
             leaving=leaving,
             suspected=self.slots.owners.take_new_suspicions(),
             summaries=self.slots.list_summaries(),
@@ -273,7 +258,7 @@
             is_ready=self._roster.is_ready,
             is_stopping=self._is_stopping,
             follows=self.follower.source or "",
-            planned_groups=self.list_planned_groups(),
+            planned_groups=self.plans.list_own_groups(),
         )
         data = encode_message(common)
         is_head = self._roster.find_head(self._local.zone) == self._local.name
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -5,8 +5,7 @@
 import logging
 import sys
 import time
-from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable
 from dataclasses import asdict
 
 import gevent
@@ -16,7 +15,6 @@
 from ..groups.fleet import FleetView, summarize
 from ..groups.formation import FormationPlanner
 from ..groups.ledger import TargetOrder
-from ..groups.load_limit import LoadLimit
 from ..groups.orders_to_targets import Join
 from ..groups.turns import has_turn
 from ..mesh.fleet_messages import PlannedGroupsItem
@@ -27,6 +25,7 @@
 from .beliefs import GatewayView
 from .probing import TargetProbes
 from .replicas import KnownTarget
+from .shared_plans import SharedPlans
 from .slots import SlotTask
 from .zone_key import ZoneKey
 
@@ -61,10 +60,8 @@
         Returns whether any peer may reach a target, given its id and address.
     is_store_unavailable
         Returns whether the store answers neither this process nor its peers.
-    zones
-        All availability zones.
-    list_other_planned
-        Returns the groups that other planners are forming.
+    plans
+        What the planners of other zones have begun.
     announce
         Sends the peers a target's report that is newer than its listed entry.
     """
@@ -76,12 +73,10 @@
         view: GatewayView,
         pool: ConnectionPool,
         progress: ProgressBook,
-        load_limit: LoadLimit,
+        plans: SharedPlans,
         slots: SlotTask,
         peers_may_reach: Callable[[str, str], bool],
         is_store_unavailable: Callable[[], bool],
-        zones: Sequence[str],
-        list_other_planned: Callable[[str], Iterable[PlannedGroupsItem]],
         announce: Callable[[str, int, MembershipReport], None],
         metrics: GatewayMetrics,
     ):
@@ -89,11 +84,10 @@
         self._key = key
         self._view = view
         self._progress = progress
-        self._load_limit = load_limit
+        self._plans = plans
+        self._load_limit = plans.build_load_limit(self.zone)
         self._slots = slots
         self._is_store_unavailable = is_store_unavailable
-        self._zones = zones
-        self._list_other_planned = list_other_planned
         self._announce = announce
         self._reports_polled_at = 0.0
         self._demand: dict[str, float] = {}
@@ -232,19 +226,11 @@
             inactive=self._probes.inactive_heads,
             demand=demand,
             slots=slots,
-            planned=self._count_other_planned(service.name),
+            planned=self._plans.count_other_groups(self.zone, service.name),
             has_traffic=self._slots.has_seen_requests,
-            may_rebalance=has_turn(self.zone, self._zones, time.time()),
+            may_rebalance=has_turn(self.zone, self._plans.zones, time.time()),
         )
 
-    def _count_other_planned(self, service: str) -> Counter[str]:
-        """Return the groups that the planners of other zones are forming, by model."""
-        found: Counter[str] = Counter()
-        for item in self._list_other_planned(self.zone):
-            if item.service == service:
-                found[item.model] += item.count
-        return found
-
     def _measure_demand(self, service, now: float) -> tuple[dict, dict]:
         """Return the smoothed demand for each model, and its slots."""
         demand, slots = {}, {}
