Log why groups are given up, and describe the planners' turns

The line `groups given up for an overloaded model` names both models and their pressure, `fleet` the groups that other zones form.

--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -196,6 +196,7 @@
                     model: round(demand, 1) for model, demand in fleet.demand.items()
                 }
                 summary["slots"] = dict(fleet.slots)
+                summary["planned_elsewhere"] = dict(fleet.planned)
                 logger.info("fleet", extra={"zone": self.zone, **summary})
             for target_order in planner.plan(fleet, now):
                 gevent.spawn(self._send_order, planner, target_order)
--- a/waxwingpitch/groups/balance.py
+++ b/waxwingpitch/groups/balance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from collections.abc import Callable, Iterator, Mapping, Sequence
 
@@ -27,6 +28,9 @@
 CLOSE_TIMEOUT_S = 6.0
 
 
+logger = logging.getLogger(__name__)
+
+
 class GroupRebalancer:
     """Closes groups of one model for another, and reserves their targets for it."""
 
@@ -156,6 +160,17 @@
             )
             if heads:
                 self._rebalanced_at = now
+                logger.info(
+                    "groups given up for an overloaded model",
+                    extra={
+                        "domain": heads[0].domain,
+                        "model": overloaded.name,
+                        "pressure": self.find_pressure(view, overloaded),
+                        "donor": donor.name,
+                        "donor_pressure": donor_pressure,
+                        "groups": len(heads),
+                    },
+                )
                 yield from self._close_for(heads, overloaded, now)
                 return
 
