--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -156,7 +156,7 @@
             self.metrics,
             self._suspects,
         )
-        self._planners = self._peers.plans.planners = [
+        self._planners = [
             ZonePlanner(
                 ZoneKey(
                     zone,
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -85,7 +85,7 @@
         self._view = view
         self._progress = progress
         self._plans = plans
-        self._load_limit = plans.build_load_limit(self.zone)
+        self._load_limit = plans.add_planner(self.zone, self.list_planned)
         self._slots = slots
         self._is_store_unavailable = is_store_unavailable
         self._announce = announce
--- a/waxwingpitch/gateway/shared_plans.py
+++ b/waxwingpitch/gateway/shared_plans.py
@@ -4,16 +4,12 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterable, Sequence
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable, Sequence
 
 from ..groups.load_limit import LoadLimit
 from ..mesh.fleet_messages import PlannedGroupsItem
 from .peer_statuses import PeerStatuses
 
-if TYPE_CHECKING:
-    from .planning import ZonePlanner
-
 
 class SharedPlans:
     """Loads and groups that planners have begun, which others take into account.
@@ -22,20 +18,27 @@
     ----------
     zones
         All availability zones.
-    planners
-        Planners in this process, one for each zone.
     """
 
     def __init__(self, zones: Sequence[str], statuses: PeerStatuses):
         self.zones = zones
-        self.planners: list[ZonePlanner] = []
         self._statuses = statuses
         self._load_limits: dict[str, LoadLimit] = {}
+        self._list_groups: dict[str, Callable[[], list[PlannedGroupsItem]]] = {}
+
+    def add_planner(
+        self, zone: str, list_groups: Callable[[], list[PlannedGroupsItem]]
+    ) -> LoadLimit:
+        """Add this process's planner of a zone; return the limit on its loads.
 
-    def build_load_limit(self, zone: str) -> LoadLimit:
-        """Return a limit on a zone's loads that counts those of all other planners."""
+        Parameters
+        ----------
+        list_groups
+            Returns the groups that it is forming.
+        """
         limit = LoadLimit(len(self.zones), lambda: self._count_other_loads(zone))
         self._load_limits[zone] = limit
+        self._list_groups[zone] = list_groups
         return limit
 
     def count_own_loads(self, *, without: str = "") -> int:
@@ -57,9 +60,9 @@
         """Return the groups that this process's planners form, but for one zone's."""
         return tuple(
             item
-            for planner in self.planners
-            if planner.zone != without
-            for item in planner.list_planned()
+            for zone, list_groups in self._list_groups.items()
+            if zone != without
+            for item in list_groups()
         )
 
     def count_other_groups(self, zone: str, service: str) -> Counter[str]:
