Keep the model that a target holds in memory with what gateways believe of it

Cause: found by reading the change. The planner remembered it, so that the next planner knew nothing when one was killed or handed over between a head's leaving and the new group, and closed a group that served instead. The memory belongs to the target's record, which all who may plan the zone follow.

The stand-in fleet lists what gateways would believe.

--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -182,7 +182,7 @@
             membership=report.membership,
             model=report.model,
             staged=report.staged,
-        )
+        ).keep_model(known.record)
         if record == known.record:
             return False
         self.targets[target] = replace(known, record=record)
@@ -365,6 +365,7 @@
             return
         self.retained.pop(target, None)
         self.removed.pop(target, None)
+        record = record.keep_model(None if known is None else known.record)
         self.targets[target] = KnownTarget(
             record,
             entry.version,
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -12,14 +12,12 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from dataclasses import replace
 
 from ..configuration.routes import ModelSpec
 from ..targets.records import MemberState, TargetRecord
 from .balance import CLOSE_TIMEOUT_S, OVERLOAD_PRESSURE, GroupRebalancer
 from .fleet import FleetView, ObservedGroup, find_groups, find_join_s, is_member
 from .ledger import EFFECT_TIMEOUT_S, FormingGroup, OrderLedger, TargetOrder
-from .loaded import LoadedModels
 from .naming import GroupHead, name_group, parse_head
 from .orders_to_targets import Close, Join, Leave, Open, Order, Stage
 from .staging import HostStaging, MayLoad
@@ -61,7 +59,6 @@
         self._next_epoch = next_epoch
         self._cancel_load = cancel_load
         self.ledger = OrderLedger()
-        self._loaded = LoadedModels()
         self._rebalancer = GroupRebalancer(self.ledger)
         self._staging = HostStaging(self.ledger, self._rebalancer, may_load)
         self._closing_since: dict[tuple[str, int], float] = {}
@@ -84,7 +81,6 @@
 
     def plan(self, view: FleetView, now: float) -> list[TargetOrder]:
         """Return the orders to give now."""
-        view = replace(view, targets=self._loaded.complete(view.targets))
         self.ledger.drop_finished(view, now)
         orders = list(self._advance_forming(view, now))
         by_domain: dict[str, list[TargetRecord]] = defaultdict(list)
--- a/waxwingpitch/targets/records.py
+++ b/waxwingpitch/targets/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
 class MemberState(enum.StrEnum):
@@ -51,8 +51,8 @@
     staged
         Models whose weights are stored on its host.
     model
-        Model that it holds in memory: that of the group that it is a member of or,
-        where that is remembered, was last a member of; else empty.
+        Model of the group that it is a member of; without a group, the model that it
+        still holds in memory as far as is known, else empty.
     started_ms
         Unix time of its start, in milliseconds; 0 if it is not given.
     writes
@@ -78,6 +78,22 @@
         """Number that grows with each record that a target of this id writes."""
         return self.started_ms, self.writes
 
+    def keep_model(self, earlier: TargetRecord | None) -> TargetRecord:
+        """Return this record with the model that an earlier one says is in memory.
+
+        Targets name their model only while they are in a group, and hold it until they
+        join a group of another or are started again.
+        """
+        if (
+            earlier is None
+            or self.model
+            or self.membership is not None
+            or self.started_ms != earlier.started_ms
+            or self.writes < earlier.writes
+        ):
+            return self
+        return replace(self, model=earlier.model)
+
 
 @dataclass(frozen=True, slots=True)
 class MembershipReport:
--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -65,6 +65,7 @@
         self.orders: list[tuple[str, Order]] = []
         self.refused: list[tuple[str, Order]] = []
         self.demand: dict[str, float] = {}
+        self._listed: dict[str, TargetRecord] = {}
         self.inactive: set[str] = set()
         self.unreachable: set[str] = set()
         self.has_traffic = False
@@ -106,7 +107,12 @@
         item.record = replace(item.record, leaving=True)
 
     def view(self) -> FleetView:
-        """Return the view that a planner works on."""
+        """Return the view that a planner works on, as gateways keep it."""
+        self._listed = {
+            key: item.record.keep_model(self._listed.get(key))
+            for key, item in self.targets.items()
+            if item.listed
+        }
         slots = {QUAD.name: 0, PAIR.name: 0}
         for item in self.targets.values():
             place = item.record.membership
@@ -114,9 +120,7 @@
                 slots[item.record.model] += SPEC.capacity
         return FleetView(
             spec=SPEC,
-            targets={
-                key: item.record for key, item in self.targets.items() if item.listed
-            },
+            targets=self._listed,
             unreachable=frozenset(self.unreachable),
             removed_at={
                 key: item.removed_at
--- a/waxwingpitch/tests/test_formation.py
+++ b/waxwingpitch/tests/test_formation.py
@@ -10,7 +10,6 @@
 from ..groups.fleet import find_missing_heads, summarize
 from ..groups.formation import FormationPlanner
 from ..groups.load_limit import LoadLimit
-from ..groups.loaded import LoadedModels
 from ..groups.naming import GroupHead, name_group, parse_head
 from ..groups.orders_to_targets import Close, Join, Open, Stage
 from ..targets.records import MemberState
@@ -77,52 +76,48 @@
     assert item.staging == PAIR.name
 
 
-def test_members_serve_again_with_a_spare_after_one_is_lost(fleet):
-    """The head leaves its group, and still holds the model that it served."""
-    planner = build_planner()
-    fleet.run(planner, 6.0)
+def lose_a_member_beside_a_spare(fleet: FleetFake, demand: dict[str, float]) -> str:
+    """Kill a member of a large group; return the head. A spare has its weights."""
+    fleet.run(build_planner(), 6.0)
     fleet.has_traffic = True
-    fleet.demand = {QUAD.name: 12.0, PAIR.name: 10.0}
+    fleet.demand = demand
     head, lost, *_ = find_group(fleet, QUAD.name)
     fleet.orders.clear()
     fleet.add("spare", fleet.targets[head].record.domain)
     spare = fleet.targets["spare"]
     spare.record = replace(spare.record, staged=(QUAD.name,))
-    fleet.run(planner, 0.1)
     fleet.kill(lost)
     fleet.unreachable.add(lost)
-    fleet.run(planner, 4.0)
+    return head
+
+
+def list_closed(fleet: FleetFake) -> list[str]:
+    return [target for target, order in fleet.orders if isinstance(order, Close)]
+
+
+def test_members_serve_again_with_a_spare_after_one_is_lost(fleet):
+    """The head leaves its group, and still holds the model that it served."""
+    head = lose_a_member_beside_a_spare(fleet, {QUAD.name: 12.0, PAIR.name: 10.0})
+    fleet.run(build_planner(9000), 4.0)
     assert fleet.count_open() == {QUAD.name: 2, PAIR.name: 6}
-    closed = [target for target, order in fleet.orders if isinstance(order, Close)]
-    assert closed == [head], "no group that serves is closed for it"
+    assert list_closed(fleet) == [head], "no group that serves is closed for it"
 
 
-def test_large_group_is_formed_again_rather_than_small_ones(fleet):
-    """Neither model lacks slots, and the smaller one is under more pressure."""
-    planner = build_planner()
-    fleet.run(planner, 6.0)
-    fleet.has_traffic = True
-    fleet.demand = {QUAD.name: 4.0, PAIR.name: 35.0}
-    head, lost, *_ = find_group(fleet, QUAD.name)
-    fleet.add("spare", fleet.targets[head].record.domain)
-    spare = fleet.targets["spare"]
-    spare.record = replace(spare.record, staged=(QUAD.name,))
-    fleet.kill(lost)
-    fleet.unreachable.add(lost)
-    fleet.run(planner, 4.0)
+def test_members_serve_again_if_the_planner_changes_after_the_head_has_left(fleet):
+    head = lose_a_member_beside_a_spare(fleet, {QUAD.name: 12.0, PAIR.name: 10.0})
+    planner = build_planner(9000)
+    while fleet.targets[head].record.membership is not None:
+        fleet.run(planner, 0.05)
+    fleet.run(build_planner(9500), 4.0)
     assert fleet.count_open() == {QUAD.name: 2, PAIR.name: 6}
+    assert list_closed(fleet) == [head]
 
 
-def test_target_that_was_started_again_holds_no_model_in_memory(fleet, planner):
-    loaded = LoadedModels()
-    target, *_ = find_group(fleet, QUAD.name)
-    record = fleet.targets[target].record
-    idle = replace(record, membership=None, model="")
-    loaded.complete({target: record})
-    assert loaded.complete({target: idle})[target].model == QUAD.name
-    started = replace(idle, started_ms=record.started_ms + 1)
-    assert loaded.complete({target: started})[target].model == ""
-    assert loaded.complete({target: idle})[target].model == ""
+def test_large_group_is_formed_again_rather_than_small_ones(fleet):
+    """Neither model lacks slots, and the smaller one is under more pressure."""
+    lose_a_member_beside_a_spare(fleet, {QUAD.name: 4.0, PAIR.name: 35.0})
+    fleet.run(build_planner(9000), 4.0)
+    assert fleet.count_open() == {QUAD.name: 2, PAIR.name: 6}
 
 
 def test_load_that_a_planner_of_before_began_does_not_hold_up_others(fleet, planner):
