--- a/waxwingpitch/gateway/stall_checks.py
+++ b/waxwingpitch/gateway/stall_checks.py
@@ -14,9 +14,10 @@
 from ..slots import SlotOwner
 from ..targets.progress import ProgressBook
 from .passed_on import PassedOnTable
+from .slot_client import STALL_CHECK_TIMEOUT_S
 
-# Time in which the owner of another zone answers; the client waits 0.05 s in all.
-STALL_FORWARD_TIMEOUT_S = 0.03
+# Time in which the owner of another zone answers, so that the client's has not passed.
+STALL_FORWARD_TIMEOUT_S = 0.6 * STALL_CHECK_TIMEOUT_S
 # Age of the progress of a target of which nothing was seen.
 NO_PROGRESS_AGE_S = 1e6
 
