--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -25,6 +25,7 @@
 from ..slots import EntryHost, SlotKey
 from ..targets.records import MembershipReport, TargetRecord
 from .host_records import HOST_PREFIX, decode_host
+from .leaving import LeavingBook
 from .replicas import KnownTarget, Replica, ReplicaIndex, affects_replicas
 
 GATEWAY_PREFIX = "waxwingpitch/"
@@ -38,11 +39,6 @@
 # still give orders under a planner's key of before: its lease's time to live.
 OLDER_KEYS_S = 3.0
 
-# Times for which peers tell each other that a target leaves, and for which it counts as
-# leaving if its entry does not say so.
-LEAVING_NEWS_S = 5.0
-LEAVING_RETENTION_S = 300.0
-
 # Time for which the removal of a target from the list is remembered, for the planner.
 REMOVED_RETENTION_S = 20.0
 
@@ -74,6 +70,8 @@
         was restored from an older copy are believed without an entry.
     older_keys_until
         Boot time until which orders may be given under planner keys of an earlier era.
+    leaving
+        Targets that said that they leave, whatever their entries say.
     on_restored
         Called when the store is found to have been restored from an older copy.
     on_target_lost
@@ -93,7 +91,7 @@
         self.restore_deadline = 0.0
         self.older_keys_until = 0.0
         self.on_restored: Callable[[], None] = lambda: None
-        self._said_leaving: dict[str, tuple[int, float]] = {}
+        self.leaving = LeavingBook(clock)
         self._hosts: dict[str, EntryHost] = {}
         self._hosts_of_before: dict[str, EntryHost] = {}
         self._evacuated_before: frozenset[str] = frozenset()
@@ -211,9 +209,8 @@
             if known is None:
                 return None
             started_ms = known.record.started_ms
-        if self._said_leaving.get(target, (None, 0.0))[0] == started_ms:
+        if not self.leaving.add(target, started_ms):
             return None
-        self._said_leaving[target] = (started_ms, self._clock())
         self.retained.pop(target, None)
         if target in self.targets and known.record.started_ms == started_ms:
             record = replace(known.record, leaving=True)
@@ -222,28 +219,13 @@
         self._on_change()
         return started_ms
 
-    def list_said_leaving(self) -> dict[str, int]:
-        """Return the targets that lately said that they leave, and their starts.
-
-        Starts are Unix times in milliseconds. Peers tell each other for a short time
-        only, so that the news dies out.
-        """
-        now = self._clock()
-        return {
-            target: started_ms
-            for target, (started_ms, since) in self._said_leaving.items()
-            if now - since < LEAVING_NEWS_S
-        }
-
     def expire_removed(self) -> None:
         """Forget removed targets whose retention or grace period is over."""
         now = self._clock()
         for target, (_, removed_at) in list(self.removed.items()):
             if now - removed_at > REMOVED_RETENTION_S:
                 del self.removed[target]
-        for target, (_, since) in list(self._said_leaving.items()):
-            if now - since > LEAVING_RETENTION_S:
-                del self._said_leaving[target]
+        self.leaving.expire()
         expired = [key for key, (_, until) in self.retained.items() if until <= now]
         for target in expired:
             del self.retained[target]
@@ -356,7 +338,7 @@
             if known is not None:
                 self._replicas.mark_dirty(known.record.zone)
             return
-        if self._said_leaving.get(target, (None, 0.0))[0] == record.started_ms:
+        if self.leaving.includes(target, record.started_ms):
             record = replace(record, leaving=True)
         if self._is_copy_of_before(record, entry.version):
             logger.info("older record ignored", extra={"target": target})
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -244,7 +244,7 @@
         self._is_status_urgent = False
         health = self._store_health
         calls_store = self.follower.source is None or health.is_checked
-        leaving = dict(self._view.list_said_leaving())
+        leaving = self._view.leaving.list_news()
         for target in self.slots.client.list_leaving():
             leaving.setdefault(target, 0)
         common = FleetStatus(
--- a/waxwingpitch/tests/test_target_notices.py
+++ b/waxwingpitch/tests/test_target_notices.py
@@ -119,10 +119,10 @@
     for _ in range(400):
         now[0] += 0.1
         for view in views:
-            for target, started_ms in view.list_said_leaving().items():
+            for target, started_ms in view.leaving.list_news().items():
                 for other in views:
                     other.mark_leaving(target, started_ms)
-    assert not any(view.list_said_leaving() for view in views)
+    assert not any(view.leaving.list_news() for view in views)
     now[0] += 300.0
     for view in views:
         view.expire_removed()
