--- a/waxwingpitch/tests/conftest.py
+++ b/waxwingpitch/tests/conftest.py
@@ -7,6 +7,8 @@
 import pytest
 from hypothesis import HealthCheck, settings
 
+from .platform_standin import PlatformFake
+
 KNOWN_RED = Path(__file__).parents[2] / "KNOWN-RED.txt"
 
 settings.register_profile(
@@ -27,3 +29,12 @@
     for item in items:
         if item.nodeid in listed:
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False))
+
+
+@pytest.fixture
+def platform():
+    """The users' platform, with model targets and two plain ones."""
+    platform = PlatformFake()
+    platform.configure()
+    yield platform
+    platform.stop()
--- a/waxwingpitch/tests/gateway_client.py
+++ b/waxwingpitch/tests/gateway_client.py
@@ -1,13 +1,19 @@
-"""HTTP caller on plain sockets, and gateways run within the test process."""
+"""HTTP caller on plain sockets, gateways within the test process, and waiting."""
 
 from __future__ import annotations
 
 import socket
+import time
 from dataclasses import dataclass
 
+import gevent
+
 from ..gateway import GatewayDaemon
 from ..settings.gateway import Address, GatewaySettings, OperatingBounds
 
+# Time after which a condition of a test counts as not met.
+WAIT_S = 15.0
+
 BOUNDS = OperatingBounds(
     contact_s=3.0,
     leaving_s=2.0,
@@ -179,3 +185,30 @@
         return caller.read()
     finally:
         caller.close()
+
+
+def wait_for(check, wait_s: float = WAIT_S):
+    """Poll a check until it is true and return its value."""
+    deadline = time.monotonic() + wait_s
+    while time.monotonic() < deadline:
+        found = check()
+        if found:
+            return found
+        gevent.sleep(0.02)
+    raise AssertionError(f"condition not met within {wait_s} s")
+
+
+def count_replicas(daemon: GatewayDaemon, model: str) -> int:
+    """Return the number of replicas of a model that a gateway sends requests to."""
+    return len(daemon.view.find_replicas("pool", model))
+
+
+class RefusingStoreClient:
+    """A store client whose calls all get 503."""
+
+    status = 503
+    headers: dict[str, str] = {}
+
+    def send(self, *args, **kwargs):
+        gevent.sleep(0.01)
+        return self
--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -12,33 +12,16 @@
 from ..slots.budget import SharedRetryBudget
 from ..targets.records import MemberState
 from .fleet_fake import PAIR, QUAD
-from .gateway_client import Caller, call, chat, start_gateway
-from .platform_standin import PlatformFake, TargetFaults
-
-WAIT_S = 15.0
-
-
-def wait_for(check, wait_s: float = WAIT_S):
-    """Poll a check until it is true and return its value."""
-    deadline = time.monotonic() + wait_s
-    while time.monotonic() < deadline:
-        found = check()
-        if found:
-            return found
-        gevent.sleep(0.02)
-    raise AssertionError(f"condition not met within {wait_s} s")
-
-
-def count_replicas(daemon, model: str) -> int:
-    return len(daemon.view.find_replicas("pool", model))
-
-
-@pytest.fixture
-def platform():
-    platform = PlatformFake()
-    platform.configure()
-    yield platform
-    platform.stop()
+from .gateway_client import (
+    Caller,
+    RefusingStoreClient,
+    call,
+    chat,
+    count_replicas,
+    start_gateway,
+    wait_for,
+)
+from .platform_standin import TargetFaults
 
 
 @pytest.fixture
@@ -462,7 +445,7 @@
     try:
         wait_for(lambda: second.dump()["peers"] and first.dump()["peers"])
         wait_for(lambda: second.find_unready_reason() is None)
-        second._store._client = _RefusingClient()
+        second._store._client = RefusingStoreClient()
         second._follower.restart_watches()
         platform.configure(keys=("key-4",))
         front = second.settings.front
@@ -503,17 +486,6 @@
         second.stop()
 
 
-class _RefusingClient:
-    """A store client whose calls all get 503."""
-
-    status = 503
-    headers: dict[str, str] = {}
-
-    def send(self, *args, **kwargs):
-        gevent.sleep(0.01)
-        return self
-
-
 def test_store_is_called_at_most_6_times_a_second(platform, gateway):
     platform.store.calls.clear()
     gevent.sleep(3.0)
--- a/waxwingpitch/tests/test_gateway_answers.py
+++ b/waxwingpitch/tests/test_gateway_answers.py
@@ -7,9 +7,8 @@
 import gevent
 import pytest
 
-from .gateway_client import Caller, call, start_gateway
+from .gateway_client import Caller, call, start_gateway, wait_for
 from .platform_standin import PlatformFake, TargetFaults
-from .test_gateway import wait_for
 
 SEAL = "Response-Seal: seal.x\r\n"
 
--- a/waxwingpitch/tests/test_rebalancing_zones.py
+++ b/waxwingpitch/tests/test_rebalancing_zones.py
@@ -1,7 +1,7 @@
 """Planners of several zones that see the same demand move targets between models.
 
-The load: a model that becomes overloaded everywhere at once, as after the loss of a
-domain, and that one more group of each zone's would relieve three times over.
+The load: a model that becomes overloaded for all zones at once, as after the loss of a
+domain, where one zone's groups relieve it and those of all three are far too many.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 from ..groups.formation import FormationPlanner
 from ..groups.orders_to_targets import Close
-from ..groups.turns import TURN_S, has_turn
+from ..groups.turns import ACTIVE_S, NEWS_S, TURN_S, has_turn
 from .fleet_fake import PAIR, QUAD, SPEC, FleetFake
 
 ZONES = ("a", "b", "c")
@@ -99,8 +99,26 @@
         [zone for zone in ZONES if has_turn(zone, ZONES, (number + 0.1) * TURN_S)]
         for number in range(6)
     ]
-    assert all(len(zones) == 1 for zones in turns)
-    assert Counter(zone for zones in turns for zone in zones) == dict.fromkeys(ZONES, 2)
+    assert turns == [["a"], ["b"], ["c"]] * 2
+
+
+def test_no_zone_begins_while_news_of_the_last_turn_are_on_their_way():
+    for number in range(6):
+        begun_s = number * TURN_S + ACTIVE_S
+        for at in (begun_s + 0.01, begun_s + NEWS_S - 0.01):
+            assert not any(has_turn(zone, ZONES, at) for zone in ZONES)
+
+
+def overload(zones: Zones, seconds: float, *, quad: float, pair: float) -> tuple:
+    """Play demand in parts of the slots; return the open groups before and after."""
+    zones.run(6.0)
+    before = zones.count_open()
+    zones.demand = {
+        QUAD.name: quad * SPEC.capacity * before[QUAD.name],
+        PAIR.name: pair * SPEC.capacity * before[PAIR.name],
+    }
+    zones.run(seconds)
+    return before, zones.count_open()
 
 
 @pytest.mark.parametrize(
@@ -110,14 +128,7 @@
 )
 def test_zones_do_not_all_give_up_a_group_for_the_same_model(shifts, most_closed):
     zones = Zones(shifts)
-    zones.run(6.0)
-    before = zones.count_open()
-    zones.demand = {
-        QUAD.name: 0.3 * SPEC.capacity * before[QUAD.name],
-        PAIR.name: 0.75 * SPEC.capacity * before[PAIR.name],
-    }
-    zones.run(10.0)
-    after = zones.count_open()
+    before, after = overload(zones, 10.0, quad=0.3, pair=0.75)
     closed = len(zones.list_closed())
     assert 1 <= closed <= most_closed
     assert before[QUAD.name] - after[QUAD.name] == closed
@@ -126,14 +137,7 @@
 
 def test_zones_give_up_groups_one_after_the_other_while_a_model_is_overloaded():
     zones = Zones()
-    zones.run(6.0)
-    before = zones.count_open()
-    zones.demand = {
-        QUAD.name: 0.2 * SPEC.capacity * before[QUAD.name],
-        PAIR.name: 1.0 * SPEC.capacity * before[PAIR.name],
-    }
-    zones.run(15.0)
-    after = zones.count_open()
+    _, after = overload(zones, 15.0, quad=0.2, pair=1.0)
     pressure = zones.demand[PAIR.name] / (SPEC.capacity * after[PAIR.name])
     assert pressure < 0.75
     assert after[QUAD.name] >= 1
--- a/waxwingpitch/tests/test_reported_failures.py
+++ b/waxwingpitch/tests/test_reported_failures.py
@@ -20,22 +20,21 @@
 from ..forwarding import Answer, AnswerHead, CallerListener
 from ..settings.gateway import Address
 from .fleet_fake import PAIR, QUAD
-from .gateway_client import Caller, call, chat, find_port, start_gateway
+from .gateway_client import (
+    Caller,
+    call,
+    chat,
+    count_replicas,
+    find_port,
+    start_gateway,
+    wait_for,
+)
 from .platform_standin import PlatformFake, TargetFaults
-from .test_gateway import count_replicas, wait_for
 from .test_process_gateway import SETTINGS, start
 
 SEAL = "Response-Seal: s\r\n"
 
 
-@pytest.fixture
-def platform():
-    platform = PlatformFake()
-    platform.configure()
-    yield platform
-    platform.stop()
-
-
 @pytest.fixture
 def gateway(platform):
     daemon = start_gateway(platform.store.address)
--- a/waxwingpitch/tests/test_shared_plans.py
+++ b/waxwingpitch/tests/test_shared_plans.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
+from dataclasses import replace
 from types import SimpleNamespace
 
+import gevent
 import pytest
 
+from ..gateway.daemon import GatewayDaemon
 from ..gateway.peer_statuses import PeerStatuses
 from ..gateway.shared_plans import SharedPlans
 from ..mesh.codec import decode_message, encode_message
 from ..mesh.fleet_messages import FleetStatus, PlannedGroupsItem
 from .fleet_fake import PAIR, QUAD, SPEC
+from .gateway_client import build_settings, chat, wait_for
+from .platform_standin import MODEL_SERVICE
 
 
 def send(statuses: PeerStatuses, peer: str, *groups: PlannedGroupsItem, loads=0):
@@ -63,3 +69,52 @@
         urgent.try_begin(SPEC, QUAD, f"t{n}", now + 2.0 * n, True) for n in range(4)
     ]
     assert started == [True, True, False, False]
+
+
+# Gateways of two zones on real sockets.
+
+
+@pytest.fixture
+def gateways(platform):
+    """Gateways in zone y, without targets, and in the platform's zone z."""
+    daemons = []
+    for zone in ("y", "z"):
+        settings = build_settings(platform.store.address, f"gw-{zone}", zone)
+        daemons.append(GatewayDaemon(replace(settings, zones=("y", "z"))))
+    for daemon in daemons:
+        daemon.start()
+    yield daemons
+    for daemon in daemons:
+        daemon.stop()
+
+
+def build_view(daemon: GatewayDaemon, zone: str):
+    """Return what the planner of a zone plans on now."""
+    (planner,) = [item for item in daemon._planners if item.zone == zone]
+    service = daemon.view.cfg.services[MODEL_SERVICE]
+    return planner._build_fleet_view(service, time.monotonic())
+
+
+def test_planner_hears_of_the_groups_that_another_zone_forms(platform, gateways):
+    other, own = gateways
+    wait_for(lambda: own.dump()["plans"] == ["z"] and other.dump()["peers"])
+    wait_for(lambda: sum(platform.fleet.count_open().values()) == 4)
+    wait_for(lambda: build_view(other, "y").planned == {})
+    platform.kill(platform.find_group(QUAD.name)[2])
+    chat(own.settings.front, "s", model=QUAD.name, events=10)
+    wait_for(lambda: build_view(other, "y").planned.get(QUAD.name) == 1)
+    assert build_view(own, "z").planned == {}
+    wait_for(lambda: build_view(other, "y").planned == {})
+
+
+def test_planners_of_two_zones_never_have_their_turn_at_the_same_time(gateways):
+    other, own = gateways
+    wait_for(lambda: other.view.cfg is not None and own.view.cfg is not None)
+    seen = Counter()
+    until = time.monotonic() + 2.5
+    while time.monotonic() < until:
+        views = build_view(other, "y"), build_view(own, "z")
+        seen[tuple(view.may_rebalance for view in views)] += 1
+        gevent.sleep(0.01)
+    assert seen[True, False] and seen[False, True] and seen[False, False]
+    assert not seen[True, True]
--- a/waxwingpitch/tests/test_store_restore.py
+++ b/waxwingpitch/tests/test_store_restore.py
@@ -21,9 +21,15 @@
 from ..ports import StoredChange, StoredDeletion, StoredEntry
 from ..slots import EntryHost
 from .fleet_fake import PAIR, QUAD
-from .gateway_client import call, chat, start_gateway
+from .gateway_client import (
+    RefusingStoreClient,
+    call,
+    chat,
+    count_replicas,
+    start_gateway,
+    wait_for,
+)
 from .platform_standin import PlatformFake, StoreFake
-from .test_gateway import _RefusingClient, count_replicas, wait_for
 
 CONFIG, TARGET, OWN = "op/config", "servers/p-1", HOST_PREFIX + "gw-9"
 OWN_RECORD = encode_host(EntryHost("gw-9", "127.0.0.1:1", "z", 1.0))
@@ -316,7 +322,7 @@
         platform.configure()
         for front in fronts:
             wait_for(lambda: call(front, "/file/x", "k", key="key-2").status == 401)
-        second._store._client = _RefusingClient()
+        second._store._client = RefusingStoreClient()
         second._follower.restart_watches()
         platform.store.restore(copy)
         wait_for(lambda: second.dump()["store_era"] == 1, 5.0)
--- a/waxwingpitch/tests/test_target_notices.py
+++ b/waxwingpitch/tests/test_target_notices.py
@@ -16,22 +16,13 @@
 from ..ports.http import ConnectionLostError, HttpClient, ResponseTimeoutError
 from ..targets.pauses import PauseBook
 from .fleet_fake import PAIR
-from .gateway_client import Caller, call, chat, start_gateway
+from .gateway_client import Caller, call, chat, count_replicas, start_gateway, wait_for
 from .platform_standin import PlatformFake, TargetFaults
-from .test_gateway import count_replicas, wait_for
 
 MEMORY_GROWTH_KB = 40_000
 CHUNK = b"x" * 65536
 
 
-@pytest.fixture
-def platform():
-    platform = PlatformFake()
-    platform.configure()
-    yield platform
-    platform.stop()
-
-
 @pytest.fixture
 def gateway(platform):
     daemon = start_gateway(platform.store.address)
