--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -38,6 +38,7 @@
 from .roster import Roster
 from .serving import RequestServer
 from .slots import SlotTask
+from .stopping import GracefulStop
 from .store_tasks import LeaseKeeper, StoreHealth
 from .suspect_task import SuspectTracker
 from .web import GatewayWeb
@@ -52,18 +53,11 @@
 SLOW_TICK_S = 0.25
 # Link of an entry host below which it leads and owns less than its processor allows.
 FAST_LINK_MBPS = 100.0
-# Link of an entry host below which it leads and owns less than its processor allows.
-FAST_LINK_MBPS = 100.0
 # Time for which a process must be the head or the next host before it plans, so that
 # hosts that start at the same time know each other.
 CANDIDATE_DELAY_S = 0.8
 # Time without a link after which the record of an entry host is removed.
 LOST_HOST_S = 20.0
-# Time until the load balancer has removed a process that is not ready: it does so after
-# two readiness checks, one a second.
-BALANCER_REMOVAL_S = 2.6
-STOP_MARGIN_S = 0.8
-REMOVAL_TIMEOUT_S = 0.2
 
 logger = logging.getLogger(__name__)
 
@@ -198,6 +192,14 @@
             lease_keeper=self._lease_keeper,
             planners=self._planners,
         )
+        self._graceful_stop = GracefulStop(
+            settings.bounds.stop_s,
+            listener=self._listener,
+            planners=self._planners,
+            peers=self._peers,
+            lease_keeper=self._lease_keeper,
+            registration=self._registration,
+        )
         self._unready_reason: str | None = "starting"
         self._housekeeper: gevent.Greenlet | None = None
 
@@ -351,39 +353,4 @@
     def _begin_stop(self) -> None:
         if not self._stopping:
             self._stopping = True
-            gevent.spawn(self._stop_gracefully)
-
-    def _stop_gracefully(self) -> None:
-        """Hand over planning, drain requests in progress, then stop."""
-        started_at = time.monotonic()
-        deadline = started_at + self.settings.bounds.stop_s - STOP_MARGIN_S
-        logger.info(
-            "gateway stops", extra={"in_progress": self._listener.active_connections}
-        )
-        for planner in self._planners:
-            handover = planner.hand_over()
-            if handover is not None:
-                peer = self._peers.hand_over(handover)
-                logger.info(
-                    "planning handed over", extra={"zone": handover.zone, "peer": peer}
-                )
-        self._lease_keeper.stop()
-        self._registration.stop()
-        gevent.spawn(self._lease_keeper.revoke)
-        self._peers.announce_stop()
-        self._listener.disable_keep_alive()
-        gevent.sleep(BALANCER_REMOVAL_S)
-        self._listener.stop_accepting()
-        while self._listener.active_connections and time.monotonic() < deadline:
-            self._listener.close_idle()
-            gevent.sleep(0.05)
-        # Only now, as peers end their links to a host that is not registered.
-        gevent.spawn(self._registration.remove).join(REMOVAL_TIMEOUT_S)
-        logger.info(
-            "gateway stopped",
-            extra={
-                "in_progress": self._listener.active_connections,
-                "took_s": round(time.monotonic() - started_at, 2),
-            },
-        )
-        self.stop()
+            gevent.spawn(self._graceful_stop.run, self.stop)
--- /dev/null
+++ b/waxwingpitch/gateway/stopping.py
@@ -0,0 +1,89 @@
+"""Planned stop of a gateway: hand over, drain, end."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Iterable
+
+import gevent
+
+from ..forwarding import CallerListener
+from .peers import PeerTask
+from .planning import ZonePlanner
+from .registration import Registration
+from .store_tasks import LeaseKeeper
+
+# Time until the load balancer has removed a process that is not ready: it does so after
+# two readiness checks, one a second.
+BALANCER_REMOVAL_S = 2.6
+STOP_MARGIN_S = 0.8
+REMOVAL_TIMEOUT_S = 0.2
+DRAIN_INTERVAL_S = 0.05
+
+logger = logging.getLogger(__name__)
+
+
+class GracefulStop:
+    """Stops a gateway within the time that the operators allow.
+
+    Parameters
+    ----------
+    stop_s
+        Time between the signal to stop and a kill, in seconds.
+    """
+
+    def __init__(
+        self,
+        stop_s: float,
+        *,
+        listener: CallerListener,
+        planners: Iterable[ZonePlanner],
+        peers: PeerTask,
+        lease_keeper: LeaseKeeper,
+        registration: Registration,
+    ):
+        self._stop_s = stop_s
+        self._listener = listener
+        self._planners = planners
+        self._peers = peers
+        self._lease_keeper = lease_keeper
+        self._registration = registration
+
+    def run(self, stop_tasks: Callable[[], None]) -> None:
+        """Hand over planning, drain requests in progress, then stop the tasks."""
+        started_at = time.monotonic()
+        deadline = started_at + self._stop_s - STOP_MARGIN_S
+        logger.info(
+            "gateway stops", extra={"in_progress": self._listener.active_connections}
+        )
+        for planner in self._planners:
+            self._hand_over(planner)
+        self._lease_keeper.stop()
+        self._registration.stop()
+        gevent.spawn(self._lease_keeper.revoke)
+        self._peers.announce_stop()
+        self._listener.disable_keep_alive()
+        gevent.sleep(BALANCER_REMOVAL_S)
+        self._listener.stop_accepting()
+        while self._listener.active_connections and time.monotonic() < deadline:
+            self._listener.close_idle()
+            gevent.sleep(DRAIN_INTERVAL_S)
+        # Only now, as peers end their links to a host that is not registered.
+        gevent.spawn(self._registration.remove).join(REMOVAL_TIMEOUT_S)
+        logger.info(
+            "gateway stopped",
+            extra={
+                "in_progress": self._listener.active_connections,
+                "took_s": round(time.monotonic() - started_at, 2),
+            },
+        )
+        stop_tasks()
+
+    def _hand_over(self, planner: ZonePlanner) -> None:
+        handover = planner.hand_over()
+        if handover is not None:
+            peer = self._peers.hand_over(handover)
+            logger.info(
+                "planning handed over", extra={"zone": handover.zone, "peer": peer}
+            )
