End a planned stop only when every accepted connection has ended

Callers saw: requests that were accepted last, or that arrived on a kept connection while the process removed its record, were passed on to a target and then cut by the exit. Cause: the drain waited for connections with a request in progress. Those that had just been accepted were not counted yet, and those with unread bytes counted as idle, so without a busy connection the drain ended before its first pass and closed none. Fix: connections are registered when they are accepted, and the drain lasts until none is open, or until its deadline.

--- a/waxwingpitch/forwarding/listener.py
+++ b/waxwingpitch/forwarding/listener.py
@@ -257,6 +257,11 @@
         """Number of connections with a request in progress."""
         return sum(not conn.is_idle for conn in self._conns)
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections, idle ones included."""
+        return len(self._conns)
+
     def start(self) -> None:
         """Start accepting connections."""
         self._server.start()
@@ -284,16 +289,22 @@
         self._listening.settimeout(0.0)
         while True:
             try:
-                sock, address = self._listening.accept()
+                sock, _ = self._listening.accept()
             except OSError:
                 return
             sock.settimeout(None)
-            gevent.spawn(self._accept, sock, address)
+            gevent.spawn(self._serve, self._add(sock))
 
     def _accept(self, sock, address) -> None:
+        self._serve(self._add(sock))
+
+    def _add(self, sock) -> _CallerConnection:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         conn = _CallerConnection(sock, self)
         self._conns.add(conn)
+        return conn
+
+    def _serve(self, conn: _CallerConnection) -> None:
         try:
             conn.run()
         finally:
--- a/waxwingpitch/gateway/stopping.py
+++ b/waxwingpitch/gateway/stopping.py
@@ -66,7 +66,7 @@
         self._listener.disable_keep_alive()
         gevent.sleep(BALANCER_REMOVAL_S)
         self._listener.stop_accepting()
-        while self._listener.active_connections and time.monotonic() < deadline:
+        while self._listener.open_connections and time.monotonic() < deadline:
             self._listener.close_idle()
             gevent.sleep(DRAIN_INTERVAL_S)
         # Only now, as peers end their links to a host that is not registered.
--- /dev/null
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -0,0 +1,139 @@
+"""A planned stop ends no request without an answer that it had time to give."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import replace
+
+import gevent
+import pytest
+
+from ..configuration.routes import CallerLimits
+from ..forwarding import Answer, AnswerHead, CallerListener
+from ..gateway import GatewayDaemon, stopping
+from ..settings.gateway import Address
+from .gateway_client import Caller, build_settings, call, wait_for
+
+
+class StoppingListener:
+    """A listener with a handler of the test, which can be drained."""
+
+    def __init__(self, handler, **limits):
+        caller_limits = CallerLimits(**limits)
+        self.listener = CallerListener("127.0.0.1", 0, handler, lambda: caller_limits)
+        self.listener.start()
+
+    @property
+    def address(self) -> Address:
+        return Address("127.0.0.1", self.listener.port)
+
+    def connect(self) -> Caller:
+        caller = Caller(self.address)
+        wait_for(lambda: self.listener._conns)
+        return caller
+
+    def drain(self) -> gevent.Greenlet:
+        self.listener.disable_keep_alive()
+        self.listener.stop_accepting()
+        return gevent.spawn(self._drain)
+
+    def _drain(self) -> None:
+        for _ in range(100):
+            self.listener.close_idle()
+            gevent.sleep(0.02)
+
+
+def answer_after(delay_s: float):
+    def _handle(req, resp) -> None:
+        gevent.sleep(delay_s)
+        resp.send_answer(Answer(AnswerHead(200, ()), b"done"))
+
+    return _handle
+
+
+@pytest.fixture
+def start_stoppable(platform, monkeypatch):
+    """Start a gateway with a short stop, at whose end its sockets close."""
+    monkeypatch.setattr(stopping, "BALANCER_REMOVAL_S", 0.3)
+    daemons = []
+
+    def _start(stop_s: float) -> GatewayDaemon:
+        settings = build_settings(platform.store.address)
+        bounds = replace(settings.bounds, stop_s=stop_s)
+        daemon = GatewayDaemon(replace(settings, bounds=bounds))
+        daemon._stopped.rawlink(lambda _: close_sockets(daemon))
+        daemon.start()
+        daemons.append(daemon)
+        wait_for(lambda: len(daemon.view.find_replicas("plain", "")) == 2)
+        assert call(daemon.settings.front, "/file/x", "ready").status == 200
+        return daemon
+
+    yield _start
+    for daemon in daemons:
+        daemon.stop()
+
+
+def close_sockets(daemon: GatewayDaemon) -> None:
+    """End all connections as the exit of the process does."""
+    for conn in list(daemon._listener._conns):
+        conn._sock._sock.shutdown(socket.SHUT_RDWR)
+
+
+def read_or_none(caller: Caller):
+    """Return the answer, or None if the connection ends without one."""
+    try:
+        return caller.read()
+    except (OSError, IndexError):
+        return None
+
+
+# The stop ends only when all accepted requests are answered.
+
+
+def test_requests_that_are_accepted_last_are_answered_before_the_exit(
+    platform, start_stoppable
+):
+    daemon = start_stoppable(6.0)
+    platform.plain_s = 0.3
+    daemon._listener._server.stop_accepting()
+    callers = [Caller(daemon.settings.front) for _ in range(8)]
+    for number, caller in enumerate(callers):
+        caller.send("/file/x", f"a{number}")
+    daemon._begin_stop()
+    answers = [read_or_none(caller) for caller in callers]
+    assert [answer and answer.status for answer in answers] == [200] * 8
+    assert daemon._stopped.wait(6.0)
+
+
+def test_request_that_arrives_at_the_end_of_a_stop_is_not_run_and_cut(
+    platform, start_stoppable, monkeypatch
+):
+    daemon = start_stoppable(6.0)
+    platform.plain_s = 0.3
+    caller = Caller(daemon.settings.front)
+    caller.send("/file/x", "e1")
+    assert caller.read().status == 200
+    gevent.sleep(0.3)
+
+    def _remove_slowly() -> None:
+        caller.send("/file/x", "e2")
+        gevent.sleep(0.15)
+
+    monkeypatch.setattr(daemon._registration, "remove", _remove_slowly)
+    daemon._begin_stop()
+    assert daemon._stopped.wait(6.0)
+    answer = read_or_none(caller)
+    assert platform.runs["e2"] == 0 or answer is not None
+
+
+# Connections whose request is on its way.
+
+
+def test_connections_without_a_request_do_not_hold_up_a_stop():
+    server = StoppingListener(answer_after(0.0))
+    caller = server.connect()
+    caller.send("/x", "i1")
+    caller.read()
+    server.connect()
+    server.drain()
+    wait_for(lambda: not server.listener._conns, 2.0)
