Close no caller's connection at a stop while its request is on its way

Callers saw: a connection that had just been accepted, that had delivered part of a request, or whose stream had begun before the signal and just ended (without 'Connection: close') was closed under the request that followed. Cause: a connection counted as idle as soon as no whole request was there, and a drain closed it at once. Evidence, failed before and passing now: test_request_on_a_connection_that_was_just_accepted_is_answered, test_request_that_was_read_in_part_at_a_stop_is_answered and test_request_after_a_stream_that_began_before_the_signal_is_answered (each: the connection ended without an answer). Fix: a drain closes a connection only if it has been quiet for QUIET_S since it was accepted or its last answer ended, and neither unread bytes nor a part of a request are there. A part of a request is waited for until its read time-out, which is answered 408, or the drain's deadline.

--- a/waxwingpitch/forwarding/listener.py
+++ b/waxwingpitch/forwarding/listener.py
@@ -29,6 +29,9 @@
 BACKLOG = 1024
 # Pipelined requests that may wait on a connection before reading from it pauses.
 MAX_PIPELINED_REQUESTS = 8
+# Time after a connection was accepted, or its last answer ended, for which a request is
+# taken to be on its way. A drain does not close the connection until then.
+QUIET_S = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -107,26 +110,25 @@
         self._pending: deque[tuple[CallerRequest, float]] = deque()
         self._handler_greenlet: gevent.Greenlet | None = None
         self._idle_since = time.monotonic()
-        self._draining = False
         self._closing = False
+        self._reader = RequestReader(
+            header_bytes=self._limits.header_bytes, body_bytes=self._limits.body_bytes
+        )
 
     @property
     def is_idle(self) -> bool:
         return self._handler_greenlet is None and not self._pending
 
     def run(self) -> None:
-        reader = RequestReader(
-            header_bytes=self._limits.header_bytes, body_bytes=self._limits.body_bytes
-        )
         try:
             while not self._closing:
-                data = self._receive(reader)
+                data = self._receive()
                 if data is None:
                     continue
                 if not data:
                     break
                 now = time.monotonic()
-                self._pending.extend((req, now) for req in reader.feed(data))
+                self._pending.extend((req, now) for req in self._reader.feed(data))
                 self._start_next_request()
         except MalformedRequestError as exc:
             self._reject(exc)
@@ -139,10 +141,17 @@
                 )
             self._sock.close()
 
-    def close_when_idle(self) -> None:
-        """Close now if no request has arrived, and after the last one otherwise."""
-        self._draining = True
-        if self.is_idle and not self._has_unread_bytes():
+    def close_if_quiet(self, now: float) -> None:
+        """Close unless a request has arrived, in part or whole, or may be on its way.
+
+        A part of a request is waited for until its read time-out.
+        """
+        if (
+            self.is_idle
+            and now - self._idle_since >= QUIET_S
+            and not self._reader.has_partial_request
+            and not self._has_unread_bytes()
+        ):
             self._shut_down()
 
     def _has_unread_bytes(self) -> bool:
@@ -153,19 +162,19 @@
             return False
         return count[0] > 0
 
-    def _receive(self, reader: RequestReader) -> bytes | None:
+    def _receive(self) -> bytes | None:
         while len(self._pending) > MAX_PIPELINED_REQUESTS:
             gevent.sleep(0.01)
         timeout_s = (
             self._limits.header_timeout_s
-            if reader.has_partial_request
+            if self._reader.has_partial_request
             else self._limits.idle_timeout_s
         )
         try:
             self._sock.settimeout(timeout_s)
             return self._sock.recv(READ_BYTES)
         except TimeoutError:
-            if reader.has_partial_request and self.is_idle:
+            if self._reader.has_partial_request and self.is_idle:
                 raise MalformedRequestError(
                     408, "the request did not arrive in time"
                 ) from None
@@ -191,7 +200,7 @@
             logger.exception("request failed")
         self._handler_greenlet = None
         self._idle_since = time.monotonic()
-        if not resp.ended or resp.close or (self._draining and not self._pending):
+        if not resp.ended or resp.close:
             self._shut_down()
             return
         self._start_next_request()
@@ -271,9 +280,10 @@
         self.stopping = True
 
     def close_idle(self) -> None:
-        """Close idle connections now, and busy ones after their current request."""
+        """Close the connections on which no request is expected any more."""
+        now = time.monotonic()
         for conn in list(self._conns):
-            conn.close_when_idle()
+            conn.close_if_quiet(now)
 
     def stop_accepting(self) -> None:
         """Accept the connections that already wait, and close the listening socket.
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -129,6 +129,27 @@
 # Connections whose request is on its way.
 
 
+def test_request_on_a_connection_that_was_just_accepted_is_answered():
+    server = StoppingListener(answer_after(0.0))
+    caller = server.connect()
+    server.drain()
+    gevent.sleep(0.1)
+    caller.send("/x", "n1")
+    assert read_or_none(caller).status == 200
+
+
+def test_request_that_was_read_in_part_at_a_stop_is_answered():
+    server = StoppingListener(answer_after(0.0))
+    caller = server.connect()
+    gevent.sleep(0.6)
+    caller.sock.sendall(b"GET /x HTTP/1.1\r\nHost: h")
+    gevent.sleep(0.05)
+    server.drain()
+    gevent.sleep(0.7)
+    caller.sock.sendall(b".example\r\n\r\n")
+    assert read_or_none(caller).status == 200
+
+
 def test_connections_without_a_request_do_not_hold_up_a_stop():
     server = StoppingListener(answer_after(0.0))
     caller = server.connect()
@@ -137,3 +158,26 @@
     server.connect()
     server.drain()
     wait_for(lambda: not server.listener._conns, 2.0)
+
+
+# The last answer of a connection.
+
+
+def test_request_after_a_stream_that_began_before_the_signal_is_answered():
+    def _stream(req, resp) -> None:
+        resp.start_stream(AnswerHead(200, ()), ())
+        resp.send_chunk(b"id: 1\n\n")
+        gevent.sleep(0.3)
+        resp.end_stream()
+
+    server = StoppingListener(_stream)
+    caller = server.connect()
+    caller.send("/x", "s1")
+    gevent.sleep(0.1)
+    server.drain()
+    first = caller.read()
+    assert first.is_complete and "connection" not in first.headers
+    gevent.sleep(0.05)
+    caller.send("/x", "s2")
+    second = read_or_none(caller)
+    assert second is not None and second.headers["connection"] == "close"
