Decide when an answer begins whether it is the last of its connection

Callers saw: answers to requests that had come before the signal did not say 'Connection: close', and the connection was closed soon after, under a further request. Cause: it was decided when the handling began. Evidence: test_answer_after_the_signal_tells_the_caller_that_the_connection_ends failed before (no Connection header) and passes now. test_request_that_has_partly_come_behind_another_is_answered_at_a_stop passed before and guards that the later decision does not cut a request behind it. Fix: the responder asks when it writes the head; an answer is the last one if the process stops and nothing of a further request has come.

--- a/waxwingpitch/forwarding/listener.py
+++ b/waxwingpitch/forwarding/listener.py
@@ -53,26 +53,38 @@
         Whether the complete answer has been written.
     close
         Whether the connection is closed after the answer.
+
+    Parameters
+    ----------
+    is_last
+        Returns whether the connection takes no further request. Asked when the head
+        is written, which tells the caller.
     """
 
     def __init__(
-        self, sock: socket.socket, req: CallerRequest, arrived_at: float, *, close: bool
+        self,
+        sock: socket.socket,
+        req: CallerRequest,
+        arrived_at: float,
+        *,
+        is_last: Callable[[], bool],
     ):
         self._sock = sock
+        self._is_last = is_last
         self.arrived_at = arrived_at
         self.started = False
         self.ended = False
-        self.close = close or not req.keep_alive
+        self.close = not req.keep_alive
 
     def send_answer(self, answer: Answer) -> None:
         """Write a complete answer."""
-        self.started = True
+        self._begin()
         self._write(format_answer(answer, close=self.close))
         self.ended = True
 
     def start_stream(self, head: AnswerHead, headers: Iterable) -> None:
         """Write the head of an answer whose body follows in chunks."""
-        self.started = True
+        self._begin()
         head_lines = format_head(head.status, headers, close=self.close)
         self._write(head_lines + b"Transfer-Encoding: chunked\r\n\r\n")
 
@@ -85,6 +97,10 @@
         self._write(LAST_CHUNK)
         self.ended = True
 
+    def _begin(self) -> None:
+        self.started = True
+        self.close = self.close or self._is_last()
+
     def _write(self, data: bytes) -> None:
         try:
             self._sock.sendall(data)
@@ -189,8 +205,7 @@
             self._handler_greenlet = gevent.spawn(self._handle_request, req, arrived_at)
 
     def _handle_request(self, req: CallerRequest, arrived_at: float) -> None:
-        is_last = self._listener.stopping and not self._pending
-        resp = Responder(self._sock, req, arrived_at, close=is_last)
+        resp = Responder(self._sock, req, arrived_at, is_last=self._is_last)
         try:
             self._listener.handler(req, resp)
         except CallerDisconnectedError:
@@ -205,6 +220,14 @@
             return
         self._start_next_request()
 
+    def _is_last(self) -> bool:
+        """Return whether the process stops and no further request has begun to come."""
+        return self._listener.stopping and not (
+            self._pending
+            or self._reader.has_partial_request
+            or self._has_unread_bytes()
+        )
+
     def _shut_down(self) -> None:
         self._closing = True
         try:
@@ -276,7 +299,7 @@
         self._server.start()
 
     def disable_keep_alive(self) -> None:
-        """Close connections after answering requests that start from now on."""
+        """Close connections after the answers that begin from now on."""
         self.stopping = True
 
     def close_idle(self) -> None:
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -163,6 +163,28 @@
 # The last answer of a connection.
 
 
+def test_answer_after_the_signal_tells_the_caller_that_the_connection_ends():
+    server = StoppingListener(answer_after(0.2))
+    caller = server.connect()
+    caller.send("/x", "c1")
+    gevent.sleep(0.05)
+    server.drain()
+    assert caller.read().headers.get("connection") == "close"
+
+
+def test_request_that_has_partly_come_behind_another_is_answered_at_a_stop():
+    server = StoppingListener(answer_after(0.2))
+    caller = server.connect()
+    caller.send("/x", "b1")
+    caller.sock.sendall(b"GET /x HTTP/1.1\r\nHost: h")
+    gevent.sleep(0.05)
+    server.drain()
+    assert caller.read().status == 200
+    caller.sock.sendall(b".example\r\n\r\n")
+    second = read_or_none(caller)
+    assert second is not None and second.headers["connection"] == "close"
+
+
 def test_request_after_a_stream_that_began_before_the_signal_is_answered():
     def _stream(req, resp) -> None:
         resp.start_stream(AnswerHead(200, ()), ())
