Keep a late request from resetting the last answer on its way

Callers saw: a connection reset in the middle of the last answer, if they had sent anything that was not read: a further request at a stop, or the rest of a body that was refused. Cause: the socket was closed right after the last answer, and a closed socket answers bytes with a reset, which destroys what the caller has not received yet. Fix: the sending side is closed behind the last answer, and what arrives is read and dropped until the caller closes too, LINGER_S at most. Requests that were read behind the last answer are dropped with a log line; before, more than MAX_PIPELINED_REQUESTS of them kept the reading greenlet for ever.

--- a/waxwingpitch/forwarding/listener.py
+++ b/waxwingpitch/forwarding/listener.py
@@ -32,6 +32,9 @@
 # Time after a connection was accepted, or its last answer ended, for which a request is
 # taken to be on its way. A drain does not close the connection until then.
 QUIET_S = 0.5
+# Time for which bytes are read and dropped after the last answer. Closing a socket with
+# unread bytes resets the connection, which destroys what the caller has not read yet.
+LINGER_S = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -127,6 +130,7 @@
         self._handler_greenlet: gevent.Greenlet | None = None
         self._idle_since = time.monotonic()
         self._closing = False
+        self._linger: gevent.Greenlet | None = None
         self._reader = RequestReader(
             header_bytes=self._limits.header_bytes, body_bytes=self._limits.body_bytes
         )
@@ -137,9 +141,9 @@
 
     def run(self) -> None:
         try:
-            while not self._closing:
+            while True:
                 data = self._receive()
-                if data is None:
+                if data is None or (data and self._closing):
                     continue
                 if not data:
                     break
@@ -155,6 +159,8 @@
                 self._handler_greenlet.kill(
                     CallerDisconnectedError("connection closed")
                 )
+            if self._linger is not None:
+                self._linger.kill(block=False)
             self._sock.close()
 
     def close_if_quiet(self, now: float) -> None:
@@ -216,7 +222,7 @@
         self._handler_greenlet = None
         self._idle_since = time.monotonic()
         if not resp.ended or resp.close:
-            self._shut_down()
+            self._end_sending()
             return
         self._start_next_request()
 
@@ -228,8 +234,24 @@
             or self._has_unread_bytes()
         )
 
+    def _end_sending(self) -> None:
+        """End the connection behind the last answer, once the caller closes it too."""
+        self._closing = True
+        if self._pending:
+            logger.info(
+                "requests behind the last answer dropped",
+                extra={"count": len(self._pending)},
+            )
+            self._pending.clear()
+        self._linger = gevent.spawn_later(LINGER_S, self._shut_down)
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            logger.debug("caller connection was already closed")
+
     def _shut_down(self) -> None:
         self._closing = True
+        self._pending.clear()
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -242,7 +264,9 @@
         answer = Answer(AnswerHead(exc.status, ()), message + b"\n")
         try:
             self._sock.sendall(format_answer(answer, close=True))
-            self._sock.shutdown(socket.SHUT_WR)
+            self._end_sending()
+            while self._sock.recv(READ_BYTES):
+                continue
         except OSError:
             logger.debug("caller disconnected before the error answer was sent")
         logger.info(
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -203,3 +203,36 @@
     caller.send("/x", "s2")
     second = read_or_none(caller)
     assert second is not None and second.headers["connection"] == "close"
+
+
+def test_late_request_does_not_reset_the_last_answer_on_its_way():
+    size = 1_000_000
+
+    def _answer(req, resp) -> None:
+        gevent.sleep(0.1)
+        resp.send_answer(Answer(AnswerHead(200, ()), b"x" * size))
+
+    server = StoppingListener(_answer)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect((server.address.host, server.address.port))
+    sock.settimeout(5.0)
+    request = b"GET /x HTTP/1.1\r\nHost: h.example\r\n\r\n"
+    sock.sendall(request)
+    gevent.sleep(0.05)
+    server.drain()
+    received = len(sock.recv(1000))
+    gevent.sleep(0.2)
+    sock.sendall(request)
+    while data := sock.recv(65536):
+        received += len(data)
+    assert received > size
+
+
+def test_refusal_of_a_body_that_is_too_long_reaches_the_caller():
+    server = StoppingListener(answer_after(0.0), body_bytes=1000)
+    caller = server.connect()
+    head = b"POST /x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 8000000\r\n\r\n"
+    caller.sock.sendall(head + b"x" * 8_000_000)
+    answer = read_or_none(caller)
+    assert answer is not None and answer.status == 413
