Answer every request whose answer has not begun before a stop ends

Callers saw: requests that waited for a slot, or that a target had not begun to answer, ended with a closed connection at the end of a stop; streams that came late in a stop were begun and cut; with a short stop, begun streams were cut before the last sixth of its time. Cause: requests kept their own deadlines, and nothing ended them before the exit. Fix: stop_times.py decides, without a network, which requests still begin, by when they are answered and when streams are broken off. Requests that arrive during a stop get a deadline within it, or are refused at once as not run. Those that are there already are interrupted once in time, and answered 503 if they were not sent, and 504 if they may have run. The interruption is raised in the hub, where no handler can begin its answer between the check and the interruption.

--- a/waxwingpitch/forwarding/listener.py
+++ b/waxwingpitch/forwarding/listener.py
@@ -131,6 +131,7 @@
         self._idle_since = time.monotonic()
         self._closing = False
         self._linger: gevent.Greenlet | None = None
+        self._resp: Responder | None = None
         self._reader = RequestReader(
             header_bytes=self._limits.header_bytes, body_bytes=self._limits.body_bytes
         )
@@ -176,6 +177,15 @@
         ):
             self._shut_down()
 
+    def interrupt_unanswered(self, exc: Exception) -> None:
+        """Raise an exception in the handler, once, if it has not begun to answer.
+
+        Must be called in the hub, where no handler begins to answer meanwhile.
+        """
+        resp, self._resp = self._resp, None
+        if resp is not None and not resp.started:
+            self._handler_greenlet.throw(exc)
+
     def _has_unread_bytes(self) -> bool:
         count = array.array("i", [0])
         try:
@@ -212,6 +222,7 @@
 
     def _handle_request(self, req: CallerRequest, arrived_at: float) -> None:
         resp = Responder(self._sock, req, arrived_at, is_last=self._is_last)
+        self._resp = resp
         try:
             self._listener.handler(req, resp)
         except CallerDisconnectedError:
@@ -219,7 +230,7 @@
             return
         except Exception:
             logger.exception("request failed")
-        self._handler_greenlet = None
+        self._handler_greenlet = self._resp = None
         self._idle_since = time.monotonic()
         if not resp.ended or resp.close:
             self._end_sending()
@@ -332,6 +343,12 @@
         for conn in list(self._conns):
             conn.close_if_quiet(now)
 
+    def interrupt_unanswered(self, exc: Exception) -> None:
+        """Raise an exception in the handlers that have not begun to answer."""
+        loop = gevent.get_hub().loop
+        for conn in list(self._conns):
+            loop.run_callback(conn.interrupt_unanswered, exc)
+
     def stop_accepting(self) -> None:
         """Accept the connections that already wait, and close the listening socket.
 
--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -31,6 +31,8 @@
 
     Attributes
     ----------
+    is_in_flight
+        Whether it is being sent to a target, or was and the attempt has no outcome.
     ran_on_current
         Whether its run on the current target has been recorded.
     may_have_run
@@ -60,6 +62,7 @@
         self.has_retry_permit = False
         self.sends = sends
         self.runs = runs
+        self.is_in_flight = False
         self.ran_on_current = False
         self.may_have_run = False
         self.tried: set[str] = set()
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -195,6 +195,7 @@
         self._graceful_stop = GracefulStop(
             settings.bounds.stop_s,
             listener=self._listener,
+            server=self._server,
             planners=self._planners,
             peers=self._peers,
             lease_keeper=self._lease_keeper,
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -25,6 +25,7 @@
 from .exchange import TargetExchange
 from .routed import RequestContext, read_last_event, read_request_id, route_request
 from .slot_client import Slot, SlotClient
+from .stop_times import StopTimes, StopTimeUpError, limit_to_stop
 from .suspect_task import SuspectTracker
 
 # Requests with less time than this left until their deadline are not retried.
@@ -42,6 +43,11 @@
     ----------
     slots
         Gives requests slots of replicas.
+
+    Attributes
+    ----------
+    stop_times
+        Times of the planned stop that is under way; None if there is none.
     """
 
     def __init__(
@@ -58,12 +64,15 @@
         self._metrics = metrics
         self._suspects = suspects
         self.in_progress = 0
+        self.stop_times: StopTimes | None = None
 
     def handle(self, req: CallerRequest, resp: Responder) -> None:
         """Answer one request."""
         self.in_progress += 1
         try:
             ctx = route_request(req, resp.arrived_at, self._view)
+            if self.stop_times is not None:
+                ctx = limit_to_stop(ctx, self.stop_times)
             self._serve(ctx, resp)
         except RequestError as exc:
             request = read_request_id(req)
@@ -89,6 +98,21 @@
                 ctx.id, resp, code, reason, BLOCKED_RETRY_AFTER_S, route=ctx.route.name
             )
             return
+        try:
+            self._make_attempts(ctx, resp, attempts, fingerprint)
+        except StopTimeUpError as exc:
+            attempts.may_have_run |= attempts.is_in_flight
+            self._finish_unplaced(
+                ctx, resp, attempts, exc.message, exc.retry_after_s, code=exc.code
+            )
+
+    def _make_attempts(
+        self,
+        ctx: RequestContext,
+        resp: Responder,
+        attempts: Attempts,
+        fingerprint: str,
+    ) -> None:
         while True:
             acquire_started_at = time.monotonic()
             placement = self._slots.acquire(_build_slot_request(ctx, attempts))
@@ -96,7 +120,8 @@
             self._metrics.record_slot_wait(ctx.service, waited_s)
             self._log_placement(ctx, attempts, placement, waited_s)
             if isinstance(placement, Refused):
-                self._finish_unplaced(ctx, resp, attempts, placement)
+                reason, retry_after_s = placement.reason, placement.retry_after_s
+                self._finish_unplaced(ctx, resp, attempts, reason, retry_after_s)
                 return
             outcome = self._attempt(ctx, resp, attempts, placement)
             if isinstance(outcome, Done):
@@ -119,8 +144,10 @@
         attempts.tried.add(replica.id)
         attempts.has_retry_permit = False
         outcome: Outcome | None = None
+        attempts.is_in_flight = True
         try:
             outcome = self._exchange.run(ctx, resp, attempts, slot)
+            attempts.is_in_flight = False
         finally:
             self._release(slot, outcome, attempts, started_at, ctx.fingerprint)
         now = time.monotonic()
@@ -183,29 +210,26 @@
         )
 
     def _finish_unplaced(
-        self, ctx, resp: Responder, attempts, refused: Refused
+        self,
+        ctx,
+        resp: Responder,
+        attempts,
+        reason: str,
+        retry_after_s: float | None,
+        *,
+        code: ResultCode = ResultCode.NO_TARGET,
     ) -> None:
+        """Answer a request that gets no more attempts; the code is for one not run."""
+        route = ctx.route.name
         if resp.started:
-            self._abort_stream(ctx, resp, refused.reason)
+            self._abort_stream(ctx, resp, reason)
         elif attempts.failure_answer is not None:
             self._relay_failure(ctx, resp, attempts.failure_answer)
         elif attempts.may_have_run:
-            self._send_error(
-                ctx.id,
-                resp,
-                ResultCode.OUTCOME_UNKNOWN,
-                refused.reason,
-                route=ctx.route.name,
-            )
+            unknown = ResultCode.OUTCOME_UNKNOWN
+            self._send_error(ctx.id, resp, unknown, reason, route=route)
         else:
-            self._send_error(
-                ctx.id,
-                resp,
-                ResultCode.NO_TARGET,
-                refused.reason,
-                refused.retry_after_s,
-                route=ctx.route.name,
-            )
+            self._send_error(ctx.id, resp, code, reason, retry_after_s, route=route)
 
     def _finish_attempts(self, ctx, resp: Responder, attempts, outcome) -> None:
         if resp.started:
--- /dev/null
+++ b/waxwingpitch/gateway/stop_times.py
@@ -0,0 +1,97 @@
+"""Times of a planned stop, and which requests still begin during one."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from ..configuration.routes import RouteKind
+from ..errors import RequestError, ResultCode
+from .routed import RequestContext
+
+# What follows the drain is left this time, or this share of the stop if it is less.
+STOP_MARGIN_S = 0.8
+STOP_MARGIN_SHARE = 0.1
+# Time before the end of the drain by which requests whose answer has not begun are
+# answered.
+ANSWER_MARGIN_S = 0.3
+# Time after the signal for which streams begin: the operators' bound for those that a
+# stop may break off at its end is 3 s after the signal, for the time of sending.
+STREAMS_BEGIN_S = 2.8
+# Time that a call needs, in multiples of its route's latency objective.
+CALL_OBJECTIVES = 2.0
+# Retry-After of requests that were refused because this process stops; others answer.
+STOPPING_RETRY_AFTER_S = 0.05
+
+
+class StopTimeUpError(RequestError):
+    """The stop leaves no time for a request whose answer has not begun."""
+
+    def __init__(self):
+        super().__init__(
+            ResultCode.STOPPING,
+            "the gateway stops",
+            retry_after_s=STOPPING_RETRY_AFTER_S,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class StopTimes:
+    """Times of a planned stop, on the monotonic clock.
+
+    Attributes
+    ----------
+    signalled_at
+        Time of the signal.
+    streams_until
+        Time until which streams begin.
+    answers_by
+        Time by which requests whose answer has not begun get their final answer.
+    drained_by
+        Time at which begun streams are broken off.
+    """
+
+    signalled_at: float
+    streams_until: float
+    answers_by: float
+    drained_by: float
+
+
+def plan_stop(signalled_at: float, stop_s: float) -> StopTimes:
+    """Return the times of a stop.
+
+    Parameters
+    ----------
+    stop_s
+        Time between the signal and a kill, in seconds.
+    """
+    drained_by = signalled_at + stop_s - min(STOP_MARGIN_S, stop_s * STOP_MARGIN_SHARE)
+    answers_by = max(signalled_at, drained_by - ANSWER_MARGIN_S)
+    streams_until = min(answers_by, signalled_at + STREAMS_BEGIN_S)
+    return StopTimes(signalled_at, streams_until, answers_by, drained_by)
+
+
+def may_begin(
+    times: StopTimes, arrived_at: float, kind: RouteKind, latency_objective_s: float
+) -> bool:
+    """Return whether a request that arrives during a stop can end before its end."""
+    if kind is RouteKind.STREAM:
+        return arrived_at <= times.streams_until
+    return arrived_at + CALL_OBJECTIVES * latency_objective_s <= times.answers_by
+
+
+def limit_to_stop(ctx: RequestContext, times: StopTimes) -> RequestContext:
+    """Return a request that arrived during a stop, with a deadline that ends within it.
+
+    Begun streams may go on until the drain ends.
+
+    Raises
+    ------
+    StopTimeUpError
+        It could not end before the process does.
+    """
+    route = ctx.route
+    if not may_begin(times, ctx.arrived_at, route.kind, route.latency_objective_s):
+        raise StopTimeUpError
+    is_stream = route.kind is RouteKind.STREAM
+    limit = times.drained_by if is_stream else times.answers_by
+    return replace(ctx, deadline=min(ctx.deadline, limit))
--- a/waxwingpitch/gateway/stopping.py
+++ b/waxwingpitch/gateway/stopping.py
@@ -12,12 +12,13 @@
 from .peers import PeerTask
 from .planning import ZonePlanner
 from .registration import Registration
+from .serving import RequestServer
+from .stop_times import StopTimes, StopTimeUpError, plan_stop
 from .store_tasks import LeaseKeeper
 
 # Time until the load balancer has removed a process that is not ready: it does so after
 # two readiness checks, one a second.
 BALANCER_REMOVAL_S = 2.6
-STOP_MARGIN_S = 0.8
 REMOVAL_TIMEOUT_S = 0.2
 DRAIN_INTERVAL_S = 0.05
 
@@ -38,6 +39,7 @@
         stop_s: float,
         *,
         listener: CallerListener,
+        server: RequestServer,
         planners: Iterable[ZonePlanner],
         peers: PeerTask,
         lease_keeper: LeaseKeeper,
@@ -45,6 +47,7 @@
     ):
         self._stop_s = stop_s
         self._listener = listener
+        self._server = server
         self._planners = planners
         self._peers = peers
         self._lease_keeper = lease_keeper
@@ -53,7 +56,8 @@
     def run(self, stop_tasks: Callable[[], None]) -> None:
         """Hand over planning, drain requests in progress, then stop the tasks."""
         started_at = time.monotonic()
-        deadline = started_at + self._stop_s - STOP_MARGIN_S
+        times = plan_stop(started_at, self._stop_s)
+        self._server.stop_times = times
         logger.info(
             "gateway stops", extra={"in_progress": self._listener.active_connections}
         )
@@ -66,9 +70,7 @@
         self._listener.disable_keep_alive()
         gevent.sleep(BALANCER_REMOVAL_S)
         self._listener.stop_accepting()
-        while self._listener.open_connections and time.monotonic() < deadline:
-            self._listener.close_idle()
-            gevent.sleep(DRAIN_INTERVAL_S)
+        self._drain(times)
         # Only now, as peers end their links to a host that is not registered.
         gevent.spawn(self._registration.remove).join(REMOVAL_TIMEOUT_S)
         logger.info(
@@ -80,6 +82,17 @@
         )
         stop_tasks()
 
+    def _drain(self, times: StopTimes) -> None:
+        """Wait until no connection is open, or until begun streams are broken off."""
+        while self._listener.open_connections:
+            now = time.monotonic()
+            if now >= times.drained_by:
+                return
+            if now >= times.answers_by:
+                self._listener.interrupt_unanswered(StopTimeUpError())
+            self._listener.close_idle()
+            gevent.sleep(DRAIN_INTERVAL_S)
+
     def _hand_over(self, planner: ZonePlanner) -> None:
         handover = planner.hand_over()
         if handover is not None:
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import socket
+import time
 from dataclasses import replace
 
 import gevent
 import pytest
 
-from ..configuration.routes import CallerLimits
+from ..configuration.routes import CallerLimits, RouteKind
 from ..forwarding import Answer, AnswerHead, CallerListener
 from ..gateway import GatewayDaemon, stopping
+from ..gateway.stop_times import may_begin, plan_stop
 from ..settings.gateway import Address
 from .gateway_client import Caller, build_settings, call, wait_for
 
@@ -236,3 +238,108 @@
     caller.sock.sendall(head + b"x" * 8_000_000)
     answer = read_or_none(caller)
     assert answer is not None and answer.status == 413
+
+
+# Requests that can't end before the process does.
+
+
+def test_call_that_may_have_run_is_answered_before_the_exit(platform, start_stoppable):
+    daemon = start_stoppable(2.0)
+    for target in platform.plain:
+        platform.targets[target].faults.hang = True
+    caller = Caller(daemon.settings.front)
+    caller.send("/file/x", "h1")
+    gevent.sleep(0.1)
+    daemon._begin_stop()
+    answer = read_or_none(caller)
+    assert answer is not None and answer.status == 504
+    assert daemon._stopped.wait(2.0)
+
+
+def test_request_that_waits_for_a_slot_is_refused_before_the_exit(
+    platform, start_stoppable
+):
+    daemon = start_stoppable(2.0)
+    for target in platform.plain:
+        platform.targets[target].faults.hang = True
+    callers = [Caller(daemon.settings.front) for _ in range(13)]
+    for number, caller in enumerate(callers):
+        caller.send("/file/x", f"w{number}", deadline_ms=4000)
+        gevent.sleep(0.01)
+    gevent.sleep(0.1)
+    waiting = daemon.slots.client.count_pending()
+    assert waiting >= 1
+    daemon._begin_stop()
+    answers = [read_or_none(caller) for caller in callers]
+    assert None not in answers
+    refused = [answer for answer in answers if answer.status == 503]
+    assert len(refused) == waiting
+    assert all("retry-after" in answer.headers for answer in refused)
+
+
+def test_stream_that_comes_late_in_a_stop_is_refused_and_not_run(
+    platform, start_stoppable, monkeypatch
+):
+    monkeypatch.setattr(stopping, "BALANCER_REMOVAL_S", 3.3)
+    daemon = start_stoppable(8.0)
+    platform.configure(kind="stream")
+    gevent.sleep(0.3)
+    caller = Caller(daemon.settings.front)
+    daemon._begin_stop()
+    gevent.sleep(3.1)
+    caller.send("/file/x", "t1")
+    answer = read_or_none(caller)
+    assert answer.status == 503 and "retry-after" in answer.headers
+    assert answer.headers["connection"] == "close"
+    assert platform.runs["t1"] == 0
+
+
+def test_begun_stream_goes_on_until_the_drain_ends(platform, start_stoppable):
+    daemon = start_stoppable(3.0)
+    platform.configure(kind="stream")
+    gevent.sleep(0.3)
+
+    def _script(sock, request: str) -> None:
+        head = f"HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Id: {request}\r\n\r\n"
+        sock.sendall(head.encode())
+        for number in range(1, 60):
+            sock.sendall(f"id: {number}\ndata: x\n\n".encode())
+            gevent.sleep(0.1)
+
+    for target in platform.plain:
+        platform.targets[target].faults.script = _script
+    caller = Caller(daemon.settings.front)
+    caller.send("/file/x", "g1")
+    gevent.sleep(0.1)
+    signalled_at = time.monotonic()
+    daemon._begin_stop()
+    answer = caller.read()
+    assert not answer.is_complete
+    assert time.monotonic() - signalled_at > 2.65
+    assert len(answer.events) > 22
+
+
+ROUTE_OBJECTIVE_S = 0.4
+
+
+@pytest.mark.parametrize(
+    ("kind", "arrived_at", "begins"),
+    [
+        (RouteKind.STREAM, 102.7, True),
+        (RouteKind.STREAM, 102.9, False),
+        (RouteKind.NON_IDEMPOTENT, 102.9, True),
+        (RouteKind.NON_IDEMPOTENT, 106.0, True),
+        (RouteKind.IDEMPOTENT, 106.2, False),
+    ],
+)
+def test_request_that_cannot_end_in_a_stop_does_not_begin(kind, arrived_at, begins):
+    times = plan_stop(100.0, 8.0)
+    assert may_begin(times, arrived_at, kind, ROUTE_OBJECTIVE_S) == begins
+
+
+@pytest.mark.parametrize("stop_s", [1.0, 3.0, 5.0, 8.0, 30.0])
+def test_stop_breaks_streams_off_in_its_last_sixth_only(stop_s):
+    times = plan_stop(100.0, stop_s)
+    assert 100.0 + stop_s * 5 / 6 <= times.drained_by < 100.0 + stop_s
+    assert 100.0 < times.answers_by < times.drained_by
+    assert times.streams_until <= min(103.0, times.answers_by)
