Answer a request whose handler fails unexpectedly

Callers saw: the connection closed without an answer. Cause: the listener only logged the error and closed the connection. Evidence: test_unexpected_error_in_a_handler_is_answered failed before (the connection ended) and passes now. Fix: a request whose answer has not begun gets 500 INTERNAL, which says nothing on whether it ran; the log line names the request. A begun answer is still broken off.

--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -69,20 +69,24 @@
     def handle(self, req: CallerRequest, resp: Responder) -> None:
         """Answer one request."""
         self.in_progress += 1
+        request = read_request_id(req)
         try:
             ctx = route_request(req, resp.arrived_at, self._view)
             if self.stop_times is not None:
                 ctx = limit_to_stop(ctx, self.stop_times)
             self._serve(ctx, resp)
         except RequestError as exc:
-            request = read_request_id(req)
             self._send_error(request, resp, exc.code, exc.message, exc.retry_after_s)
         except CallerDisconnectedError:
             logger.info(
-                "caller left",
-                extra={"request": read_request_id(req), "answering": resp.started},
+                "caller left", extra={"request": request, "answering": resp.started}
             )
             raise
+        except Exception:
+            logger.exception("unexpected error", extra={"request": request})
+            if resp.started:
+                raise
+            self._send_error(request, resp, ResultCode.INTERNAL, "unexpected error")
         finally:
             self.in_progress -= 1
 
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -11,7 +11,7 @@
 
 from ..configuration.routes import CallerLimits, RouteKind
 from ..forwarding import Answer, AnswerHead, CallerListener
-from ..gateway import GatewayDaemon, stopping
+from ..gateway import GatewayDaemon, serving, stopping
 from ..gateway.stop_times import may_begin, plan_stop
 from ..settings.gateway import Address
 from .gateway_client import Caller, build_settings, call, wait_for
@@ -343,3 +343,20 @@
     assert 100.0 + stop_s * 5 / 6 <= times.drained_by < 100.0 + stop_s
     assert 100.0 < times.answers_by < times.drained_by
     assert times.streams_until <= min(103.0, times.answers_by)
+
+
+# Unexpected errors.
+
+
+def test_unexpected_error_in_a_handler_is_answered(
+    platform, start_stoppable, monkeypatch
+):
+    daemon = start_stoppable(6.0)
+
+    def _fail(*args):
+        raise RuntimeError("for the test")
+
+    monkeypatch.setattr(serving, "route_request", _fail)
+    answer = call(daemon.settings.front, "/file/x", "u1")
+    assert answer.status == 500
+    assert answer.headers["attempt-id"] == "u1"
