Ask a zone's next owner for requests that waited at one that stops

A zone without a free replica passes requests on, to wait in another zone. When the owner there stopped, the requests were decided on where they came from, and callers got a 503 after having waited, though the other zone's next owner served the same queue. The table of passed on requests now asks the next owner, with the same number and the time that is left; only where there is none is the request decided on here. The new test failed before: the client got a refusal.

--- a/waxwingpitch/gateway/passed_on.py
+++ b/waxwingpitch/gateway/passed_on.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
+from ..mesh.fleet_messages import SlotRelease
+from ..mesh.messages import Message
 from ..slots import SlotKey, SlotRequest
+from .roster import Roster
+from .slot_client import UNUSED
+from .slot_wire import encode_request
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +24,8 @@
         Number that the client gave the request.
     target, since
         Target that was granted, and the monotonic time of it; empty and 0 before.
+    may_wait
+        Whether the request may wait at the other owner.
     """
 
     client: str
@@ -27,19 +35,56 @@
     owner: str
     target: str = ""
     since: float = 0.0
+    may_wait: bool = False
 
 
 class PassedOnTable:
-    """Requests passed on, by the number that they have at the other owner."""
+    """Requests passed on, by the number that they have at the other owner.
 
-    def __init__(self):
+    Parameters
+    ----------
+    deliver
+        Hands a message to a host; returns False if it is not linked.
+    """
+
+    def __init__(self, roster: Roster, deliver: Callable[[str, Message], bool]):
+        self._roster = roster
+        self._deliver = deliver
         self._items: dict[int, PassedOn] = {}
         self._numbers: dict[tuple[str, int], int] = {}
 
-    def add(self, number: int, item: PassedOn) -> None:
-        """Add a request that is passed on under a number of ours."""
+    def ask(self, number: int, item: PassedOn) -> bool:
+        """Pass a request on under a number of ours; return False if none is linked."""
         self._items[number] = item
         self._numbers[item.client, item.number] = number
+        if not item.owner or item.owner == self._roster.local.name:
+            return False
+        message = encode_request(
+            number,
+            item.key,
+            item.request,
+            time.monotonic(),
+            for_other_zone=True,
+            may_wait=item.may_wait,
+        )
+        return self._deliver(item.owner, message)
+
+    def ask_next_owner(self, number: int) -> bool:
+        """Ask a zone's next owner for what waited at a lost one, if there is one.
+
+        The zone that passed the request on may have no replica for it, so that it would
+        be refused there.
+        """
+        item = self._items[number]
+        owner = self._roster.find_owner(item.key) or ""
+        if not item.may_wait or owner == item.owner:
+            return False
+        return self.ask(number, replace(item, owner=owner))
+
+    def withdraw(self, owner: str, number: int, key: SlotKey) -> None:
+        """Withdraw a request, or give an unused slot back, at another zone's owner."""
+        if owner and owner != self._roster.local.name:
+            self._deliver(owner, build_unused(number, key))
 
     def find(self, number: int) -> PassedOn | None:
         """Return the request passed on under a number, or None."""
@@ -93,3 +138,8 @@
     def list_of(self, client: str) -> list[PassedOn]:
         """Return all that was passed on for a client."""
         return [item for item in self._items.values() if item.client == client]
+
+
+def build_unused(number: int, key: SlotKey) -> SlotRelease:
+    """Return the release of a slot that was not used, or of a place in a queue."""
+    return SlotRelease(number, key.zone, key.service, key.model, "", 0, UNUSED)
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -36,7 +36,7 @@
 from ..slots.ledger import REPORT_DELAY_S
 from ..targets.progress import ProgressBook
 from .beliefs import GatewayView
-from .passed_on import PassedOn, PassedOnTable
+from .passed_on import PassedOn, PassedOnTable, build_unused
 from .roster import Roster
 from .slot_client import UNUSED, SlotClient
 from .slot_wire import (
@@ -45,7 +45,6 @@
     decode_request,
     encode_grant,
     encode_refusal,
-    encode_request,
 )
 from .stall_checks import StallChecks
 
@@ -102,7 +101,7 @@
         self._zone = roster.local.zone
         self._name = roster.local.name
         self._owners: dict[tuple[str, str], SlotOwner] = {}
-        self._passed_on = PassedOnTable()
+        self._passed_on = PassedOnTable(roster, deliver)
         self._stall_checks = StallChecks(
             progress,
             self._passed_on,
@@ -156,12 +155,14 @@
         """Pass a slot of another zone on to the client that asked for one."""
         item = self._passed_on.grant(message.number, message.target, now)
         if item is None:
-            self._withdraw_at(peer, message.number, SlotKey(message.zone, "", ""))
+            self._passed_on.withdraw(
+                peer, message.number, SlotKey(message.zone, "", "")
+            )
             return
         offer = decode_grant(message, item.key.service, item.key.model, now)
         granted = Granted(item.client, item.number, offer, message.in_flight)
         if not self._give(granted, now):
-            self.handle_release(item.client, _build_unused(item.number, item.key), now)
+            self.handle_release(item.client, build_unused(item.number, item.key), now)
 
     def handle_refusal(self, message: SlotRefusal) -> None:
         """Decide on a request that another zone declined, or pass its refusal on."""
@@ -224,7 +225,7 @@
         """Take back what was passed on to a lost peer; drop what it holds soon."""
         self._lost_clients[peer] = now + LOST_CLIENT_S
         for number, item in self._passed_on.iter_at(peer):
-            if not item.target:
+            if not item.target and not self._passed_on.ask_next_owner(number):
                 self._take_back(number)
 
     def tick(self, served_zones: tuple[str, ...], now: float) -> None:
@@ -325,19 +326,16 @@
 
     def _pass_on(self, owner: SlotOwner, decision: Forwarded) -> None:
         key = replace(owner.key, zone=decision.zone)
-        other = self._roster.find_owner(key) or ""
         number = next(self._numbers)
-        item = PassedOn(decision.client, decision.number, key, decision.request, other)
-        self._passed_on.add(number, item)
-        message = encode_request(
-            number,
+        item = PassedOn(
+            decision.client,
+            decision.number,
             key,
             decision.request,
-            time.monotonic(),
-            for_other_zone=True,
+            self._roster.find_owner(key) or "",
             may_wait=decision.may_wait,
         )
-        if not other or other == self._name or not self._deliver(other, message):
+        if not self._passed_on.ask(number, item):
             gevent.spawn(self._take_back, number)
         elif not decision.may_wait:
             gevent.spawn_later(FORWARD_TIMEOUT_S, self._take_back, number)
@@ -348,7 +346,7 @@
         if item is None or item.target:
             return
         self._passed_on.pop(number)
-        self._withdraw_at(item.owner, number, item.key)
+        self._passed_on.withdraw(item.owner, number, item.key)
         owner = self.find(item.key)
         now = time.monotonic()
         decisions = owner.take_back(
@@ -359,13 +357,9 @@
     def _give_back(self, items: Iterable[PassedOn], now: float) -> None:
         """Give back the slots of other zones, or the places in their queues."""
         for item in items:
-            release = _build_unused(item.number, item.key)
+            release = build_unused(item.number, item.key)
             self.handle_release(item.client, release, now)
 
-    def _withdraw_at(self, name: str, number: int, key: SlotKey) -> None:
-        if name and name != self._name:
-            self._deliver(name, _build_unused(number, key))
-
     def _release_passed_on(self, client: str, message: SlotRelease) -> bool:
         """Pass a release on to the zone that granted the slot, if another did."""
         number = self._passed_on.find_number(client, message.number)
@@ -392,7 +386,3 @@
         if self._progress.suspect(target, epoch, now):
             self._new_suspicions.append((target, epoch))
             logger.info("target suspected", extra={"target": target, "epoch": epoch})
-
-
-def _build_unused(number: int, key: SlotKey) -> SlotRelease:
-    return SlotRelease(number, key.zone, key.service, key.model, "", 0, UNUSED)
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -15,6 +15,7 @@
 from ..gateway.stall_checks import STALL_FORWARD_TIMEOUT_S
 from ..mesh.fleet_messages import (
     SlotGrant,
+    SlotRefusal,
     SlotRelease,
     SlotRequestMessage,
     StallCheck,
@@ -39,10 +40,15 @@
 
 
 @pytest.fixture
-def owners(sent, progress):
+def zone_owners():
+    return {"a": "a-owner", "b": "b-owner"}
+
+
+@pytest.fixture
+def owners(sent, progress, zone_owners):
     roster = SimpleNamespace(
         local=SimpleNamespace(name="a-owner", zone="a"),
-        find_owner=lambda key: "b-owner" if key.zone == "b" else "a-owner",
+        find_owner=lambda key: zone_owners[key.zone],
     )
     view = SimpleNamespace(
         find_service=lambda name: None,
@@ -162,3 +168,39 @@
         "b-owner", structs.replace(CHECK, for_other_zone=True), now
     )
     assert sent == [("b-owner", StallReply(7, pytest.approx(0.2), False))]
+
+
+def wait_at_b(owners, sent) -> SlotRequestMessage:
+    """Let a request of host h1 wait in zone b, as zone a has no replica for it."""
+    now = time.monotonic()
+    owners.find(KEY)
+    owners.update_zone(OTHER, KeySummary(8, 8, 0, 1.1, 2, 2.0), now)
+    req = SlotRequest("r", "pool", "m", "w", 1, 1.0, now + 5.0)
+    owners.handle_request("h1", encode_request(7, KEY, req, now), now)
+    name, message = sent[-1]
+    assert name == "b-owner" and message.may_wait
+    return message
+
+
+def test_request_that_waits_in_another_zone_is_not_refused_when_its_owner_stops(
+    owners, sent, zone_owners
+):
+    waiting = wait_at_b(owners, sent)
+    zone_owners["b"] = "b-next"
+    owners.handle_lost_peer("b-owner", time.monotonic())
+    name, message = sent[-1]
+    assert name == "b-next" and isinstance(message, SlotRequestMessage)
+    assert (message.number, message.may_wait) == (waiting.number, True)
+    assert message.left_s == pytest.approx(waiting.left_s, abs=0.1)
+    grant = SlotGrant(message.number, "t", "x:1", "b", 8, 1, 0.0, 1)
+    owners.handle_grant("b-next", grant, time.monotonic())
+    assert sent[-1] == ("h1", SlotGrant(7, "t", "x:1", "b", 8, 1, 0.0, 1))
+    assert [item[0] for item in owners.iter_passed_on("b-next")] == [message.number]
+
+
+def test_request_that_waits_in_a_lost_zone_is_answered_here(owners, sent, zone_owners):
+    wait_at_b(owners, sent)
+    zone_owners["b"] = None
+    owners.handle_lost_peer("b-owner", time.monotonic())
+    name, message = sent[-1]
+    assert name == "h1" and isinstance(message, SlotRefusal)
