Tell a gateway that stops of the slots that the next owner grants

A gateway that stops goes on granting slots to the requests that wait there, but the others told only the live owners which slots they hold. It counted those of the next owner as free, granted them twice, and answered questions about silent streams without the progress that other gateways saw, so that streams of slow targets were moved, and targets turned requests away. Hosts of higher rank that stop now get the reports until their links end. The new test failed before: the stopping owner was told of no slot.

--- a/waxwingpitch/gateway/roster.py
+++ b/waxwingpitch/gateway/roster.py
@@ -145,13 +145,20 @@
         return self.local.name in first[:KEPT_HOSTS]
 
     def list_owners(self, key: SlotKey) -> list[str]:
-        """Return the host that owns a zone's slots, and the next one."""
-        live = [
-            host.name
-            for host in self._iter_zone(f"slots {key}", key.zone)
-            if self.is_live(host.name)
-        ]
-        return live[:KEPT_HOSTS]
+        """Return the host that owns a zone's slots, and the next one.
+
+        Hosts of higher rank that stop are among them, as they still decide on the
+        requests that wait there.
+        """
+        found: list[str] = []
+        live = 0
+        for host in self._iter_zone(f"slots {key}", key.zone):
+            if live >= KEPT_HOSTS:
+                break
+            if self.is_heard(host.name):
+                found.append(host.name)
+                live += self.is_live(host.name)
+        return found
 
     def list_heads(self, zone: str) -> list[str]:
         """Return the host that leads a zone, and the next one."""
