Ask the next owner about slots whose granting gateway has stopped

Questions about a silent stream, and released slots, went to the gateway that had granted the slot, also after it had stopped. The question got no answer, so that a stalled stream was never resumed and its caller got nothing more until the deadline; the target stayed occupied in the books of the next owner until the next report, and what the request had shown of it was lost. A gateway that had just restarted under the same name answered without knowing any progress, so that streams of sound targets were moved. They now go to the present owner unless the granting one is linked and knows the targets; the present owner knows the slots from the gateways' reports. The three new tests failed before: no answer, an answer that moves a sound stream, and a release that reached no one.

--- a/waxwingpitch/gateway/roster.py
+++ b/waxwingpitch/gateway/roster.py
@@ -226,6 +226,10 @@
         heard_at = self._heard.get(peer)
         return heard_at is not None and self._clock() - heard_at < SILENCE_S
 
+    def is_deciding(self, peer: str) -> bool:
+        """Return whether a peer answers and knows the targets, even if it stops."""
+        return self.is_heard(peer) and self._is_host_ready(peer)
+
     def _is_host_ready(self, name: str) -> bool:
         return self.is_ready if name == self.local.name else name in self._ready
 
--- a/waxwingpitch/gateway/slot_client.py
+++ b/waxwingpitch/gateway/slot_client.py
@@ -171,7 +171,7 @@
             first_s,
             fingerprint,
         )
-        self._deliver(slot.owner, message)
+        self._deliver(self._find_present_owner(slot), message)
 
     def may_resume(self, slot: Slot, stalled_after_s: float) -> tuple[float, bool]:
         """Ask whether a silent stream may be resumed on another target.
@@ -198,7 +198,7 @@
         )
         result = self._stall_replies[slot.number] = AsyncResult()
         try:
-            self._deliver(slot.owner, check)
+            self._deliver(self._find_present_owner(slot), check)
             reply = result.get(timeout=STALL_CHECK_TIMEOUT_S)
         except gevent.Timeout:
             return 0.0, False
@@ -323,6 +323,16 @@
                 SlotRelease(number, key.zone, key.service, key.model, "", 0, UNUSED),
             )
 
+    def _find_present_owner(self, slot: Slot) -> str:
+        """Return the owner that granted a slot, or the next one if that has stopped.
+
+        The next one knows the slot, and what other gateways see of its target, from the
+        gateways' reports.
+        """
+        if self._roster.is_deciding(slot.owner):
+            return slot.owner
+        return self._roster.find_owner(slot.key) or slot.owner
+
     def _is_excluded(self, target: str) -> bool:
         paused = self.pauses.is_paused(target, time.monotonic())
         return paused or target in self._leaving
