Drain entry daemons until the last byte of the last answer

The drain of an entry daemon counted a request only from the end of its body to the end of its run. One that had been admitted and whose body was still on its way was cut off without an answer 1.2 s after SIGTERM, and so was an answer that its caller read slowly, both with time left in drain_timeout_s. The server now counts a request from its head to the last byte of its answer. It also says Connection: close in its answers while it stops, so that callers send nothing on connections that are about to end. The new process test failed before: the connection closed without a byte; the tests of the server had nothing to ask.

--- a/waxwingpitch/entry/daemon.py
+++ b/waxwingpitch/entry/daemon.py
@@ -172,16 +172,17 @@
         Requests that exceed the drain timeout are cut off.
         """
         deadline = time.monotonic() + self.settings.drain_timeout_s
-        self.view.stopping = True
+        self.view.stopping = self.http.is_stopping = True
         self.coordination.post(DrainStarted())
-        logger.info("stopping", extra={"in_progress": self.web.in_progress})
+        logger.info("stopping", extra={"in_progress": self.http.in_progress})
         gevent.sleep(STOP_NOTICE_S)
-        while self.web.in_progress and time.monotonic() < deadline:
+        while self.http.in_progress and time.monotonic() < deadline:
             gevent.sleep(DRAIN_POLL_S)
+        cut_off = self.http.in_progress
         self.claims.flush(deadline)
         self.registrar.leave()
         self.kill()
-        logger.info("stopped", extra={"cut_off": self.web.in_progress})
+        logger.info("stopped", extra={"cut_off": cut_off})
 
     def kill(self) -> None:
         """Stop at once, without draining."""
--- a/waxwingpitch/http_server.py
+++ b/waxwingpitch/http_server.py
@@ -18,6 +18,7 @@
     """Disables Nagle's algorithm so that small writes are sent immediately.
 
     The environment of a request contains the caller's socket under ``SOCKET_KEY``.
+    While the server stops, connections end with the next answer, which says so.
     """
 
     MAX_REQUEST_LINE = MAX_REQUEST_LINE_BYTES
@@ -31,6 +32,19 @@
         environ[SOCKET_KEY] = self.socket
         return environ
 
+    def handle_one_response(self):
+        self.server.in_progress += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.in_progress -= 1
+            self.close_connection = self.close_connection or self.server.is_stopping
+
+    def start_response(self, status, headers, exc_info=None):
+        if self.server.is_stopping:
+            headers = [*headers, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
     def log_request(self):
         """Do nothing; the application logs requests."""
 
@@ -49,6 +63,13 @@
         WSGI application.
     connections
         Maximum number of concurrent connections; None for no limit.
+
+    Attributes
+    ----------
+    in_progress
+        Requests whose head has been read and whose answer is not fully written.
+    is_stopping
+        Whether connections end with their next answer.
     """
 
     def __init__(self, host: str, port: int, app, *, connections: int | None = None):
@@ -60,6 +81,8 @@
             error_log=logging.getLogger("waxwingpitch.http"),
             spawn=Pool(connections) if connections else "default",
         )
+        self.in_progress = 0
+        self.is_stopping = False
 
     @property
     def address_text(self) -> str:
--- a/waxwingpitch/tests/test_process_streams.py
+++ b/waxwingpitch/tests/test_process_streams.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+import socket
 
 import gevent
 import pytest
@@ -11,7 +12,7 @@
 from ..standins import EnginePerformance
 from ..standins.answers import full_answer
 from ..standins.engine import POISON
-from .cluster import Cluster, wait_until
+from .cluster import TOKEN, Cluster, wait_until
 
 pytestmark = pytest.mark.processes
 
@@ -148,3 +149,35 @@
             assert job.value == (full_answer(f"user: kuzima {i}", 80), True, None)
         assert entry.wait() == 0
         assert entry.find_log("stopped")["cut_off"] == 0
+
+
+def test_stop_cuts_off_no_request_whose_body_still_arrives():
+    """Its head was accepted before the stop, so its caller isn't told to go away."""
+    with Cluster(engines=4, entries=1) as cluster:
+        cluster.wait_usable(4)
+        entry = cluster.entries[0]
+        body = json.dumps(
+            {
+                "model": "lesson",
+                "max_tokens": 4,
+                "messages": [{"role": "user", "content": "polepole"}],
+            }
+        ).encode()
+        head = (
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"
+            f"Authorization: Bearer {TOKEN}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        host, port = entry.url.removeprefix("http://").rsplit(":", 1)
+        with socket.create_connection((host, int(port)), timeout=10.0) as sock:
+            sock.sendall(head.encode() + body[:20])
+            gevent.sleep(0.3)
+            entry.send_signal(signal.SIGTERM)
+            wait_until(lambda: entry.find_log("stopping"))
+            gevent.sleep(2.0)
+            sock.sendall(body[20:])
+            answer = b"".join(iter(lambda: sock.recv(65536), b""))
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert json.loads(answer.partition(b"\r\n\r\n")[2])["choices"]
+        assert entry.wait() == 0
+        assert entry.find_log("stopped")["cut_off"] == 0
