Let answers end within their route's time-out when a group is closed by plan

A group whose member leaves, or that is given up for another model, was closed with preemption after 6 s, whatever the routes allow an answer. Answers that take longer, as under load, were ended by this planned work. The planner now waits for the longest time-out of the routes to the service, at least the 6 s, and keeps the closed group's targets reserved for as long. Two of the new tests failed before: the heads of the closing groups were ordered to end their requests in flight; a third shows that a group that never finishes closing is still preempted, and a fourth that the next planner doesn't cut the time short.

--- a/waxwingpitch/configuration/routes.py
+++ b/waxwingpitch/configuration/routes.py
@@ -207,3 +207,14 @@
     services: Mapping[str, ServiceSpec]
     limits: CallerLimits = field(default_factory=CallerLimits)
     keys: Mapping[str, KeyOwner] | None = None
+
+    def find_longest_timeout_s(self, service: str) -> float:
+        """Return the longest time-out of the routes to a service; 0 without any."""
+        return max(
+            (
+                route.timeout_s
+                for route in self.routes
+                if any(share.service == service for share in route.shares)
+            ),
+            default=0.0,
+        )
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -230,6 +230,7 @@
             planned=self._plans.count_other_groups(self.zone, service.name),
             has_traffic=self._slots.has_seen_requests,
             may_rebalance=has_turn(self.zone, self._plans.zones, time.time()),
+            longest_answer_s=self._view.cfg.find_longest_timeout_s(service.name),
         )
 
     def _measure_demand(self, service, now: float) -> tuple[dict, dict]:
--- a/waxwingpitch/groups/balance.py
+++ b/waxwingpitch/groups/balance.py
@@ -23,10 +23,6 @@
 REBALANCE_INTERVAL_S = 2.0
 # Least reduction of the highest pressure for which a change is made.
 MIN_PRESSURE_GAIN = 0.02
-# Time that requests in flight have to finish when a group is closed for a planned
-# change.
-CLOSE_TIMEOUT_S = 6.0
-
 
 logger = logging.getLogger(__name__)
 
@@ -117,7 +113,7 @@
                     self.find_pressure(view, donor, extra=-len(heads)),
                 )
                 if pressure_if_completed < pressure_if_split - MIN_PRESSURE_GAIN:
-                    yield from self._close_for(heads, model, now)
+                    yield from self._close_for(view, heads, model, now)
                     return
 
     def rebalance(
@@ -171,7 +167,7 @@
                         "groups": len(heads),
                     },
                 )
-                yield from self._close_for(heads, overloaded, now)
+                yield from self._close_for(view, heads, overloaded, now)
                 return
 
     def _find_heads_to_complete(
@@ -248,12 +244,17 @@
         return best
 
     def _close_for(
-        self, heads: Sequence[TargetRecord], model: ModelSpec, now: float
+        self,
+        view: FleetView,
+        heads: Sequence[TargetRecord],
+        model: ModelSpec,
+        now: float,
     ) -> Iterator[TargetOrder]:
         """Close groups gracefully, and reserve the free targets of their domain."""
-        self._reserved[heads[0].domain] = (model.name, now + CLOSE_TIMEOUT_S)
+        timeout_s = view.close_timeout_s
+        self._reserved[heads[0].domain] = (model.name, now + timeout_s)
         for head in heads:
             place = head.membership
             self._reassigned.add((place.group, place.epoch))
             order = Close(place.group, place.epoch, preempt=False)
-            yield from self._ledger.issue(head, order, CLOSE_TIMEOUT_S, now)
+            yield from self._ledger.issue(head, order, timeout_s, now)
--- a/waxwingpitch/groups/fleet.py
+++ b/waxwingpitch/groups/fleet.py
@@ -10,6 +10,9 @@
 from ..targets.records import MemberState, TargetRecord
 from .naming import parse_head
 
+# Least time that requests in flight have to finish when a group is closed for a planned
+# change.
+MIN_CLOSE_TIMEOUT_S = 6.0
 # Time for a target to join another group of the model that it served last.
 REJOIN_S = 0.2
 
@@ -40,6 +43,8 @@
         Whether any request has arrived; until then, loads of weights are not limited.
     may_rebalance
         Whether groups of one model may be closed for another now.
+    longest_answer_s
+        Longest time that any route to the service allows for an answer.
     """
 
     spec: EngineSpec
@@ -53,6 +58,12 @@
     planned: Mapping[str, int] = field(default_factory=dict)
     has_traffic: bool = True
     may_rebalance: bool = True
+    longest_answer_s: float = 0.0
+
+    @property
+    def close_timeout_s(self) -> float:
+        """Time that requests in flight have when a group is closed by plan."""
+        return max(MIN_CLOSE_TIMEOUT_S, self.longest_answer_s)
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -15,7 +15,7 @@
 
 from ..configuration.routes import ModelSpec
 from ..targets.records import MemberState, TargetRecord
-from .balance import CLOSE_TIMEOUT_S, OVERLOAD_PRESSURE, GroupRebalancer
+from .balance import OVERLOAD_PRESSURE, GroupRebalancer
 from .fleet import FleetView, ObservedGroup, find_groups, find_join_s, is_member
 from .ledger import EFFECT_TIMEOUT_S, FormingGroup, OrderLedger, TargetOrder
 from .naming import GroupHead, name_group, parse_head
@@ -228,7 +228,7 @@
                 yield from self.ledger.issue(head, order, EFFECT_TIMEOUT_S, now)
             case MemberState.CLOSING:
                 since = self._closing_since.setdefault(key, now)
-                if has_lost_members or now - since > CLOSE_TIMEOUT_S:
+                if has_lost_members or now - since > view.close_timeout_s:
                     order = Close(group.group, group.epoch, preempt=True)
                     yield from self.ledger.issue(head, order, EFFECT_TIMEOUT_S, now)
             case MemberState.READY if (
--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -57,6 +57,10 @@
     ----------
     orders, refused
         Orders that were carried out, and those that targets refused.
+    running_s, longest_answer_s
+        Time that the requests in flight at a head take, and that routes allow them.
+    cut_off
+        Heads whose requests in flight were ended by an order.
     """
 
     def __init__(self, domains: int = 1, size: int = 10):
@@ -69,6 +73,9 @@
         self.inactive: set[str] = set()
         self.unreachable: set[str] = set()
         self.has_traffic = False
+        self.running_s = 1.0
+        self.longest_answer_s = 0.0
+        self.cut_off: list[str] = []
         for domain in range(domains):
             for number in range(size):
                 self.add(f"t{domain}-{number}", f"d{domain}")
@@ -134,6 +141,7 @@
             demand=self.demand,
             slots=slots,
             has_traffic=self.has_traffic,
+            longest_answer_s=self.longest_answer_s,
         )
 
     def run(self, planner: FormationPlanner, seconds: float) -> None:
@@ -265,8 +273,10 @@
             return False
         if place.state is MemberState.OPEN:
             self._set_state(item, MemberState.CLOSING)
-            item.closed_at = self.now + (0.05 if order.preempt else 1.0)
-        elif place.state is MemberState.CLOSING and order.preempt:
+            item.closed_at = self.now + self.running_s
+        if place.state in (MemberState.OPEN, MemberState.CLOSING) and order.preempt:
+            if item.closed_at > self.now + 0.05:
+                self.cut_off.append(item.record.id)
             item.closed_at = min(item.closed_at, self.now + 0.05)
         self.orders.append((item.record.id, order))
         return True
