--- a/waxwingpitch/gateway/roster.py
+++ b/waxwingpitch/gateway/roster.py
@@ -145,13 +145,20 @@
         return self.local.name in first[:KEPT_HOSTS]
 
     def list_owners(self, key: SlotKey) -> list[str]:
-        """Return the host that owns a zone's slots, and the next one."""
-        live = [
-            host.name
-            for host in self._iter_zone(f"slots {key}", key.zone)
-            if self.is_live(host.name)
-        ]
-        return live[:KEPT_HOSTS]
+        """Return the host that owns a zone's slots, and the next one.
+
+        Hosts of higher rank that stop are among them, as they still decide on the
+        requests that wait there.
+        """
+        found: list[str] = []
+        live = 0
+        for host in self._iter_zone(f"slots {key}", key.zone):
+            if live >= KEPT_HOSTS:
+                break
+            if self.is_heard(host.name):
+                found.append(host.name)
+                live += self.is_live(host.name)
+        return found
 
     def list_heads(self, zone: str) -> list[str]:
         """Return the host that leads a zone, and the next one."""
@@ -219,6 +226,10 @@
         heard_at = self._heard.get(peer)
         return heard_at is not None and self._clock() - heard_at < SILENCE_S
 
+    def is_deciding(self, peer: str) -> bool:
+        """Return whether a peer answers and knows the targets, even if it stops."""
+        return self.is_heard(peer) and self._is_host_ready(peer)
+
     def _is_host_ready(self, name: str) -> bool:
         return self.is_ready if name == self.local.name else name in self._ready
 
