--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -292,7 +292,13 @@
         self.route_table = RouteTable(cfg)
         logger.info(
             "configuration in force",
-            extra={"version": cfg.version, "revision": entry.version},
+            extra={
+                "version": cfg.version,
+                "revision": entry.version,
+                "routes": len(cfg.routes),
+                "header_timeout_s": cfg.limits.header_timeout_s,
+                "idle_timeout_s": cfg.limits.idle_timeout_s,
+            },
         )
 
     def _load_evacuations(self) -> None:
