Let a failing step not keep a gateway from stopping

Operators saw: a process that did not end after SIGTERM until it was killed, which cut what was in progress. Cause: an error in one step of the stop ended the greenlet that took the steps. Evidence: test_error_in_a_step_does_not_keep_a_process_from_stopping failed before for all 4 steps that it lets fail (not stopped after 3 s) and passes now. Fix: an error in a step is logged with its name, and the next one is taken.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -234,17 +234,19 @@
 
     def stop(self) -> None:
         """Stop all tasks at once."""
-        self._listener.stop_accepting()
-        self._web.stop()
-        self._peers.stop()
-        self._lease_keeper.stop()
-        self._registration.stop()
-        self._follower.stop()
-        for task in self._planners:
-            task.stop()
-        if self._housekeeper is not None:
-            self._housekeeper.kill(block=False)
-        self._stopped.set()
+        try:
+            self._listener.stop_accepting()
+            self._web.stop()
+            self._peers.stop()
+            self._lease_keeper.stop()
+            self._registration.stop()
+            self._follower.stop()
+            for task in self._planners:
+                task.stop()
+            if self._housekeeper is not None:
+                self._housekeeper.kill(block=False)
+        finally:
+            self._stopped.set()
 
     def find_unready_reason(self) -> str | None:
         """Return why this process accepts no requests, or None if it does."""
--- a/waxwingpitch/gateway/stopping.py
+++ b/waxwingpitch/gateway/stopping.py
@@ -54,23 +54,26 @@
         self._registration = registration
 
     def run(self, stop_tasks: Callable[[], None]) -> None:
-        """Hand over planning, drain requests in progress, then stop the tasks."""
+        """Hand over planning, drain requests in progress, then stop the tasks.
+
+        A step that fails keeps no later step from being taken.
+        """
         started_at = time.monotonic()
         times = plan_stop(started_at, self._stop_s)
         self._server.stop_times = times
         logger.info(
             "gateway stops", extra={"in_progress": self._listener.active_connections}
         )
+        self._listener.disable_keep_alive()
         for planner in self._planners:
-            self._hand_over(planner)
-        self._lease_keeper.stop()
-        self._registration.stop()
+            _take_step(self._hand_over, planner)
+        _take_step(self._lease_keeper.stop)
+        _take_step(self._registration.stop)
         gevent.spawn(self._lease_keeper.revoke)
-        self._peers.announce_stop()
-        self._listener.disable_keep_alive()
+        _take_step(self._peers.announce_stop)
         gevent.sleep(BALANCER_REMOVAL_S)
-        self._listener.stop_accepting()
-        self._drain(times)
+        _take_step(self._listener.stop_accepting)
+        _take_step(self._drain, times)
         # Only now, as peers end their links to a host that is not registered.
         gevent.spawn(self._registration.remove).join(REMOVAL_TIMEOUT_S)
         logger.info(
@@ -80,7 +83,7 @@
                 "took_s": round(time.monotonic() - started_at, 2),
             },
         )
-        stop_tasks()
+        _take_step(stop_tasks)
 
     def _drain(self, times: StopTimes) -> None:
         """Wait until no connection is open, or until begun streams are broken off."""
@@ -100,3 +103,10 @@
             logger.info(
                 "planning handed over", extra={"zone": handover.zone, "peer": peer}
             )
+
+
+def _take_step(step: Callable[..., None], *args) -> None:
+    try:
+        step(*args)
+    except Exception:
+        logger.exception("step of the stop failed", extra={"step": step.__name__})
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -360,3 +360,28 @@
     answer = call(daemon.settings.front, "/file/x", "u1")
     assert answer.status == 500
     assert answer.headers["attempt-id"] == "u1"
+
+
+@pytest.mark.parametrize(
+    ("part", "step"),
+    [
+        ("_peers", "announce_stop"),
+        ("_registration", "stop"),
+        ("_web", "stop"),
+        ("_planners", "hand_over"),
+    ],
+)
+def test_error_in_a_step_does_not_keep_a_process_from_stopping(
+    start_stoppable, monkeypatch, part, step
+):
+    daemon = start_stoppable(3.0)
+
+    def _fail():
+        raise RuntimeError("for the test")
+
+    task = getattr(daemon, part)
+    task = task[0] if part == "_planners" else task
+    with monkeypatch.context() as patched:
+        patched.setattr(task, step, _fail)
+        daemon._begin_stop()
+        assert daemon._stopped.wait(3.0)
