--- a/waxwingpitch/tests/test_process_gateway.py
+++ b/waxwingpitch/tests/test_process_gateway.py
@@ -178,3 +178,89 @@
     script = (ROOT / "deploy" / "build.sh").read_text()
     assert "pyproject.toml" in script
     assert not list((ROOT / "deploy").glob("*requirements*"))
+
+
+def test_second_signal_does_not_cut_what_the_first_one_drains(platform, gateway):
+    process, address, log = gateway
+    caller = Caller(address)
+    caller.send_chat("t1", model=PAIR.name, events=60)
+    gevent.sleep(0.3)
+    process.send_signal(signal.SIGTERM)
+    gevent.sleep(0.2)
+    process.send_signal(signal.SIGTERM)
+    answer = caller.read()
+    assert answer.is_complete and answer.events == list(range(1, 61))
+    assert process.wait(9) == 0
+
+
+def test_hangup_cuts_no_request(platform, gateway):
+    process, address, log = gateway
+    kept, caller = Caller(address), Caller(address)
+    kept.send("/file/x", "k1")
+    assert kept.read().status == 200
+    caller.send_chat("u1", model=PAIR.name, events=60)
+    for _ in range(3):
+        gevent.sleep(0.2)
+        process.send_signal(signal.SIGHUP)
+    kept.send("/file/x", "k2")
+    assert kept.read().status == 200
+    answer = caller.read()
+    assert answer.is_complete and answer.events == list(range(1, 61))
+    assert process.poll() is None
+
+
+def test_kept_connections_lose_no_request_to_a_stop(platform, gateway):
+    """Requests that the process read are answered, at whatever moment they come."""
+    process, address, log = gateway
+    platform.plain_s = 0.15
+    lost = []
+
+    def _call_again_and_again(caller: int) -> None:
+        connection = None
+        for number in range(60):
+            request = f"v{caller}-{number}"
+            try:
+                connection = connection or Caller(address)
+            except OSError:
+                return
+            try:
+                connection.send("/file/x", request)
+                answer = connection.read()
+            except (OSError, IndexError):
+                if platform.runs[request]:
+                    lost.append(request)
+                connection = None
+                continue
+            if not answer.is_complete:
+                lost.append(request)
+            if answer.headers.get("connection") == "close":
+                connection = None
+            gevent.sleep(0.037 * caller)
+
+    callers = [gevent.spawn(_call_again_and_again, number) for number in range(8)]
+    gevent.sleep(1.0)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(9) == 0
+    gevent.joinall(callers, timeout=5.0)
+    assert lost == []
+
+
+def test_signal_while_a_process_starts_ends_it(platform, tmp_path):
+    for number, delay_s in enumerate((0.5, 1.0, 1.5, 2.0)):
+        path = tmp_path / f"{number}.toml"
+        path.write_text(
+            SETTINGS.format(
+                peers=find_port(),
+                front=find_port(),
+                ready=find_port(),
+                store=platform.store.address,
+            )
+        )
+        process = start(path, subprocess.DEVNULL)
+        gevent.sleep(delay_s)
+        process.send_signal(signal.SIGTERM)
+        try:
+            assert process.wait(8) in (0, -signal.SIGTERM)
+        finally:
+            process.kill()
+            process.wait(5)
