Write a process's last log lines also to a reader that is behind

Operators saw: no 'gateway stopped', and a line cut in the middle, where the reader of standard output was behind at the exit. Cause: flush wrote the rest of the last block and left the lines queued behind it, and the process did not wait for the reader. Fix: flush goes on with the queue, and an ending process tries again for LAST_LINES_S.

--- a/waxwingpitch/gateway/main.py
+++ b/waxwingpitch/gateway/main.py
@@ -8,6 +8,7 @@
 
 import os
 import sys
+import time
 
 from ..errors import SettingsError
 from ..platform.settings import (
@@ -19,6 +20,8 @@
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
+# Time for which a process that ends waits for standard output to take its last lines.
+LAST_LINES_S = 0.2
 
 
 def run_gateway() -> int:
@@ -29,8 +32,9 @@
     except SettingsError as exc:
         print(exc.message, file=sys.stderr)
         return EXIT_SETTINGS
-    set_up_bounded_logging("info")
+    handler = set_up_bounded_logging("info")
     GatewayDaemon(settings).run_until_stopped()
+    handler.flush_until(time.monotonic() + LAST_LINES_S)
     return EXIT_OK
 
 
--- a/waxwingpitch/telemetry/logs.py
+++ b/waxwingpitch/telemetry/logs.py
@@ -6,12 +6,15 @@
 import logging
 import os
 import sys
+import time
 from collections import deque
 
 import gevent
 import msgspec
 
 FLUSH_INTERVAL_S = 0.05
+# Interval at which a process that ends tries again to write its last lines.
+FLUSH_RETRY_INTERVAL_S = 0.005
 
 _STANDARD_ATTRIBUTES = frozenset(
     logging.LogRecord("", 0, "", 0, "", (), None).__dict__.keys()
@@ -101,16 +104,29 @@
             gevent.sleep(FLUSH_INTERVAL_S)
             self.flush()
 
+    def flush_until(self, deadline: float) -> None:
+        """Write all queued lines, waiting for standard output until a deadline.
+
+        Parameters
+        ----------
+        deadline
+            Time of the monotonic clock.
+        """
+        self.flush()
+        while (self._queue or self._unwritten) and time.monotonic() < deadline:
+            gevent.sleep(FLUSH_RETRY_INTERVAL_S)
+            self.flush()
+
     def flush(self) -> None:
         """Write the queued lines, as far as standard output accepts them."""
         if self._dropped and len(self._queue) < self._queue_limit:
             self._queue.append(self._format_dropped() + b"\n")
             self._dropped = 0
-        if self._queue and not self._unwritten:
-            self._unwritten += b"".join(self._queue)
-            self._queue.clear()
         try:
-            while self._unwritten:
+            while self._unwritten or self._queue:
+                if not self._unwritten:
+                    self._unwritten = b"".join(self._queue)
+                    self._queue.clear()
                 written = os.write(self._fd, self._unwritten)
                 self._unwritten = self._unwritten[written:]
         except BlockingIOError:
@@ -119,7 +135,7 @@
             self._unwritten = b""
 
 
-def set_up_bounded_logging(level: str) -> None:
+def set_up_bounded_logging(level: str) -> BoundedHandler:
     """Log records of a level and above to standard output without blocking."""
     handler = BoundedHandler()
     handler.setFormatter(JsonFormatter())
@@ -128,3 +144,4 @@
     root.setLevel(level.upper())
     logging.getLogger("urllib3").setLevel(logging.ERROR)
     logging.getLogger("websockets").setLevel(logging.ERROR)
+    return handler
