Fit the wait for the load balancer into a short stop

Cause: a stop waited 2.6 s for the load balancer, however short it was, and began to answer only then. Evidence: test_stop_breaks_streams_off_in_its_last_sixth_only asks now that accepting ends before answers are due, which did not hold for stops of 1 s and 3 s (the latter by 0.2 s: answers due after 2.4 s). Nothing changes at 8 s. Fix: the time is a part of the plan of the stop, a third of its time at most.

--- a/waxwingpitch/gateway/stop_times.py
+++ b/waxwingpitch/gateway/stop_times.py
@@ -8,6 +8,10 @@
 from ..errors import RequestError, ResultCode
 from .routed import RequestContext
 
+# Time until the load balancer has removed a process that is not ready: it does so after
+# two readiness checks, one a second. In a short stop, the share of its time.
+BALANCER_REMOVAL_S = 2.6
+BALANCER_REMOVAL_SHARE = 1 / 3
 # What follows the drain is left this time, or this share of the stop if it is less.
 STOP_MARGIN_S = 0.8
 STOP_MARGIN_SHARE = 0.1
@@ -42,6 +46,8 @@
     ----------
     signalled_at
         Time of the signal.
+    accepts_until
+        Time until which connections are accepted.
     streams_until
         Time until which streams begin.
     answers_by
@@ -51,6 +57,7 @@
     """
 
     signalled_at: float
+    accepts_until: float
     streams_until: float
     answers_by: float
     drained_by: float
@@ -67,7 +74,9 @@
     drained_by = signalled_at + stop_s - min(STOP_MARGIN_S, stop_s * STOP_MARGIN_SHARE)
     answers_by = max(signalled_at, drained_by - ANSWER_MARGIN_S)
     streams_until = min(answers_by, signalled_at + STREAMS_BEGIN_S)
-    return StopTimes(signalled_at, streams_until, answers_by, drained_by)
+    removal_s = min(BALANCER_REMOVAL_S, stop_s * BALANCER_REMOVAL_SHARE)
+    accepts_until = signalled_at + removal_s
+    return StopTimes(signalled_at, accepts_until, streams_until, answers_by, drained_by)
 
 
 def may_begin(
--- a/waxwingpitch/gateway/stopping.py
+++ b/waxwingpitch/gateway/stopping.py
@@ -16,9 +16,6 @@
 from .stop_times import StopTimes, StopTimeUpError, plan_stop
 from .store_tasks import LeaseKeeper
 
-# Time until the load balancer has removed a process that is not ready: it does so after
-# two readiness checks, one a second.
-BALANCER_REMOVAL_S = 2.6
 REMOVAL_TIMEOUT_S = 0.2
 DRAIN_INTERVAL_S = 0.05
 
@@ -71,7 +68,7 @@
         _take_step(self._registration.stop)
         gevent.spawn(self._lease_keeper.revoke)
         _take_step(self._peers.announce_stop)
-        gevent.sleep(BALANCER_REMOVAL_S)
+        gevent.sleep(max(0.0, times.accepts_until - time.monotonic()))
         _take_step(self._listener.stop_accepting)
         _take_step(self._drain, times)
         # Only now, as peers end their links to a host that is not registered.
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -11,7 +11,7 @@
 
 from ..configuration.routes import CallerLimits, RouteKind
 from ..forwarding import Answer, AnswerHead, CallerListener
-from ..gateway import GatewayDaemon, serving, stopping
+from ..gateway import GatewayDaemon, serving, stop_times
 from ..gateway.stop_times import may_begin, plan_stop
 from ..settings.gateway import Address
 from .gateway_client import Caller, build_settings, call, wait_for
@@ -56,7 +56,7 @@
 @pytest.fixture
 def start_stoppable(platform, monkeypatch):
     """Start a gateway with a short stop, at whose end its sockets close."""
-    monkeypatch.setattr(stopping, "BALANCER_REMOVAL_S", 0.3)
+    monkeypatch.setattr(stop_times, "BALANCER_REMOVAL_S", 0.3)
     daemons = []
 
     def _start(stop_s: float) -> GatewayDaemon:
@@ -280,7 +280,8 @@
 def test_stream_that_comes_late_in_a_stop_is_refused_and_not_run(
     platform, start_stoppable, monkeypatch
 ):
-    monkeypatch.setattr(stopping, "BALANCER_REMOVAL_S", 3.3)
+    monkeypatch.setattr(stop_times, "BALANCER_REMOVAL_S", 3.3)
+    monkeypatch.setattr(stop_times, "BALANCER_REMOVAL_SHARE", 0.5)
     daemon = start_stoppable(8.0)
     platform.configure(kind="stream")
     gevent.sleep(0.3)
@@ -341,7 +342,7 @@
 def test_stop_breaks_streams_off_in_its_last_sixth_only(stop_s):
     times = plan_stop(100.0, stop_s)
     assert 100.0 + stop_s * 5 / 6 <= times.drained_by < 100.0 + stop_s
-    assert 100.0 < times.answers_by < times.drained_by
+    assert 100.0 < times.accepts_until < times.answers_by < times.drained_by
     assert times.streams_until <= min(103.0, times.answers_by)
 
 
