Let a head that left the list by plan finish its answers

A head whose entry was gone and that still answered was ordered, 2.5 s after it had left the list, to end all its requests. Some targets stop by plan without saying so: their entries are removed and they serve on for seconds, so that this planned work cut the streams that ran there. Such a head is now closed for new requests, and preempted only once the time that planned closes leave has passed since it left the list. The decision is a function of its own.

--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -214,8 +214,7 @@
         self._probes.probe_suspects(targets, suspects, now)
         self._probes.probe_unreachable(now)
         fence = self._key.fence if self.is_holder else 0
-        self._probes.probe_missing_heads(targets, fence, now)
-        return FleetView(
+        view = FleetView(
             spec=service.engine,
             targets=targets,
             unreachable=self._probes.unreachable,
@@ -232,6 +231,8 @@
             may_rebalance=has_turn(self.zone, self._plans.zones, time.time()),
             longest_answer_s=self._view.cfg.find_longest_timeout_s(service.name),
         )
+        self._probes.probe_missing_heads(targets, fence, view.close_timeout_s, now)
+        return view
 
     def _measure_demand(self, service, now: float) -> tuple[dict, dict]:
         """Return the smoothed demand for each model, and its slots."""
--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -15,10 +15,11 @@
     UnreachableError,
 )
 from ..forwarding.exchange import call_target
+from ..groups.absent_heads import choose_release_order
 from ..groups.fleet import MissingHead, find_missing_heads
 from ..groups.formation import RELIST_GRACE_S
 from ..groups.naming import GroupHead, parse_head
-from ..groups.orders_to_targets import Close, Leave, Open, Order
+from ..groups.orders_to_targets import Leave, Open, Order
 from ..platform import (
     ORDER_PATH,
     REPORT_PATH,
@@ -228,7 +229,11 @@
                 gevent.spawn(self.probe, target, known.record.address)
 
     def probe_missing_heads(
-        self, targets: Mapping[str, TargetRecord], fence: int, now: float
+        self,
+        targets: Mapping[str, TargetRecord],
+        fence: int,
+        close_timeout_s: float,
+        now: float,
     ) -> None:
         """Probe heads that are missing from the list.
 
@@ -236,6 +241,8 @@
         ----------
         fence
             Fencing token of the orders to close or leave their groups; 0 to send none.
+        close_timeout_s
+            Time that requests in flight at a head have since it left the list.
         """
         missing = find_missing_heads(targets)
         self._inactive_heads &= missing.keys()
@@ -248,9 +255,14 @@
                 and now - self._probed_at.get(target, 0.0) >= PROBE_INTERVAL_S
             ):
                 self._probed_at[target] = now
-                may_be_relisted = now - self._missing_since[target] < RELIST_GRACE_S
+                missing_since = self._missing_since[target]
+                may_be_relisted = now - missing_since < RELIST_GRACE_S
                 gevent.spawn(
-                    self._resolve_missing_head, head, 0 if may_be_relisted else fence
+                    self._resolve_missing_head,
+                    head,
+                    0 if may_be_relisted else fence,
+                    missing_since + close_timeout_s,
+                    now,
                 )
 
     def probe_suspects(
@@ -275,7 +287,9 @@
                     self._probed_at[other.id] = now
                     gevent.spawn(self.probe, other.id, other.address)
 
-    def _resolve_missing_head(self, head: MissingHead, fence: int) -> None:
+    def _resolve_missing_head(
+        self, head: MissingHead, fence: int, close_deadline: float, now: float
+    ) -> None:
         """Find out whether a head missing from the list still serves its group.
 
         A head that answers is ordered to close or leave the group. One that no entry
@@ -292,18 +306,15 @@
                 logger.info("head is gone", extra={"target": head.id})
             return
         place = report.membership
-        if place is None or place.group not in head.groups:
+        if (
+            place is None
+            or place.group not in head.groups
+            or place.state is MemberState.BROKEN
+        ):
             self._inactive_heads.add(head.id)
             return
-        match place.state:
-            case MemberState.BROKEN:
-                self._inactive_heads.add(head.id)
-                return
-            case MemberState.OPEN | MemberState.CLOSING:
-                order = Close(place.group, place.epoch, preempt=True)
-            case _:
-                order = Leave(place.group, place.epoch)
-        if fence:
+        order = choose_release_order(place, close_deadline, now)
+        if fence and order is not None:
             status, outcome = self.send_order(head.id, head.address, order, fence)
             logger.info(
                 "order given",
