Let a group finish its answers when a member leaves the list by plan

A group of which a member's entry was gone for 2.5 s was closed with preemption. Some targets stop by plan without saying so and serve on for seconds after their entry was removed, so that the streams of the whole group were ended by planned work. The planner now probes such members while their group serves: as long as they answer as members of it, the group is closed without preemption, as for a member that says that it leaves; once one does not answer, its group is preempted as before. The new test of the planner failed before: the head had ended its requests.

--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -22,6 +22,7 @@
 from ..targets.progress import ProgressBook
 from ..targets.records import MembershipReport
 from ..telemetry import GatewayMetrics
+from .absent_members import AbsentMembers
 from .beliefs import GatewayView
 from .probing import TargetProbes
 from .replicas import KnownTarget
@@ -95,6 +96,7 @@
         self._summarized_at = 0.0
         self._planners: dict[str, FormationPlanner] = {}
         self._probes = TargetProbes(pool, view, peers_may_reach)
+        self._absent_members = AbsentMembers(self._probes.probe)
         self._greenlet: gevent.Greenlet | None = None
         self.is_candidate = False
 
@@ -223,6 +225,9 @@
                 known.record.id: known.membership_since
                 for known in self._view.iter_targets()
             },
+            absent=self._absent_members.update(
+                [known.record for known, _ in self._view.removed.values()], targets, now
+            ),
             inactive=self._probes.inactive_heads,
             demand=demand,
             slots=slots,
--- a/waxwingpitch/groups/fleet.py
+++ b/waxwingpitch/groups/fleet.py
@@ -31,6 +31,8 @@
         Monotonic time since which each target has been listed with the same group.
     removed_at
         Monotonic time at which targets were removed from the list, as far as observed.
+    absent
+        Members of groups that left the list and still serve, as they were listed last.
     inactive
         Heads that are not listed and are known to accept no more requests.
     demand
@@ -52,6 +54,7 @@
     unreachable: frozenset[str] = frozenset()
     membership_since: Mapping[str, float] = field(default_factory=dict)
     removed_at: Mapping[str, float] = field(default_factory=dict)
+    absent: Mapping[str, TargetRecord] = field(default_factory=dict)
     inactive: frozenset[str] = frozenset()
     demand: Mapping[str, float] = field(default_factory=dict)
     slots: Mapping[str, int] = field(default_factory=dict)
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -216,8 +216,14 @@
         has_unreachable = any(
             record.id in view.unreachable for record in group.members.values()
         )
-        has_lost_members = has_unreachable or self._is_incomplete(key, group, size, now)
-        leaving = any(record.leaving for record in group.members.values())
+        is_incomplete = self._is_incomplete(key, group, size, now)
+        serving = len(group.members) + sum(
+            is_member(record, key) for record in view.absent.values()
+        )
+        has_lost_members = has_unreachable or (is_incomplete and serving < size)
+        leaving = is_incomplete or any(
+            record.leaving for record in group.members.values()
+        )
         match group.state:
             case MemberState.OPEN if has_lost_members:
                 order = Close(group.group, group.epoch, preempt=True)
--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -59,6 +59,8 @@
         Orders that were carried out, and those that targets refused.
     running_s, longest_answer_s
         Time that the requests in flight at a head take, and that routes allow them.
+    absent
+        Targets that left the list and are known to serve on.
     cut_off
         Heads whose requests in flight were ended by an order.
     """
@@ -75,6 +77,7 @@
         self.has_traffic = False
         self.running_s = 1.0
         self.longest_answer_s = 0.0
+        self.absent: set[str] = set()
         self.cut_off: list[str] = []
         for domain in range(domains):
             for number in range(size):
@@ -137,6 +140,7 @@
             membership_since={
                 key: item.membership_since for key, item in self.targets.items()
             },
+            absent={key: self.targets[key].record for key in self.absent},
             inactive=frozenset(self.inactive),
             demand=self.demand,
             slots=slots,
--- a/waxwingpitch/tests/test_absent_heads.py
+++ b/waxwingpitch/tests/test_absent_heads.py
@@ -1,4 +1,4 @@
-"""Heads that left the list and still answer: their requests in flight may finish."""
+"""Heads and members that left the list and still answer, so that requests may end."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 
+from ..gateway.absent_members import AbsentMembers
 from ..gateway.probing import PROBE_INTERVAL_S, TargetProbes
 from ..groups.formation import RELIST_GRACE_S
 from ..groups.naming import GroupHead, name_group
@@ -90,3 +91,29 @@
     run(probes, 0.0, 4.0)
     assert probes.orders == []
     assert probes.inactive_heads == {"head"}
+
+
+HEAD = replace(MEMBER, id="head", membership=Membership(GROUP, 5, 0, MemberState.OPEN))
+
+
+def test_member_that_left_the_list_serves_on_until_it_does_not_answer():
+    reports = {"member": MembershipReport(0, 1.0, MEMBER.membership)}
+    members = AbsentMembers(lambda target, address: reports.get(target))
+
+    def _update(now: float):
+        members.update([MEMBER], {"head": HEAD}, now)
+        gevent.sleep(0)
+        return members.update([MEMBER], {"head": HEAD}, now)
+
+    assert _update(0.0) == {"member": MEMBER}
+    reports.clear()
+    assert _update(PROBE_INTERVAL_S / 2) == {"member": MEMBER}, "not probed again yet"
+    assert _update(PROBE_INTERVAL_S) == {}
+
+
+@pytest.mark.parametrize("state", [MemberState.READY, MemberState.BROKEN])
+def test_member_that_left_the_list_is_not_probed_once_its_group_is_closed(state):
+    members = AbsentMembers(lambda target, address: pytest.fail("probed"))
+    closed = replace(HEAD, membership=replace(HEAD.membership, state=state))
+    assert members.update([MEMBER], {"head": closed}, 0.0) == {}
+    gevent.sleep(0)
--- a/waxwingpitch/tests/test_formation.py
+++ b/waxwingpitch/tests/test_formation.py
@@ -280,6 +280,31 @@
     assert place is None or place.state is not MemberState.CLOSING
 
 
+def test_answers_end_after_a_member_has_left_the_list_by_plan(fleet, planner):
+    fleet.running_s = 4.0
+    head, other = find_group(fleet, PAIR.name)
+    fleet.unlist(other)
+    fleet.absent = {other}
+    fleet.run(planner, 4.0)
+    assert fleet.targets[head].record.membership.state is MemberState.CLOSING
+    fleet.run(planner, 3.0)
+    assert fleet.cut_off == []
+    place = fleet.targets[head].record.membership
+    assert place is None or place.state is not MemberState.CLOSING
+
+
+def test_answers_of_a_group_are_given_up_once_a_member_is_gone(fleet, planner):
+    fleet.running_s = 5.0
+    head, other = find_group(fleet, PAIR.name)
+    fleet.unlist(other)
+    fleet.absent = {other}
+    fleet.run(planner, 4.0)
+    fleet.kill(other)
+    fleet.absent = set()
+    fleet.run(planner, 0.5)
+    assert fleet.cut_off == [head]
+
+
 def test_answers_end_before_a_group_is_closed_for_another_model(fleet, planner):
     fleet.running_s, fleet.longest_answer_s = 7.5, 8.0
     fleet.demand = {QUAD.name: 60.0, PAIR.name: 1.0}
