Let the next owner of slots start with the service time that was measured

The next owner of a zone's slots had measured no service times and assumed 1 s. When the owner stopped, the requests that waited there were asked for again at the next one, which forecast far longer waits for short calls and refused requests that the first had accepted. It now takes over the present owner's measure, which the statuses carry already. The new test failed before: of 34 calls of 0.1 s on 4 slots most were refused.

--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -109,6 +109,7 @@
             deliver,
         )
         self._lost_clients: dict[str, float] = {}
+        self._service_s: dict[tuple[str, str], float] = {}
         self._new_suspicions: list[tuple[str, int]] = []
         self._served_zones = (self._zone,)
         self._generation = -1
@@ -121,6 +122,8 @@
             key = replace(key, zone=self._zone)
             owner = SlotOwner(key, self._build_budget(key), self._accepts)
             self._owners[key.service, key.model] = owner
+            if (key.service, key.model) in self._service_s:
+                owner.adopt_service_s(self._service_s[key.service, key.model])
             self._update_offers(owner)
         return owner
 
@@ -198,9 +201,16 @@
         self._stall_checks.handle_reply(message, now)
 
     def update_zone(self, key: SlotKey, summary: KeySummary, now: float) -> None:
-        """Take note of the summary of another zone's owner."""
+        """Take note of the summary of another zone's owner, or of this one's present.
+
+        The next owner of this zone's slots goes on from the times measured so far.
+        """
         owner = self._owners.get((key.service, key.model))
-        if owner is not None and key.zone != self._zone:
+        if key.zone == self._zone:
+            self._service_s[key.service, key.model] = summary.service_s
+            if owner is not None:
+                owner.adopt_service_s(summary.service_s)
+        elif owner is not None:
             self._carry_out(owner, owner.update_zone(key.zone, summary, now))
 
     def reconcile(self, peer: str, held: tuple[HeldSlotItem, ...], now: float) -> None:
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -185,6 +185,10 @@
         known_s = self._first_event_s or first_event_s
         self._first_event_s = known_s + NEWEST_SAMPLE_WEIGHT * (first_event_s - known_s)
 
+    def adopt_service_s(self, service_s: float) -> None:
+        """Go on from the service time that the present owner measured."""
+        self._service_s = service_s
+
     def update_zone(self, zone: str, summary: KeySummary, now: float) -> list[Decision]:
         """Take note of another zone's summary, and pass waiting requests on to it."""
         self._budget.update(zone, summary.retry_counts, now)
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -21,7 +21,7 @@
     StallCheck,
     StallReply,
 )
-from ..slots import KeySummary, SlotKey, SlotRequest
+from ..slots import KeySummary, SlotKey, SlotOffer, SlotRequest
 from ..targets.progress import ProgressBook
 from .gateway_client import BOUNDS
 
@@ -45,14 +45,19 @@
 
 
 @pytest.fixture
-def owners(sent, progress, zone_owners):
+def replicas():
+    return []
+
+
+@pytest.fixture
+def owners(sent, progress, zone_owners, replicas):
     roster = SimpleNamespace(
         local=SimpleNamespace(name="a-owner", zone="a"),
         find_owner=lambda key: zone_owners[key.zone],
     )
     view = SimpleNamespace(
         find_service=lambda name: None,
-        find_replicas=lambda service, model: (),
+        find_replicas=lambda service, model: replicas,
         refresh=lambda: 0,
     )
     client = SimpleNamespace(has_pending=lambda number: False)
@@ -204,3 +209,21 @@
     owners.handle_lost_peer("b-owner", time.monotonic())
     name, message = sent[-1]
     assert name == "h1" and isinstance(message, SlotRefusal)
+
+
+@pytest.mark.parametrize("has_owned", [False, True])
+def test_requests_that_waited_at_an_owner_that_stops_are_not_refused_by_the_next(
+    owners, sent, replicas, has_owned
+):
+    """It has measured no service times, and would take them for far longer."""
+    now = time.monotonic()
+    replicas.append(SlotOffer("t", "x:1", "a", "pool", "m", 4, 1, 0.0))
+    if has_owned:
+        owners.find(KEY)
+    owners.update_zone(KEY, KeySummary(4, 4, 0, 1.1, 30, 34.0, service_s=0.1), now)
+    for number in range(34):
+        req = SlotRequest("r", "pool", "m", "w", 1, 1.0, now + 4.0)
+        owners.handle_request("h1", encode_request(number, KEY, req, now), now)
+    assert not any(isinstance(message, SlotRefusal) for _, message in sent)
+    assert sum(isinstance(message, SlotGrant) for _, message in sent) == 4
+    assert owners.find(KEY).count_waiting() == 30
