Write the outcomes of calls that a stop cuts off

An entry daemon flushed claims before it ended the handlers of calls that outlast drain_timeout_s, and with no time left by then. The claims of such calls stayed open under a process that was gone: repeats were told to wait for it, with code 3003 and Retry-After, for as long as they asked. Handlers are now ended first, which notes the outcome as unknown, and claims have 2 s to be written. The new process test failed before: code 3003 instead of 3002.

--- a/waxwingpitch/entry/daemon.py
+++ b/waxwingpitch/entry/daemon.py
@@ -40,6 +40,10 @@
 DRAIN_POLL_S = 0.05
 # Time to announce the stop to peers before the drain begins.
 STOP_NOTICE_S = 0.2
+# Time in which connections end by themselves after the drain.
+CONNECTION_END_S = 1.0
+# Time to write the outcomes of calls after the drain.
+CLAIM_FLUSH_TIMEOUT_S = 2.0
 
 logger = logging.getLogger(__name__)
 
@@ -169,7 +173,8 @@
     def stop(self) -> None:
         """Refuse new requests, drain those in progress and stop.
 
-        Requests that exceed the drain timeout are cut off.
+        Requests that exceed the drain timeout are cut off. The outcomes of calls are
+        written after that, so that repeats are not told to wait for this process.
         """
         deadline = time.monotonic() + self.settings.drain_timeout_s
         self.view.stopping = self.http.is_stopping = True
@@ -179,7 +184,8 @@
         while self.http.in_progress and time.monotonic() < deadline:
             gevent.sleep(DRAIN_POLL_S)
         cut_off = self.http.in_progress
-        self.claims.flush(deadline)
+        self.http.stop(timeout=CONNECTION_END_S)
+        self.claims.flush(max(deadline, time.monotonic() + CLAIM_FLUSH_TIMEOUT_S))
         self.registrar.leave()
         self.kill()
         logger.info("stopped", extra={"cut_off": cut_off})
@@ -189,7 +195,7 @@
         for task in (*self._tasks, *self._dispatchers.values()):
             task.stop()
         self.mesh.stop()
-        self.http.stop(timeout=1.0)
+        self.http.stop(timeout=CONNECTION_END_S)
 
     def find_dispatcher(self, service: str) -> Dispatcher:
         """Return the dispatcher of a service; the first call creates and starts it."""
--- a/waxwingpitch/tests/cluster.py
+++ b/waxwingpitch/tests/cluster.py
@@ -98,6 +98,7 @@
             },
             "operator_token": OPERATOR_TOKEN,
             "http": {"port": 0},
+            "drain_timeout_s": self._cluster.drain_timeout_s,
             "log_level": "info",
         }
         self._settings_path.write_text("// Test.\n" + json.dumps(settings))
@@ -197,6 +198,8 @@
         Number of hosts of the plain service, spread over the zones.
     service_delay_s
         Time that the plain service takes to answer, in seconds.
+    drain_timeout_s
+        Time that entry daemons wait for requests in progress when they stop.
     service_options
         Further options of the model service.
     """
@@ -212,6 +215,7 @@
         performance: EnginePerformance = EnginePerformance(cold_s=0.2),
         load_s: float = 0.1,
         service_delay_s: float = 0.0,
+        drain_timeout_s: float = 600.0,
         **service_options,
     ):
         self._tmp = tempfile.TemporaryDirectory(prefix="waxwingpitch-")
@@ -227,6 +231,7 @@
         self._engine_count = engines
         self._service_count = services
         self._service_delay_s = service_delay_s
+        self.drain_timeout_s = drain_timeout_s
         self._entry_count = entries
         self._hosts_per_replica = hosts_per_replica
         self._service_options = service_options
--- a/waxwingpitch/tests/test_process_calls.py
+++ b/waxwingpitch/tests/test_process_calls.py
@@ -9,6 +9,7 @@
 import pytest
 import uuid6
 
+from ..errors import ResultCode
 from ..standins.store import FaultPlan, StoreFault
 from .cluster import TOKEN, Cluster, wait_until
 from .fault_proxy import Fault
@@ -196,3 +197,20 @@
         repeats = [cluster.entries[1].mark("killed", key) for _ in range(2)]
         assert {error_of(resp)["ran"] for resp in repeats} == {"unknown"}
         assert cluster.effects["killed"] == 1
+
+
+def test_claim_of_a_call_that_outlasts_a_stop_is_settled(key):
+    """Callers that repeat it are not told to wait for a process that has ended."""
+    with Cluster(
+        entries=2, engines=1, service_delay_s=5.0, drain_timeout_s=1.0
+    ) as cluster:
+        cluster.wait_usable(1, service="attendance")
+        first = gevent.spawn(cluster.entries[0].mark, "outlasts", key)
+        wait_until(lambda: cluster.entries[0].dump()["in_progress"])
+        gevent.sleep(0.3)
+        cluster.entries[0].send_signal(signal.SIGTERM)
+        assert cluster.entries[0].wait() == 0
+        first.join()
+        error = error_of(cluster.entries[1].mark("outlasts", key))
+        assert error["code"] == int(ResultCode.OUTCOME_UNKNOWN)
+        assert cluster.entries[0].find_log("stopped")["cut_off"] == 1
