Give no slot to a request of the process that ran before under a name

Requests of a gateway that stopped went on waiting at the owners for 1 s, and to their deadlines if the gateway was back within it. The process that starts under the same name numbers its requests from 1 again: a slot that was granted to one of the old requests was taken for the answer to a new one, which could be for another model or service, and was sent to a target that doesn't serve it. A gateway asks other owners as soon as its link ends, so that owners now drop what it waits for then, and give its places in other zones' queues back. Both new tests failed before: the new process got a slot with the old number, and no place was given back.

--- a/waxwingpitch/gateway/passed_on.py
+++ b/waxwingpitch/gateway/passed_on.py
@@ -135,6 +135,10 @@
             and item.since < granted_before
         ]
 
+    def list_waiting_of(self, client: str) -> list[PassedOn]:
+        """Return what was passed on for a client and was not granted yet."""
+        return [item for item in self.list_of(client) if not item.target]
+
     def list_of(self, client: str) -> list[PassedOn]:
         """Return all that was passed on for a client."""
         return [item for item in self._items.values() if item.client == client]
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -98,8 +98,7 @@
         self._numbers = numbers
         self._client = client
         self._deliver = deliver
-        self._zone = roster.local.zone
-        self._name = roster.local.name
+        self._zone, self._name = roster.local.zone, roster.local.name
         self._owners: dict[tuple[str, str], SlotOwner] = {}
         self._passed_on = PassedOnTable(roster, deliver)
         self._stall_checks = StallChecks(
@@ -201,10 +200,7 @@
         self._stall_checks.handle_reply(message, now)
 
     def update_zone(self, key: SlotKey, summary: KeySummary, now: float) -> None:
-        """Take note of the summary of another zone's owner, or of this one's present.
-
-        The next owner of this zone's slots goes on from the times measured so far.
-        """
+        """Take note of another zone's summary, or of the times measured in this one."""
         owner = self._owners.get((key.service, key.model))
         if key.zone == self._zone:
             self._service_s[key.service, key.model] = summary.service_s
@@ -232,8 +228,15 @@
         self._give_back(gone, now)
 
     def handle_lost_peer(self, peer: str, now: float) -> None:
-        """Take back what was passed on to a lost peer; drop what it holds soon."""
+        """Take back what was passed on to a lost peer; drop what it holds soon.
+
+        What it waits for is dropped at once: it asks another owner, and a process that
+        starts under its name gives other requests the same numbers.
+        """
         self._lost_clients[peer] = now + LOST_CLIENT_S
+        for owner in self:
+            owner.drop_waiting(peer)
+        self._give_back(self._passed_on.list_waiting_of(peer), now)
         for number, item in self._passed_on.iter_at(peer):
             if not item.target and not self._passed_on.ask_next_owner(number):
                 self._take_back(number)
@@ -316,8 +319,7 @@
                     else:
                         self._deliver(client, encode_refusal(number, decision))
                 case Declined(client=client, number=number):
-                    reason = "no free slot"
-                    refusal = SlotRefusal(number, 0.0, reason, 0, 0, 0.0, True)
+                    refusal = SlotRefusal(number, 0.0, "no free slot", 0, 0, 0.0, True)
                     self._deliver(client, refusal)
                 case Forwarded():
                     self._pass_on(owner, decision)
@@ -367,8 +369,7 @@
     def _give_back(self, items: Iterable[PassedOn], now: float) -> None:
         """Give back the slots of other zones, or the places in their queues."""
         for item in items:
-            release = build_unused(item.number, item.key)
-            self.handle_release(item.client, release, now)
+            self.handle_release(item.client, build_unused(item.number, item.key), now)
 
     def _release_passed_on(self, client: str, message: SlotRelease) -> bool:
         """Pass a release on to the zone that granted the slot, if another did."""
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -174,11 +174,15 @@
 
     def drop_client(self, client: str, now: float) -> list[Decision]:
         """Forget a client that is gone, and what it waits for or holds."""
-        for ticket in [item for item in self._queue if item.payload.client == client]:
-            self._queue.drop(ticket.request)
+        self.drop_waiting(client)
         self.ledger.drop_client(client)
         return self.assign(now)
 
+    def drop_waiting(self, client: str) -> None:
+        """Forget what a client waits for."""
+        for ticket in [item for item in self._queue if item.payload.client == client]:
+            self._queue.drop(ticket.request)
+
     def record_times(self, service_s: float, first_event_s: float) -> None:
         """Record how long a replica took to the whole answer and to its first part."""
         self._service_s += NEWEST_SAMPLE_WEIGHT * (service_s - self._service_s)
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -227,3 +227,26 @@
     assert not any(isinstance(message, SlotRefusal) for _, message in sent)
     assert sum(isinstance(message, SlotGrant) for _, message in sent) == 4
     assert owners.find(KEY).count_waiting() == 30
+
+
+def test_gateway_that_restarts_gets_no_slot_that_the_process_before_waited_for(
+    owners, sent, replicas
+):
+    """It gives other requests the numbers that the process before had given."""
+    now = time.monotonic()
+    replicas.append(SlotOffer("t", "x:1", "a", "pool", "m", 1, 1, 0.0))
+    req = SlotRequest("r", "pool", "m", "w", 1, 1.0, now + 5.0)
+    owners.handle_request("h2", encode_request(1, KEY, req, now), now)
+    owners.handle_request("h1", encode_request(7, KEY, req, now), now)
+    owners.handle_lost_peer("h1", now)
+    owners.reconcile("h1", (), now)
+    sent.clear()
+    owners.handle_release("h2", SlotRelease(1, "a", "pool", "m", "t", 1, 0), now)
+    owners.tick(("a",), now)
+    assert sent == []
+
+
+def test_place_in_another_zones_queue_ends_with_the_link_of_its_client(owners, sent):
+    waiting = wait_at_b(owners, sent)
+    owners.handle_lost_peer("h1", time.monotonic())
+    assert list_releases(sent) == [("b-owner", waiting.number)]
