Test that waiting calls are served when the owner of their slots stops

Two gateways over real sockets: calls wait at one for slots, it ends, and the other serves them all, each once.

--- a/waxwingpitch/tests/test_planned_changes.py
+++ b/waxwingpitch/tests/test_planned_changes.py
@@ -1,10 +1,11 @@
-"""Planned changes of configuration and targets end no answer that is under way."""
+"""Planned work on gateways and targets ends no request that waits or is answered."""
 
 from __future__ import annotations
 
 import gevent
 import pytest
 
+from ..slots import SlotKey
 from .fleet_fake import PAIR
 from .gateway_client import call, chat, count_replicas, start_gateway, wait_for
 
@@ -72,3 +73,31 @@
     answer = job.get(timeout=10.0)
     assert (answer.status, answer.body) == (200, b"answer to c1")
     assert platform.runs["c1"] == 1
+
+
+def test_calls_that_wait_for_a_slot_are_served_when_its_owner_stops(platform):
+    key = SlotKey("z", "plain", "")
+    daemons = [start_gateway(platform.store.address, f"gw-{n}") for n in range(2)]
+    try:
+        for daemon in daemons:
+            wait_for(lambda: len(daemon.view.find_replicas("plain", "")) == 2)
+            wait_for(lambda: daemon.roster.is_ready and daemon.dump()["peers"])
+        gevent.sleep(0.5)
+        wait_for(lambda: len({item.roster.find_owner(key) for item in daemons}) == 1)
+        name = daemons[0].roster.find_owner(key)
+        daemons.sort(key=lambda item: item.settings.name != name)
+        owner, other = daemons
+        platform.plain_s = 0.7
+        jobs = [
+            gevent.spawn(call, other.settings.front, "/file/x", f"w{n}")
+            for n in range(20)
+        ]
+        wait_for(lambda: owner.slots.owners.find(key).count_waiting())
+        gevent.sleep(0.3)
+        owner.stop()
+        gevent.joinall(jobs, timeout=10.0, raise_error=True)
+        assert [job.value.status for job in jobs] == [200] * 20
+        assert all(platform.runs[f"w{n}"] == 1 for n in range(20))
+    finally:
+        for daemon in daemons:
+            daemon.stop()
