--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -98,8 +98,7 @@
         self._numbers = numbers
         self._client = client
         self._deliver = deliver
-        self._zone = roster.local.zone
-        self._name = roster.local.name
+        self._zone, self._name = roster.local.zone, roster.local.name
         self._owners: dict[tuple[str, str], SlotOwner] = {}
         self._passed_on = PassedOnTable(roster, deliver)
         self._stall_checks = StallChecks(
@@ -109,6 +108,7 @@
             deliver,
         )
         self._lost_clients: dict[str, float] = {}
+        self._service_s: dict[tuple[str, str], float] = {}
         self._new_suspicions: list[tuple[str, int]] = []
         self._served_zones = (self._zone,)
         self._generation = -1
@@ -121,6 +121,8 @@
             key = replace(key, zone=self._zone)
             owner = SlotOwner(key, self._build_budget(key), self._accepts)
             self._owners[key.service, key.model] = owner
+            if (key.service, key.model) in self._service_s:
+                owner.adopt_service_s(self._service_s[key.service, key.model])
             self._update_offers(owner)
         return owner
 
@@ -198,9 +200,13 @@
         self._stall_checks.handle_reply(message, now)
 
     def update_zone(self, key: SlotKey, summary: KeySummary, now: float) -> None:
-        """Take note of the summary of another zone's owner."""
+        """Take note of another zone's summary, or of the times measured in this one."""
         owner = self._owners.get((key.service, key.model))
-        if owner is not None and key.zone != self._zone:
+        if key.zone == self._zone:
+            self._service_s[key.service, key.model] = summary.service_s
+            if owner is not None:
+                owner.adopt_service_s(summary.service_s)
+        elif owner is not None:
             self._carry_out(owner, owner.update_zone(key.zone, summary, now))
 
     def reconcile(self, peer: str, held: tuple[HeldSlotItem, ...], now: float) -> None:
@@ -222,8 +228,15 @@
         self._give_back(gone, now)
 
     def handle_lost_peer(self, peer: str, now: float) -> None:
-        """Take back what was passed on to a lost peer; drop what it holds soon."""
+        """Take back what was passed on to a lost peer; drop what it holds soon.
+
+        What it waits for is dropped at once: it asks another owner, and a process that
+        starts under its name gives other requests the same numbers.
+        """
         self._lost_clients[peer] = now + LOST_CLIENT_S
+        for owner in self:
+            owner.drop_waiting(peer)
+        self._give_back(self._passed_on.list_waiting_of(peer), now)
         for number, item in self._passed_on.iter_at(peer):
             if not item.target and not self._passed_on.ask_next_owner(number):
                 self._take_back(number)
@@ -306,8 +319,7 @@
                     else:
                         self._deliver(client, encode_refusal(number, decision))
                 case Declined(client=client, number=number):
-                    reason = "no free slot"
-                    refusal = SlotRefusal(number, 0.0, reason, 0, 0, 0.0, True)
+                    refusal = SlotRefusal(number, 0.0, "no free slot", 0, 0, 0.0, True)
                     self._deliver(client, refusal)
                 case Forwarded():
                     self._pass_on(owner, decision)
@@ -357,8 +369,7 @@
     def _give_back(self, items: Iterable[PassedOn], now: float) -> None:
         """Give back the slots of other zones, or the places in their queues."""
         for item in items:
-            release = build_unused(item.number, item.key)
-            self.handle_release(item.client, release, now)
+            self.handle_release(item.client, build_unused(item.number, item.key), now)
 
     def _release_passed_on(self, client: str, message: SlotRelease) -> bool:
         """Pass a release on to the zone that granted the slot, if another did."""
