--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -91,6 +91,12 @@
         """Stop a target for good; it stays listed until :meth:`unlist`."""
         self.targets[target].alive = False
 
+    def restart(self, target: str) -> None:
+        """Start a target that was killed; its host keeps the staged weights."""
+        old = self.targets[target]
+        record = replace(old.record, membership=None, model="")
+        self.targets[target] = _Target(record, membership_since=self.now)
+
     def unlist(self, target: str) -> None:
         """Drop a target from the list, alive or not."""
         self.targets[target].listed = False
--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -16,6 +16,7 @@
 import gevent
 from gevent.server import StreamServer
 
+from ..configuration.routes import ModelSpec
 from ..groups.orders_to_targets import Close, Join, Leave, Open, Stage
 from ..http_server import HttpServer
 from ..targets.records import MemberState
@@ -24,6 +25,10 @@
 MODEL_SERVICE = "pool"
 PLAIN_SERVICE = "plain"
 TICK_S = 0.02
+# Time from the head of an answer to the crash that its request causes, in seconds.
+CRASH_DELAY_S = 0.03
+# Time after which a crashed target accepts connections and is listed again, in seconds.
+RESTART_S = 1.0
 
 
 class StoreFake:
@@ -247,6 +252,8 @@
         Whether the script is called before the body is read.
     first_s
         Delay of the first event, in seconds, by request id.
+    is_unframed
+        Whether streams have neither a length nor chunks, and end with their connection.
     """
 
     cut_after: int | None = None
@@ -259,15 +266,18 @@
     first_s: dict[str, float] = field(default_factory=dict)
     script: Callable[[socket.socket, str], None] | None = None
     is_early: bool = False
+    is_unframed: bool = False
 
 
 @dataclass
 class TargetServer:
-    """One target's listening socket and its injected faults."""
+    """One target's listening socket, its connections and its injected faults."""
 
     id: str
     server: StreamServer
     faults: TargetFaults = field(default_factory=TargetFaults)
+    connections: set[socket.socket] = field(default_factory=set)
+    started_ms: int = 1000
 
     @property
     def address(self) -> str:
@@ -279,6 +289,8 @@
 
     Attributes
     ----------
+    models
+        Models that the model service serves.
     runs
         Number of runs by request id.
     ran_on
@@ -301,12 +313,27 @@
         Count that each order expected its target to have begun; None if it named none.
     misdirected
         Number of requests sent to targets that head no open group, by target.
+    crashing_parts
+        Ids of prompt parts; a model target crashes once it answers a request with one.
+    crashed_at
+        Monotonic time of each crash.
+    sends
+        Monotonic time and id of each streaming request that reached the head of an open
+        group.
     invariant_violations
         Messages of refused orders that violate an invariant of groups, such as one
         that takes a target from a serving group.
     """
 
-    def __init__(self, *, size: int = 10, plain: int = 2, event_s: float = 0.02):
+    def __init__(
+        self,
+        *,
+        size: int = 10,
+        plain: int = 2,
+        event_s: float = 0.02,
+        models: tuple[ModelSpec, ...] = (QUAD, PAIR),
+    ):
+        self.models = models
         self.store = StoreFake()
         self.fleet = FleetFake(domains=1, size=size)
         self.runs: Counter[str] = Counter()
@@ -325,6 +352,9 @@
         self.refused_orders = 0
         self.expected_counts: list[int | None] = []
         self.misdirected: Counter[str] = Counter()
+        self.crashing_parts: set[str] = set()
+        self.crashed_at: list[float] = []
+        self.sends: list[tuple[float, str]] = []
         for target in self.fleet.targets:
             self._listen(target)
         self.plain = [f"p-{number}" for number in range(plain)]
@@ -347,6 +377,24 @@
         self.fleet.kill(target)
         self.targets[target].faults.hang = True
 
+    def crash(self, target: str) -> None:
+        """End a model target; its host starts it again after ``RESTART_S``."""
+        server = self.targets[target]
+        self.fleet.kill(target)
+        self.crashed_at.append(time.monotonic())
+        server.server.stop(timeout=0)
+        for sock in list(server.connections):
+            _shut_down(sock)
+        gevent.spawn_later(RESTART_S, self._restart, target)
+
+    def _restart(self, target: str) -> None:
+        """Start a crashed target, which knows nothing of before."""
+        server = self.targets[target]
+        server.started_ms += 1
+        self._orders[target] = 0
+        self.fleet.restart(target)
+        server.server = self._start_server(target, server.server.address)
+
     def freeze(self, target: str, state: MemberState | None) -> None:
         """Cut a target off from the store and leave a stale entry of it there.
 
@@ -438,7 +486,7 @@
                     "tls": False,
                     "cold_start_s": 3.0,
                     "cold_per_s": 26.0,
-                    "engine": _encode_engine(),
+                    "engine": _encode_engine(self.models),
                 },
                 {
                     "name": PLAIN_SERVICE,
@@ -459,11 +507,15 @@
         self.store.write("op/config", config)
 
     def _listen(self, target: str) -> None:
+        server = self._start_server(target, ("127.0.0.1", 0))
+        self.targets[target] = TargetServer(target, server)
+
+    def _start_server(self, target: str, address: tuple[str, int]) -> StreamServer:
         server = StreamServer(
-            ("127.0.0.1", 0), lambda sock, _: self._serve_connection(target, sock)
+            address, lambda sock, _: self._serve_connection(target, sock)
         )
         server.start()
-        self.targets[target] = TargetServer(target, server)
+        return server
 
     def _tick_forever(self) -> None:
         while True:
@@ -484,7 +536,7 @@
             "capacity": record.capacity,
             "state": "draining" if record.leaving else "ready",
             "cold_left_ms": 0,
-            "born": 1000,
+            "born": self.targets[target].started_ms,
             "stage": "colocated",
             "fault_domain": record.domain,
             **_encode_weights(record),
@@ -505,6 +557,8 @@
     def _serve_connection(self, target: str, sock) -> None:
         reader = sock.makefile("rb")
         accepted_at = time.monotonic()
+        connections = self.targets[target].connections
+        connections.add(sock)
         try:
             while (line := reader.readline()).strip():
                 method, path, _ = line.decode().split()
@@ -526,6 +580,7 @@
         except OSError:
             return
         finally:
+            connections.discard(sock)
             sock.close()
 
     def _answer(self, target, sock, method, path, headers, body) -> None:
@@ -595,14 +650,19 @@
             _send(sock, 421, {"Not-Executed": "1"})
             return
         members = item.members
+        self.sends.append((time.monotonic(), request))
         self._record_run(request, headers)
         self.ran_on[request] = target
         count = int(headers["token-counts"].partition(",")[2]) // 5
         start = int(headers.get("last-event-id", 0)) + 1
-        lines = [f"{key}: {value}" for key, value in _seal(target, request).items()]
-        head = "HTTP/1.1 200 OK\r\n" + "\r\n".join(lines)
-        sock.sendall(f"{head}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
         faults = self.targets[target].faults
+        stream = _StreamWriter(sock, is_unframed=faults.is_unframed)
+        stream.begin(_seal(target, request))
+        if self.crashing_parts & _read_parts(headers):
+            gevent.sleep(CRASH_DELAY_S)
+            if item.alive:
+                self.crash(target)
+            raise OSError("crashed")
         gevent.sleep(faults.first_s.get(request, 0.0))
         for number in range(start, count + 1):
             gevent.sleep(self.event_s)
@@ -612,15 +672,56 @@
                 gevent.sleep(0.05)
             if faults.cut_after is not None and number > faults.cut_after:
                 faults.cut_after = None
-                sock.sendall(b"5\r\nid: 9\r\n")
+                stream.cut_event()
                 raise OSError("cut")
-            data = f"id: {number}\ndata: token {number}\n\n".encode()
             try:
-                sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+                stream.send(f"id: {number}\ndata: token {number}\n\n".encode())
             except OSError:
                 self.disconnected.append(request)
                 raise
-        sock.sendall(b"0\r\n\r\n")
+        stream.end()
+
+
+class _StreamWriter:
+    """Writes a stream in chunks, or without any framing."""
+
+    def __init__(self, sock: socket.socket, *, is_unframed: bool):
+        self._sock = sock
+        self._is_unframed = is_unframed
+
+    def begin(self, headers: dict[str, str]) -> None:
+        lines = ["HTTP/1.1 200 OK"]
+        lines += [f"{key}: {value}" for key, value in headers.items()]
+        if not self._is_unframed:
+            lines.append("Transfer-Encoding: chunked")
+        self._sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+    def send(self, data: bytes) -> None:
+        if not self._is_unframed:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self._sock.sendall(data)
+
+    def cut_event(self) -> None:
+        """Send the beginning of an event, after which the connection is closed."""
+        self._sock.sendall(b"id: 9\n" if self._is_unframed else b"5\r\nid: 9\r\n")
+
+    def end(self) -> None:
+        if self._is_unframed:
+            raise OSError("the stream ends with its connection")
+        self._sock.sendall(b"0\r\n\r\n")
+
+
+def _read_parts(headers: dict[str, str]) -> set[str]:
+    """Return the ids of a request's prompt parts."""
+    entries = headers.get("prompt-prefix", "").split(",")
+    return {entry.partition(":")[0] for entry in entries}
+
+
+def _shut_down(sock: socket.socket) -> None:
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
 
 
 def _seal(target: str, request: str) -> dict[str, str]:
@@ -651,7 +752,7 @@
     }
 
 
-def _encode_engine() -> dict:
+def _encode_engine(models: tuple[ModelSpec, ...]) -> dict:
     return {
         "capacity": SPEC.capacity,
         "step_ms": 7.8,
@@ -672,7 +773,7 @@
                 "load_s": model.load_s,
                 "warm_s": model.staged_s,
             }
-            for model in (QUAD, PAIR)
+            for model in models
         ],
     }
 
--- a/waxwingpitch/tests/test_gateway_answers.py
+++ b/waxwingpitch/tests/test_gateway_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 
 import gevent
@@ -70,6 +71,23 @@
     )
 
 
+def test_answer_without_length_that_is_reset_is_an_error(platform, front):
+    """The end of the connection ends such an answer; its reset breaks it off."""
+
+    def _script(sock, request: str) -> None:
+        echo = f"Attempt-Id: {request}\r\n"
+        sock.sendall(f"HTTP/1.1 200 OK\r\n{SEAL}{echo}\r\n".encode() + b"to the")
+        gevent.sleep(0.05)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        raise OSError("reset")
+
+    set_script(platform, _script)
+    for path in ("/file/x", "/read/x"):
+        answer = call(front, path, "a1r" + path)
+        assert answer.status in (502, 504)
+        assert "response-seal" not in answer.headers
+
+
 def test_chunked_answer_is_relayed_completely(platform, front):
     head = f"200 OK\r\n{SEAL}Transfer-Encoding: chunked\r\n"
     answer_with(platform, head, b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
