Block the part of a prompt that crashes targets, not the one request

Change: crashes count under each shared part of the prompt and under the fingerprint (requests/blame.py, without network). A key is blocked if it explains several crashes in turn: of which each request was sent after the crash before, so that targets lost at the same time count once. Of keys that explain the same crashes the most specific one is taken; what it explains counts against no other key. Requests that had output are no suspects beside one that had none. A request that its target survives clears its keys, at all gateways. Who is blocked is judged again before each send, also after a wait for a slot. A broken connection to a head is followed by a probe, as a connect to a crashed target is refused at once. A peer is told what is blocked when a link is up.

Why it works: a part that crashes each target never lets a request be served, while the caller's and the other parts' requests are, all the time.

--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,6 +13,8 @@
 MAX_SENDS = 4
 # The limit once part of the answer has been forwarded, which a failure would waste.
 MAX_SENDS_PARTIAL = 8
+# Time after its first event at which a stream's target has survived the request.
+SURVIVAL_S = 0.3
 
 
 class Attempts:
@@ -28,11 +31,18 @@
     last_forwarded_at
         Monotonic time at which the last part of the answer was forwarded; the time of
         arrival until then.
+    on_survived
+        Called once for each target that served the request, or went on to serve it,
+        with the monotonic time at which it was sent there.
 
     Attributes
     ----------
     is_in_flight
         Whether it is being sent to a target, or was and the attempt has no outcome.
+    sent_at
+        Monotonic time at which it was sent to the current target.
+    has_survived
+        Whether the current target served it, or went on to serve it.
     ran_on_current
         Whether its run on the current target has been recorded.
     may_have_run
@@ -58,7 +68,12 @@
         runs: int = 0,
         last_event: int | None = None,
         last_forwarded_at: float = 0.0,
+        on_survived: Callable[[float], None] = lambda sent_at: None,
     ):
+        self._on_survived = on_survived
+        self._first_event_here_at = math.inf
+        self.sent_at = 0.0
+        self.has_survived = False
         self.has_retry_permit = False
         self.sends = sends
         self.runs = runs
@@ -74,6 +89,28 @@
         self.failure_answer: Answer | None = None
         self._run_addresses: dict[str, str] = {}
 
+    def begin(self, target: str, now: float) -> None:
+        """Begin an attempt at a target."""
+        self.sends += 1
+        self.sent_at = now
+        self.is_in_flight = True
+        self.ran_on_current = False
+        self.has_survived = False
+        self._first_event_here_at = math.inf
+        self.tried.add(target)
+        self.has_retry_permit = False
+
+    @property
+    def has_output(self) -> bool:
+        """Whether events of the current target have been forwarded."""
+        return self._first_event_here_at < math.inf
+
+    def record_survival(self) -> None:
+        """Record that the current target served the request, or went on to."""
+        if not self.has_survived:
+            self.has_survived = True
+            self._on_survived(self.sent_at)
+
     def record_run(self, target: str, address: str) -> None:
         """Record that the request ran, or may have run, on a target."""
         self.runs += 1
@@ -88,6 +125,9 @@
             )
         else:
             self.first_event_at = now
+        self._first_event_here_at = min(now, self._first_event_here_at)
+        if now - self._first_event_here_at >= SURVIVAL_S:
+            self.record_survival()
         if last_event is not None:
             self.last_event = last_event
         self.last_forwarded_at = now
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -126,8 +126,14 @@
             local,
             lambda: bool(self._peers.peers),
         )
-        self._suspects = SuspectTracker(self.view, self._peers.announce_suspects)
-        self._peers.on_suspects = self._suspects.merge
+        self._suspects = SuspectTracker(
+            self.view,
+            self._peers.announce_crashes,
+            self._peers.send,
+            self._is_reachable,
+        )
+        self._peers.on_crash_news = self._suspects.handle_news
+        self._peers.on_linked = self._suspects.tell
         self.slots.owners.on_broken = self._suspects.record_broken
         self.slots.client.on_leaving = self._on_leaving
         self.view.on_target_lost = self._on_target_lost
@@ -282,6 +288,7 @@
             "store_source": self._follower.source,
             "head": self.roster.find_head(self.settings.zone),
             "suspects": [list(key) for key in self.progress.list_suspicions(now)],
+            "blocked": self._suspects.describe(),
             "waiting": self.slots.client.count_pending(),
             "store_answered_s_ago": boot_time() - self._store_health.answered_at,
             "store_era": self.view.mirror.era,
@@ -346,6 +353,7 @@
             self.pool.close_idle(now)
             self.view.expire_removed()
             self.progress.expire(now)
+            self._suspects.expire(now)
 
     def _on_hangup(self) -> None:
         logger.info(
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -12,6 +12,7 @@
 
 from ..mesh import Identity, MeshNode, decode_message, encode_message
 from ..mesh.fleet_messages import (
+    CrashNews,
     FleetNews,
     FleetStatus,
     SlotGrant,
@@ -28,8 +29,6 @@
     PlanningHandover,
     ProbeRequest,
     ProbeResult,
-    SuspectItem,
-    Suspects,
     TargetUpdate,
 )
 from ..mesh.node import LinkDown, LinkUp, MeshEvent, Received
@@ -67,8 +66,10 @@
 
     Attributes
     ----------
-    on_suspects
-        Called with a peer's suspects and the monotonic time of their receipt.
+    on_linked
+        Called with the name of a peer when a link to it is up.
+    on_crash_news
+        Called with a peer's news of crashes and the monotonic time of their receipt.
     on_planning_handover
         Called with a handover of a zone's planning to this process.
     plans
@@ -97,7 +98,8 @@
         self._view = view
         self._progress = progress
         self._store_health = store_health
-        self.on_suspects: Callable[[tuple[SuspectItem, ...], float], None] = _ignore
+        self.on_linked: Callable[[str], None] = lambda peer: None
+        self.on_crash_news: Callable[[CrashNews, float], None] = lambda news, at: None
         self.on_planning_handover: Callable[[PlanningHandover], None] = (
             lambda handover: None
         )
@@ -183,9 +185,9 @@
         """Tell all peers at once which targets said that they leave."""
         self._is_status_urgent = True
 
-    def announce_suspects(self, items: tuple[SuspectItem, ...]) -> None:
+    def announce_crashes(self, news: CrashNews) -> None:
         """Tell all gateways of requests that were in flight when a target crashed."""
-        self._spread(FleetNews(encode_message(Suspects(items))), None)
+        self._spread(FleetNews(encode_message(news)), None)
 
     def announce_report(
         self, target: str, version: int, report: MembershipReport
@@ -308,6 +310,7 @@
             case LinkUp(peer=peer):
                 self._roster.record_heard(peer.id)
                 logger.info("peer connected", extra={"peer": peer.id})
+                self.on_linked(peer.id)
             case LinkDown(peer=peer):
                 logger.info("peer lost", extra={"peer": peer.id})
                 self._roster.record_lost(peer.id)
@@ -343,6 +346,8 @@
                 self.follower.handle_update(peer, message)
             case FleetNews():
                 self._handle_news(peer, zone, message, at)
+            case CrashNews():
+                self.on_crash_news(message, at)
             case ProbeRequest():
                 gevent.spawn(self.witnesses.answer, peer, message)
             case ProbeResult():
@@ -365,8 +370,8 @@
 
     def _handle_news(self, peer: str, zone: str, message: FleetNews, at: float) -> None:
         match decode_message(message.data):
-            case Suspects(items=items):
-                self.on_suspects(items, at)
+            case CrashNews() as news:
+                self.on_crash_news(news, at)
         self._spread(message, peer, from_zone=zone)
 
     def _spread(
@@ -390,7 +395,3 @@
 
 def _to_ms(age_s: float) -> int:
     return int(1000 * min(MAX_AGE_S, max(0.0, age_s)))
-
-
-def _ignore(items: tuple[SuspectItem, ...], at: float) -> None:
-    """Ignore suspects until a handler is set."""
--- a/waxwingpitch/gateway/routed.py
+++ b/waxwingpitch/gateway/routed.py
@@ -10,6 +10,7 @@
 from ..forwarding import CallerRequest
 from ..platform import HeaderNames
 from ..platform.headers import BEARER_PREFIX
+from ..requests.blame import build_part_key
 from ..requests.suspects import fingerprint_request
 from ..routing.routes import choose_service
 from .beliefs import GatewayView
@@ -24,6 +25,9 @@
 CALLER_IDLE_TIMEOUT_OBJECTIVES = 4.0
 CALLER_IDLE_TIMEOUT_GAP_OBJECTIVES = 8.0
 
+# Parts of a prompt, from its beginning, under which crashes of targets count.
+MAX_PARTS = 16
+
 
 @dataclass(frozen=True, slots=True)
 class RequestContext:
@@ -31,6 +35,8 @@
 
     Attributes
     ----------
+    parts
+        Keys of the parts of the prompt that other requests share, in their order.
     cost
         Expected work: in tokens, where an answer token counts as ten prompt tokens, for
         services with models; 1 for each call otherwise.
@@ -47,6 +53,7 @@
     model: str
     workspace: str | None
     priority: int
+    parts: tuple[str, ...]
     cost: float
     prompt_tokens: int
     arrived_at: float
@@ -59,6 +66,11 @@
         parts = (self.req.target, (self.workspace or "").encode(), self.req.body)
         return fingerprint_request(self.service, b"\0".join(parts))
 
+    @property
+    def crash_keys(self) -> tuple[str, ...]:
+        """Keys under which crashes of targets count; the fingerprint last."""
+        return (*self.parts, self.fingerprint)
+
     def find_idle_deadline(self, last_forwarded_at: float) -> float:
         """Return the monotonic time until which the caller waits for the next part.
 
@@ -122,6 +134,7 @@
         model=model if has_models else "",
         workspace=workspace,
         priority=priority,
+        parts=_read_shared_parts(req, service),
         cost=prompt + 10 * answer if has_models else 1.0,
         prompt_tokens=prompt,
         arrived_at=arrived_at,
@@ -172,6 +185,14 @@
         return 0, 0
 
 
+def _read_shared_parts(req: CallerRequest, service: str) -> tuple[str, ...]:
+    """Return the keys of all parts of the prompt but the last, which is its own."""
+    value = (req.find(HeaderNames.PROMPT_PARTS) or b"").decode("latin-1")
+    parts = [item.partition(":")[0].strip() for item in value.split(",")]
+    shared = dict.fromkeys(part for part in parts[:-1] if part)
+    return tuple(build_part_key(service, part) for part in shared)[:MAX_PARTS]
+
+
 def read_last_event(req: CallerRequest) -> int | None:
     """Return the id of the last event that the caller has; None if there is none."""
     value = req.find(HeaderNames.LAST_EVENT)
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -91,19 +91,14 @@
             self.in_progress -= 1
 
     def _serve(self, ctx: RequestContext, resp: Responder) -> None:
+        keys = ctx.crash_keys
         attempts = Attempts(
-            last_event=read_last_event(ctx.req), last_forwarded_at=ctx.arrived_at
+            last_event=read_last_event(ctx.req),
+            last_forwarded_at=ctx.arrived_at,
+            on_survived=lambda sent_at: self._suspects.record_served(keys, sent_at),
         )
-        fingerprint = ctx.fingerprint
-        if self._suspects.is_blocked(fingerprint):
-            code = ResultCode.SUSPECT_ON_TRIAL
-            reason = "like requests crashed targets"
-            self._send_error(
-                ctx.id, resp, code, reason, BLOCKED_RETRY_AFTER_S, route=ctx.route.name
-            )
-            return
         try:
-            self._make_attempts(ctx, resp, attempts, fingerprint)
+            self._make_attempts(ctx, resp, attempts, keys)
         except StopTimeUpError as exc:
             attempts.may_have_run |= attempts.is_in_flight
             self._finish_unplaced(
@@ -115,9 +110,11 @@
         ctx: RequestContext,
         resp: Responder,
         attempts: Attempts,
-        fingerprint: str,
+        keys: tuple[str, ...],
     ) -> None:
         while True:
+            if self._finish_if_blocked(ctx, resp, attempts, keys):
+                return
             acquire_started_at = time.monotonic()
             placement = self._slots.acquire(_build_slot_request(ctx, attempts))
             waited_s = time.monotonic() - acquire_started_at
@@ -127,9 +124,11 @@
                 reason, retry_after_s = placement.reason, placement.retry_after_s
                 self._finish_unplaced(ctx, resp, attempts, reason, retry_after_s)
                 return
-            outcome = self._attempt(ctx, resp, attempts, placement)
+            if self._suspects.find_blocked(keys) is not None:
+                self._slots.release(placement, None, service_s=0.0, first_s=0.0)
+                continue
+            outcome = self._attempt(ctx, resp, attempts, placement, keys)
             if isinstance(outcome, Done):
-                self._suspects.clear(fingerprint)
                 return
             self._log_attempt(ctx, attempts, placement, outcome)
             if isinstance(outcome, Failed):
@@ -139,26 +138,28 @@
                 return
 
     def _attempt(
-        self, ctx: RequestContext, resp: Responder, attempts: Attempts, slot: Slot
+        self,
+        ctx: RequestContext,
+        resp: Responder,
+        attempts: Attempts,
+        slot: Slot,
+        keys: tuple[str, ...],
     ) -> Outcome:
         replica = slot.offer
         started_at = time.monotonic()
-        attempts.sends += 1
-        attempts.ran_on_current = False
-        attempts.tried.add(replica.id)
-        attempts.has_retry_permit = False
+        attempts.begin(replica.id, started_at)
         outcome: Outcome | None = None
-        attempts.is_in_flight = True
         try:
             outcome = self._exchange.run(ctx, resp, attempts, slot)
             attempts.is_in_flight = False
         finally:
-            self._release(slot, outcome, attempts, started_at, ctx.fingerprint)
+            self._release(slot, outcome, attempts, keys)
         now = time.monotonic()
         kind = type(outcome).__name__.lower()
         self._metrics.count_attempt(replica.id, kind)
         match outcome:
             case Done():
+                attempts.record_survival()
                 self._metrics.count_request(
                     ctx.route.name, "served", now - ctx.arrived_at
                 )
@@ -199,19 +200,32 @@
         slot: Slot,
         outcome: Outcome | None,
         attempts: Attempts,
-        started_at: float,
-        fingerprint: str,
+        keys: tuple[str, ...],
     ) -> None:
         """Give a slot back, and report how the target took the request."""
         now = time.monotonic()
-        first_output_at = max(started_at, attempts.first_event_at or now)
+        first_output_at = max(attempts.sent_at, attempts.first_event_at or now)
+        is_suspect = isinstance(outcome, Broken) and not attempts.has_survived
         self._slots.release(
             slot,
             _classify(outcome, has_epoch=slot.offer.epoch > 0),
-            service_s=now - started_at,
-            first_s=first_output_at - started_at,
-            fingerprint=fingerprint if isinstance(outcome, Broken) else "",
+            service_s=now - attempts.sent_at,
+            first_s=first_output_at - attempts.sent_at,
+            keys=keys if is_suspect else (),
+            had_output=attempts.has_output,
+        )
+
+    def _finish_if_blocked(self, ctx, resp, attempts, keys) -> bool:
+        """Answer a request if it shares a blocked key with requests that crashed."""
+        culprit = self._suspects.find_blocked(keys)
+        if culprit is None:
+            return False
+        reason = f"like requests crashed targets ({culprit.key})"
+        code = ResultCode.SUSPECT_ON_TRIAL
+        self._finish_unplaced(
+            ctx, resp, attempts, reason, BLOCKED_RETRY_AFTER_S, code=code
         )
+        return True
 
     def _finish_unplaced(
         self,
--- a/waxwingpitch/gateway/slot_client.py
+++ b/waxwingpitch/gateway/slot_client.py
@@ -145,7 +145,8 @@
         *,
         service_s: float,
         first_s: float,
-        fingerprint: str = "",
+        keys: tuple[str, ...] = (),
+        had_output: bool = False,
     ) -> None:
         """Give a slot back, and tell its owner how it was used.
 
@@ -155,8 +156,10 @@
             None if it was not used.
         service_s, first_s
             Time to the whole answer and to its first part.
-        fingerprint
-            Fingerprint of a request whose connection broke.
+        keys
+            Keys of a request whose connection broke, its fingerprint last.
+        had_output
+            Whether a part of its answer had arrived.
         """
         self.held.pop(slot.number, None)
         message = SlotRelease(
@@ -169,7 +172,9 @@
             UNUSED if outcome is None else int(outcome),
             service_s,
             first_s,
-            fingerprint,
+            keys[-1] if keys else "",
+            keys[:-1],
+            had_output,
         )
         self._deliver(self._find_present_owner(slot), message)
 
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -76,7 +76,8 @@
     Attributes
     ----------
     on_broken
-        Called with fingerprint and target of a request whose connection broke.
+        Called with the release of a request whose connection broke, and the monotonic
+        time of its receipt.
     """
 
     def __init__(
@@ -112,7 +113,7 @@
         self._new_suspicions: list[tuple[str, int]] = []
         self._served_zones = (self._zone,)
         self._generation = -1
-        self.on_broken: Callable[[str, str], None] = lambda fingerprint, target: None
+        self.on_broken: Callable[[SlotRelease, float], None] = lambda message, at: None
 
     def find(self, key: SlotKey) -> SlotOwner:
         """Return the owner of a key's slots in this process, created on first use."""
@@ -389,8 +390,8 @@
                 self._progress.record_progress(message.target, message.epoch, now)
             case Outcome.MISDIRECTED | Outcome.STALLED | Outcome.UNREACHABLE:
                 self._suspect(message.target, message.epoch, now)
-            case Outcome.BROKEN:
-                self.on_broken(message.fingerprint, message.target)
+            case Outcome.BROKEN if message.fingerprint:
+                self.on_broken(message, now)
 
     def _suspect(self, target: str, epoch: int, now: float) -> None:
         """Give a replica no new requests for a while, and tell the peers."""
--- a/waxwingpitch/gateway/suspect_task.py
+++ b/waxwingpitch/gateway/suspect_task.py
@@ -6,56 +6,83 @@
 import time
 from collections.abc import Callable
 
-from ..mesh.messages import SuspectItem
-from ..requests.crash_watch import CrashWatch
-from ..requests.suspects import SuspectBook, SuspectRecord, Verdict
+import gevent
+
+from ..mesh.fleet_messages import CrashedAttemptItem, CrashNews, SlotRelease
+from ..requests.blame import BlameBook, CrashItem, Culprit
+from ..requests.crash_watch import BrokenAttempt, CrashWatch
 from .beliefs import GatewayView
 
+# Time in which the connections of all requests at a target break, before it is probed.
+PROBE_DELAY_S = 0.02
+
 logger = logging.getLogger(__name__)
 
 
 class SuspectTracker:
-    """Records of requests suspected of crashing targets, shared among gateways.
+    """Crashes of targets and the requests in flight, shared among gateways.
 
     Parameters
     ----------
     announce
-        Sends suspects to all peers.
+        Sends news to all gateways.
+    send
+        Sends news to one peer.
+    is_reachable
+        Probes a target, given its id and address; returns whether it answers.
     """
 
     def __init__(
-        self, view: GatewayView, announce: Callable[[tuple[SuspectItem, ...]], None]
+        self,
+        view: GatewayView,
+        announce: Callable[[CrashNews], None],
+        send: Callable[[str, CrashNews], None],
+        is_reachable: Callable[[str, str], bool],
     ):
         self._view = view
         self._announce = announce
+        self._send = send
+        self._is_reachable = is_reachable
         self._crash_watch = CrashWatch()
-        self._book = SuspectBook()
+        self._book = BlameBook()
+        self._probed: set[tuple[str, int]] = set()
+        self._blocked: frozenset[str] = frozenset()
 
-    def is_blocked(self, fingerprint: str) -> bool:
-        """Return whether requests with this fingerprint crashed too many targets."""
-        return self._book.judge(fingerprint, time.monotonic()) is Verdict.BLOCKED
+    def find_blocked(self, keys: tuple[str, ...]) -> Culprit | None:
+        """Return the key of a request for which it is blocked, if any."""
+        return self._book.find_blocked(keys, time.monotonic())
 
-    def clear(self, fingerprint: str) -> None:
-        """Clear a request of suspicion, as it was served."""
-        self._book.clear(fingerprint)
+    def record_served(self, keys: tuple[str, ...], sent_at: float) -> None:
+        """Clear the keys of a request that its target survived."""
+        now = time.monotonic()
+        cleared = self._book.find_served(keys, sent_at, now)
+        if cleared:
+            self._clear(cleared, now)
+            self._announce(CrashNews((), cleared))
 
-    def record_broken(self, fingerprint: str, target: str) -> None:
-        """Record that a request's connection to a target broke."""
-        known = self._view.targets.get(target)
-        if known is not None:
-            started_ms = known.record.started_ms
-            self._crash_watch.record_broken(
-                fingerprint, target, started_ms, time.monotonic()
-            )
+    def record_broken(self, release: SlotRelease, at: float) -> None:
+        """Record that a request's connection to a target broke.
 
-    def merge(self, items: tuple[SuspectItem, ...], at: float) -> None:
-        """Merge the suspects of a peer, received at a monotonic time."""
-        self._book.merge(
-            SuspectRecord(
-                item.fingerprint, frozenset(item.crashes), at + item.left_ms / 1000
-            )
-            for item in items
+        Parameters
+        ----------
+        at
+            Monotonic time of the release's receipt.
+        """
+        target = release.target
+        known = self._view.targets.get(target)
+        if known is None:
+            return
+        started_ms = known.record.started_ms
+        keys = (*release.parts, release.fingerprint)
+        sent_at = at - release.service_s
+        attempt = BrokenAttempt(
+            keys, target, started_ms, sent_at, at, release.had_output
         )
+        self._report(self._crash_watch.add(attempt))
+        is_model_target = release.epoch > 0
+        if is_model_target and (target, started_ms) not in self._probed:
+            self._probed.add((target, started_ms))
+            gevent.spawn(self._probe, target, started_ms, known.record.address)
 
     def handle_lost_target(self, target: str, started_ms: int | None) -> None:
         """Find the requests that were in flight at a target that was lost.
@@ -66,20 +93,99 @@
             Start time of its new incarnation; None if it is no longer listed.
         """
         now = time.monotonic()
-        items = []
-        for crash in self._crash_watch.find_crashes(target, started_ms, now):
-            record = self._book.record_crash(crash.fingerprint, crash.incarnation, now)
-            left_ms = int(1000 * (record.until - now))
-            items.append(
-                SuspectItem(record.fingerprint, tuple(record.crashes), left_ms)
-            )
+        self._report(self._crash_watch.find_crashes(target, started_ms, now))
+
+    def handle_news(self, news: CrashNews, at: float) -> None:
+        """Merge the news of a peer, received at a monotonic time."""
+        self._book.merge(_decode_item(item, at) for item in news.items)
+        if news.cleared:
+            self._clear(news.cleared, at)
+        self._log_changes()
+
+    def tell(self, peer: str) -> None:
+        """Tell a new peer why keys are blocked."""
+        now = time.monotonic()
+        if items := self._book.list_blocking(now):
+            self._send(peer, _encode_news(items, now))
+
+    def expire(self, now: float) -> None:
+        """Forget crashes that no longer count."""
+        self._book.expire(now)
+        self._log_changes()
+
+    def describe(self) -> list[dict]:
+        """Return the blocked keys for the dump."""
+        culprits = self._book.list_culprits(time.monotonic())
+        return [{"key": item.key, "crashes": item.crashes} for item in culprits]
+
+    def _probe(self, target: str, started_ms: int, address: str) -> None:
+        try:
+            gevent.sleep(PROBE_DELAY_S)
+            if not self._is_reachable(target, address):
+                self.handle_lost_target(target, None)
+        finally:
+            self._probed.discard((target, started_ms))
+
+    def _report(self, items: tuple[CrashItem, ...]) -> None:
+        if not items:
+            return
+        self._book.merge(items)
+        now = time.monotonic()
+        for item in items:
             logger.info(
                 "request suspected of a crash",
                 extra={
-                    "fingerprint": crash.fingerprint,
-                    "target": target,
-                    "crashes": len(record.crashes),
+                    "fingerprint": item.fingerprint,
+                    "parts": list(item.keys[:-1]),
+                    "target": item.target,
+                    "crashes": self._book.count_crashes(item.fingerprint, now),
                 },
             )
-        if items:
-            self._announce(tuple(items))
+        self._announce(_encode_news(items, now))
+        self._log_changes()
+
+    def _clear(self, keys: tuple[str, ...], now: float) -> None:
+        logger.info("keys cleared of crashes", extra={"keys": list(keys)})
+        self._book.clear(keys, now)
+
+    def _log_changes(self) -> None:
+        culprits = self._book.list_culprits(time.monotonic())
+        blocked = frozenset(item.key for item in culprits)
+        for item in culprits:
+            if item.key not in self._blocked:
+                logger.warning(
+                    "requests blocked for crashes",
+                    extra={
+                        "key": item.key,
+                        "crashes": item.crashes,
+                        "incarnations": sorted({one.incarnation for one in item.items}),
+                    },
+                )
+        for key in self._blocked - blocked:
+            logger.info("requests no longer blocked", extra={"key": key})
+        self._blocked = blocked
+
+
+def _encode_news(items: tuple[CrashItem, ...], now: float) -> CrashNews:
+    return CrashNews(
+        tuple(
+            CrashedAttemptItem(
+                item.incarnation,
+                item.keys,
+                now - item.sent_at,
+                now - item.broken_at,
+                item.had_output,
+            )
+            for item in items
+        )
+    )
+
+
+def _decode_item(item: CrashedAttemptItem, at: float) -> CrashItem:
+    return CrashItem(
+        item.incarnation,
+        item.keys,
+        at - item.sent_age_s,
+        at - item.broken_age_s,
+        item.had_output,
+    )
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -92,8 +92,11 @@
         Value of :class:`~waxwingpitch.slots.Outcome`; negative if it was not used.
     service_s, first_s
         Time to the whole answer and to its first part; 0 if unknown.
-    fingerprint
-        Fingerprint of the request, if its connection broke while it may have run.
+    fingerprint, parts
+        Fingerprint of the request, and keys of the parts of its prompt that others
+        share, if its connection broke while it may have run.
+    had_output
+        Whether a part of its answer had arrived by then.
     """
 
     number: int
@@ -106,6 +109,8 @@
     service_s: float = 0.0
     first_s: float = 0.0
     fingerprint: str = ""
+    parts: tuple[str, ...] = ()
+    had_output: bool = False
 
 
 class StallCheck(MeshMessage, tag=34):
@@ -285,6 +290,39 @@
     is_passed_on: bool = False
 
 
+class CrashedAttemptItem(MeshItem):
+    """A request that was in flight when an incarnation of a target crashed.
+
+    Attributes
+    ----------
+    keys
+        Keys of the parts of its prompt, in their order, and its fingerprint.
+    sent_age_s, broken_age_s
+        Time since it was sent, and since its connection broke.
+    had_output
+        Whether a part of its answer had arrived.
+    """
+
+    incarnation: str
+    keys: tuple[str, ...]
+    sent_age_s: float
+    broken_age_s: float
+    had_output: bool = False
+
+
+class CrashNews(MeshMessage, tag=40):
+    """Crashes of targets, and what is known of the requests in flight.
+
+    Attributes
+    ----------
+    cleared
+        Keys of which a request was served after such a crash.
+    """
+
+    items: tuple[CrashedAttemptItem, ...]
+    cleared: tuple[str, ...] = ()
+
+
 FLEET_MESSAGES = (
     SlotRequestMessage
     | SlotGrant
@@ -296,4 +334,5 @@
     | Subscription
     | StoreUpdate
     | FleetNews
+    | CrashNews
 )
--- a/waxwingpitch/platform/headers.py
+++ b/waxwingpitch/platform/headers.py
@@ -22,6 +22,7 @@
     COLD_MS = b"cold-ms"
     MODEL = b"model"
     TOKEN_COUNTS = b"token-counts"
+    PROMPT_PARTS = b"prompt-prefix"
     URGENCY = b"request-urgency"
     LENGTH_HINT = b"length-hint"
     AUTHORIZATION = b"authorization"
--- /dev/null
+++ b/waxwingpitch/requests/blame.py
@@ -0,0 +1,277 @@
+"""Finds what requests that crash their targets have in common.
+
+Any request in flight when its target crashed may be the cause, by any of its keys: the
+parts of the prompt that it shares with others, and its fingerprint. Sound requests
+share some of these keys and run beside it. A key is blocked if it explains several
+crashes, one after the other, and no request with it has been served since.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import xxhash
+
+# Crashes in turn after which a request is blocked by its fingerprint, or by a part of
+# its prompt, which sound requests may share.
+BLOCK_CRASHES_FINGERPRINT = 2
+BLOCK_CRASHES_PART = 3
+# Crashes in turn from which all gateways are told that a request with the key was
+# served. Fewer block no part, and are common.
+CLEAR_CRASHES = 2
+# Time for which a crash counts, and for which it does while it blocks a key.
+EVIDENCE_TTL_S = 120.0
+BLOCK_TTL_S = 600.0
+MAX_ITEMS = 2048
+# Crashes told to a new peer for each blocked key.
+MAX_TOLD_ITEMS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class CrashItem:
+    """A request that was in flight when an incarnation of a target crashed.
+
+    Attributes
+    ----------
+    incarnation
+        Id and start time of the target.
+    keys
+        Keys of the request: parts of its prompt in their order, then its fingerprint.
+    sent_at, broken_at
+        Monotonic times at which it was sent and at which its connection broke.
+    had_output
+        Whether a part of its answer had arrived.
+    """
+
+    incarnation: str
+    keys: tuple[str, ...]
+    sent_at: float
+    broken_at: float
+    had_output: bool = False
+
+    @property
+    def fingerprint(self) -> str:
+        """Key of requests with the same content."""
+        return self.keys[-1]
+
+    @property
+    def target(self) -> str:
+        """Id of the target."""
+        return self.incarnation.rpartition(":")[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Culprit:
+    """A key that explains crashes.
+
+    Attributes
+    ----------
+    items
+        The requests with this key that were in flight at the crashes it explains.
+    """
+
+    key: str
+    items: tuple[CrashItem, ...]
+
+    @property
+    def crashes(self) -> int:
+        """Number of incarnations that crashed."""
+        return len({item.incarnation for item in self.items})
+
+
+def build_part_key(service: str, part: str) -> str:
+    """Return the key of a part of prompts."""
+    return xxhash.xxh3_64_hexdigest(f"{service}\0{part}".encode())
+
+
+def count_in_turn(items: Iterable[CrashItem]) -> int:
+    """Return the largest number of crashes of which each followed the one before.
+
+    Requests that were sent before the first of several crashes say little: an event
+    such as a loss of power may have ended all of their targets.
+
+    Examples
+    --------
+    >>> at_once = [CrashItem("a", ("k",), 0.0, 1.0), CrashItem("b", ("k",), 0.5, 1.0)]
+    >>> count_in_turn(at_once)
+    1
+    >>> count_in_turn([*at_once, CrashItem("c", ("k",), 1.1, 1.4)])
+    2
+    """
+    seen: set[str] = set()
+    last_broken_at = -math.inf
+    for item in sorted(items, key=lambda item: item.broken_at):
+        if item.sent_at >= last_broken_at and item.incarnation not in seen:
+            last_broken_at = item.broken_at
+            seen.add(item.incarnation)
+    return len(seen)
+
+
+def select_suspects(items: Iterable[CrashItem]) -> Iterator[CrashItem]:
+    """Yield the requests that may have caused the crashes.
+
+    Targets crash as they begin to answer such a request. One that had output is
+    suspected only if all that were in flight beside it had some too.
+    """
+    items = list(items)
+    with_silent = {item.incarnation for item in items if not item.had_output}
+    for item in items:
+        if not item.had_output or item.incarnation not in with_silent:
+            yield item
+
+
+def find_culprits(items_by_key: dict[str, list[CrashItem]]) -> Iterator[Culprit]:
+    """Yield the keys that explain the crashes.
+
+    The key that explains most crashes comes first; of several, the last of a request's
+    keys, which fewest share. What it explains counts against no other key.
+    """
+    remaining = {
+        key: items
+        for key, items in items_by_key.items()
+        if len(items) >= BLOCK_CRASHES_FINGERPRINT
+    }
+    while True:
+        culprits = [
+            Culprit(key, tuple(items))
+            for key, items in remaining.items()
+            if _is_culprit(key, items)
+        ]
+        if not culprits:
+            return
+        found = max(culprits, key=lambda item: (item.crashes, _find_depth(item)))
+        yield found
+        explained = {item.incarnation for item in found.items}
+        remaining = {
+            key: [item for item in items if item.incarnation not in explained]
+            for key, items in remaining.items()
+        }
+
+
+def _is_culprit(key: str, items: list[CrashItem]) -> bool:
+    if len(items) < BLOCK_CRASHES_FINGERPRINT:
+        return False
+    is_fingerprint = items[0].fingerprint == key
+    least = BLOCK_CRASHES_FINGERPRINT if is_fingerprint else BLOCK_CRASHES_PART
+    return count_in_turn(items) >= least
+
+
+def _find_depth(culprit: Culprit) -> int:
+    return max(item.keys.index(culprit.key) for item in culprit.items)
+
+
+class BlameBook:
+    """Crashes and the requests in flight, and the keys that are blocked for them.
+
+    Gateways that merge the same crashes, in any order, block the same keys.
+    """
+
+    def __init__(self):
+        self._items: dict[tuple[str, str], CrashItem] = {}
+        self._until: dict[tuple[str, str], float] = {}
+        self._cleared_at: dict[str, float] = {}
+        self._by_key: dict[str, list[CrashItem]] = {}
+        self._culprits: dict[str, Culprit] = {}
+        self._is_stale = False
+
+    def merge(self, items: Iterable[CrashItem]) -> None:
+        """Add crashes; those that are known or have expired are ignored."""
+        for item in items:
+            name = item.incarnation, item.fingerprint
+            if name not in self._items:
+                self._items[name] = item
+                self._until[name] = item.broken_at + EVIDENCE_TTL_S
+                self._is_stale = True
+        while len(self._items) > MAX_ITEMS:
+            self._drop(min(self._until, key=self._until.__getitem__))
+
+    def find_blocked(self, keys: Iterable[str], now: float) -> Culprit | None:
+        """Return the blocked key among a request's keys, if any."""
+        self._update(now)
+        if not self._culprits:
+            return None
+        return next(
+            (self._culprits[key] for key in keys if key in self._culprits), None
+        )
+
+    def find_served(
+        self, keys: Iterable[str], sent_at: float, now: float
+    ) -> tuple[str, ...]:
+        """Return the keys of a served request that all gateways should clear.
+
+        Parameters
+        ----------
+        sent_at
+            Monotonic time at which the request was sent.
+        """
+        self._update(now)
+        if not self._by_key:
+            return ()
+        return tuple(key for key in keys if self._is_cleared_by(key, sent_at))
+
+    def clear(self, keys: Iterable[str], now: float) -> None:
+        """Ignore earlier crashes of requests with these keys, as one was served."""
+        for key in keys:
+            self._cleared_at[key] = now
+        self._is_stale = True
+
+    def count_crashes(self, key: str, now: float) -> int:
+        """Return the number of crashes that count against a key."""
+        self._update(now)
+        return len({item.incarnation for item in self._by_key.get(key, ())})
+
+    def list_blocking(self, now: float) -> tuple[CrashItem, ...]:
+        """Return the crashes for which keys are blocked, the latest of each key."""
+        self._update(now)
+        latest = {
+            (item.incarnation, item.fingerprint): item
+            for culprit in self._culprits.values()
+            for item in sorted(culprit.items, key=lambda item: item.broken_at)[
+                -MAX_TOLD_ITEMS:
+            ]
+        }
+        return tuple(latest.values())
+
+    def list_culprits(self, now: float) -> tuple[Culprit, ...]:
+        """Return the blocked keys, for the dump and the log."""
+        self._update(now)
+        return tuple(self._culprits.values())
+
+    def expire(self, now: float) -> None:
+        """Remove what no longer counts."""
+        expired = [name for name, until in self._until.items() if until <= now]
+        for name in expired:
+            self._drop(name)
+        for key, at in list(self._cleared_at.items()):
+            if at + BLOCK_TTL_S <= now:
+                del self._cleared_at[key]
+
+    def _is_cleared_by(self, key: str, sent_at: float) -> bool:
+        items = self._by_key.get(key, ())
+        if len(items) < CLEAR_CRASHES or sent_at < items[0].broken_at:
+            return False
+        return count_in_turn(items) >= CLEAR_CRASHES
+
+    def _drop(self, name: tuple[str, str]) -> None:
+        del self._items[name], self._until[name]
+        self._is_stale = True
+
+    def _update(self, now: float) -> None:
+        if not self._is_stale:
+            return
+        self._is_stale = False
+        by_key: defaultdict[str, list[CrashItem]] = defaultdict(list)
+        suspects = select_suspects(self._items.values())
+        for item in sorted(suspects, key=lambda item: item.broken_at):
+            for key in item.keys:
+                if item.broken_at > self._cleared_at.get(key, -math.inf):
+                    by_key[key].append(item)
+        self._by_key = dict(by_key)
+        self._culprits = {item.key: item for item in find_culprits(self._by_key)}
+        for culprit in self._culprits.values():
+            for item in culprit.items:
+                name = item.incarnation, item.fingerprint
+                self._until[name] = item.broken_at + BLOCK_TTL_S
--- a/waxwingpitch/requests/crash_watch.py
+++ b/waxwingpitch/requests/crash_watch.py
@@ -1,14 +1,16 @@
 """Detects connections that broke because their target crashed.
 
-A broken connection alone is no evidence against the request. If the target then
-restarts, or disappears from the list without announcing that it leaves, the requests
-that were in flight there are suspects.
+A broken connection alone is no evidence against the request. If the target then no
+longer answers, restarts, or disappears from the list without announcing that it leaves,
+the requests that were in flight there may have crashed it.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+from .blame import CrashItem
+
 # Time after a broken connection within which a crash is seen in the list: three
 # heartbeats until an entry expires, and the time to restart.
 CRASH_DETECTION_S = 8.0
@@ -21,24 +23,22 @@
 
     Attributes
     ----------
+    keys
+        Keys of the request; see :class:`~waxwingpitch.requests.blame.CrashItem`.
     started_ms
         Start time of the target that it ran on.
-    at
-        Monotonic time at which the connection broke.
+    sent_at, broken_at
+        Monotonic times at which it was sent and at which its connection broke.
+    had_output
+        Whether a part of its answer had arrived.
     """
 
-    fingerprint: str
+    keys: tuple[str, ...]
     target: str
     started_ms: int
-    at: float
-
-
-@dataclass(frozen=True, slots=True)
-class Crash:
-    """A crash of a target's incarnation, and the fingerprint of a request in flight."""
-
-    fingerprint: str
-    incarnation: str
+    sent_at: float
+    broken_at: float
+    had_output: bool = False
 
 
 class CrashWatch:
@@ -47,44 +47,66 @@
     Examples
     --------
     >>> watch = CrashWatch()
-    >>> watch.record_broken("f", "t", 5, now=1.0)
+    >>> watch.add(BrokenAttempt(("f",), "t", 5, sent_at=0.5, broken_at=1.0))
+    ()
     >>> watch.find_crashes("t", 5, now=2.0)
     ()
-    >>> watch.find_crashes("t", 9, now=3.0)
-    (Crash(fingerprint='f', incarnation='t:5'),)
+    >>> [(item.incarnation, item.keys) for item in watch.find_crashes("t", 9, now=3.0)]
+    [('t:5', ('f',))]
     """
 
     def __init__(self):
         self._broken: list[BrokenAttempt] = []
+        self._crashed: dict[tuple[str, int], float] = {}
 
-    def record_broken(
-        self, fingerprint: str, target: str, started_ms: int, now: float
-    ) -> None:
-        """Record that a request's connection broke."""
+    def add(self, attempt: BrokenAttempt) -> tuple[CrashItem, ...]:
+        """Add an attempt; return it as a crash if its target is known to have crashed.
+
+        Gateways report the attempts at a target one after the other.
+        """
+        now = attempt.broken_at
+        if (attempt.target, attempt.started_ms) in self._crashed:
+            return (_build_item(attempt),)
         self._broken = [
-            item for item in self._broken if now - item.at < CRASH_DETECTION_S
+            item for item in self._broken if now - item.broken_at < CRASH_DETECTION_S
         ][-MAX_BROKEN_ATTEMPTS:]
-        self._broken.append(BrokenAttempt(fingerprint, target, started_ms, now))
+        self._broken.append(attempt)
+        return ()
 
     def find_crashes(
         self, target: str, started_ms: int | None, now: float
-    ) -> tuple[Crash, ...]:
-        """Return the crashes that a change of a target's record reveals.
+    ) -> tuple[CrashItem, ...]:
+        """Return the crashes that a change of a target reveals.
 
         Parameters
         ----------
         started_ms
-            Start time in the new record; None if the target disappeared from the list
-            without announcing it.
+            Start time in its new record; None if it no longer answers, or disappeared
+            from the list without announcing it.
         """
         crashed = [
             item
             for item in self._broken
             if item.target == target
             and item.started_ms != started_ms
-            and now - item.at < CRASH_DETECTION_S
+            and now - item.broken_at < CRASH_DETECTION_S
         ]
         self._broken = [item for item in self._broken if item not in crashed]
-        return tuple(
-            Crash(item.fingerprint, f"{target}:{item.started_ms}") for item in crashed
-        )
+        self._crashed = {
+            incarnation: at
+            for incarnation, at in self._crashed.items()
+            if now - at < CRASH_DETECTION_S
+        }
+        self._crashed.update(((item.target, item.started_ms), now) for item in crashed)
+        return tuple(_build_item(item) for item in crashed)
+
+
+def _build_item(attempt: BrokenAttempt) -> CrashItem:
+    incarnation = f"{attempt.target}:{attempt.started_ms}"
+    return CrashItem(
+        incarnation,
+        attempt.keys,
+        attempt.sent_at,
+        attempt.broken_at,
+        attempt.had_output,
+    )
