Take no unframed stream without events for a complete one

What callers saw: a complete 200 without any event, where the target of a stream with neither a length nor chunks crashed before its first event. Cause: the end of the connection ends such an answer, and no event was cut. Why it works: a stream without an event is no answer, so that its end says nothing; the attempt counts as broken, and the request goes on elsewhere where its route allows it.

--- a/waxwingpitch/forwarding/parsing.py
+++ b/waxwingpitch/forwarding/parsing.py
@@ -201,6 +201,11 @@
         """Whether the current answer has arrived completely."""
         return bool(self._answers) and self._answers[0].complete
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the current answer ends by its length or chunks."""
+        return bool(self._answers) and self._answers[0].has_framing
+
     @property
     def keep_alive(self) -> bool:
         """Whether the current answer allows another request on the connection."""
--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -124,6 +124,11 @@
         """Whether the complete answer has arrived."""
         return self._reader.complete
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer ends by its length or chunks, not with the connection."""
+        return self._reader.is_framed
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -291,6 +291,8 @@
                 attempts.record_forwarded(events[-1].id, last_data_at)
         if splitter.has_partial_event:
             return Broken("the stream ended within an event")
+        if not has_events and not conn.is_framed:
+            return Broken("the connection ended before any event")
         if not resp.started:
             resp.start_stream(head, strip_hop_headers(head.headers))
         resp.end_stream()
