--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -10,7 +10,7 @@
 from ..forwarding.answers import Headers
 from ..forwarding.listener import CallerDisconnectedError
 from ..platform import HeaderNames
-from ..slots import Outcome as SlotOutcome, Refused, SlotRequest
+from ..slots import Refused
 from ..telemetry import GatewayMetrics
 from .attempts import (
     Attempts,
@@ -25,6 +25,7 @@
 from .exchange import TargetExchange
 from .routed import RequestContext, read_last_event, read_request_id, route_request
 from .slot_client import Slot, SlotClient
+from .slot_use import build_slot_request, classify_outcome
 from .stop_times import StopTimes, StopTimeUpError, limit_to_stop
 from .suspect_task import SuspectTracker
 
@@ -116,7 +117,7 @@
             if self._finish_if_blocked(ctx, resp, attempts, keys):
                 return
             acquire_started_at = time.monotonic()
-            placement = self._slots.acquire(_build_slot_request(ctx, attempts))
+            placement = self._slots.acquire(build_slot_request(ctx, attempts))
             waited_s = time.monotonic() - acquire_started_at
             self._metrics.record_slot_wait(ctx.service, waited_s)
             self._log_placement(ctx, attempts, placement, waited_s)
@@ -208,7 +209,7 @@
         is_suspect = isinstance(outcome, Broken) and not attempts.has_survived
         self._slots.release(
             slot,
-            _classify(outcome, has_epoch=slot.offer.epoch > 0),
+            classify_outcome(outcome, has_epoch=slot.offer.epoch > 0),
             service_s=now - attempts.sent_at,
             first_s=first_output_at - attempts.sent_at,
             keys=keys if is_suspect else (),
@@ -376,39 +377,3 @@
                 "last_event": attempts.last_event,
             },
         )
-
-
-def _build_slot_request(ctx: RequestContext, attempts: Attempts) -> SlotRequest:
-    resume_deadline = None
-    if attempts.runs:
-        resume_deadline = ctx.find_idle_deadline(attempts.last_forwarded_at)
-    return SlotRequest(
-        request=ctx.id,
-        service=ctx.service,
-        model=ctx.model,
-        workspace=ctx.workspace or "",
-        priority=ctx.priority,
-        cost=ctx.cost,
-        deadline=ctx.deadline,
-        avoid=frozenset(attempts.tried),
-        resume_deadline=resume_deadline,
-        due_at=ctx.arrived_at + ctx.route.latency_objective_s,
-        is_retry=attempts.sends > 0 and not attempts.has_retry_permit,
-    )
-
-
-def _classify(outcome: Outcome | None, *, has_epoch: bool) -> SlotOutcome:
-    """Return what the owner of a slot is told about its use."""
-    match outcome:
-        case Done():
-            return SlotOutcome.SERVED
-        case NotRun(is_misdirected=True):
-            return SlotOutcome.MISDIRECTED
-        case Broken():
-            return SlotOutcome.BROKEN
-        case NotRun(is_unreachable=True) if has_epoch:
-            return SlotOutcome.UNREACHABLE
-        case Stalled() if has_epoch:
-            return SlotOutcome.STALLED
-        case _:
-            return SlotOutcome.FAILED
