Tell a new peer no keys that served requests have cleared

Cause: crashes for which two parts are blocked were told with all keys of their requests, but not which of these had been cleared. The first part, which all of them share, explains most of them, so that a gateway that had just started would have blocked the route. Evidence: test_new_peer_does_not_blame_what_was_cleared failed before (it blocked the first part instead of the two). Why it works: the peer is told just what counts.

--- a/waxwingpitch/requests/blame.py
+++ b/waxwingpitch/requests/blame.py
@@ -11,7 +11,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import xxhash
 
@@ -224,10 +224,13 @@
         return len({item.incarnation for item in self._by_key.get(key, ())})
 
     def list_blocking(self, now: float) -> tuple[CrashItem, ...]:
-        """Return the crashes for which keys are blocked, the latest of each key."""
+        """Return the crashes for which keys are blocked, the latest of each key.
+
+        They are without the keys of which a request was served since.
+        """
         self._update(now)
         latest = {
-            (item.incarnation, item.fingerprint): item
+            (item.incarnation, item.fingerprint): self._without_cleared(item)
             for culprit in self._culprits.values()
             for item in sorted(culprit.items, key=lambda item: item.broken_at)[
                 -MAX_TOLD_ITEMS:
@@ -249,6 +252,18 @@
             if at + BLOCK_TTL_S <= now:
                 del self._cleared_at[key]
 
+    def was_cleared(self, key: str) -> bool:
+        """Return whether a request with a key was served that is not blocked now."""
+        return key in self._cleared_at and key not in self._culprits
+
+    def _without_cleared(self, item: CrashItem) -> CrashItem:
+        parts = (
+            key
+            for key in item.keys[:-1]
+            if item.broken_at > self._cleared_at.get(key, -math.inf)
+        )
+        return replace(item, keys=(*parts, item.fingerprint))
+
     def _is_cleared_by(self, key: str, sent_at: float) -> bool:
         items = self._by_key.get(key, ())
         if len(items) < CLEAR_CRASHES or sent_at < items[0].broken_at:
--- a/waxwingpitch/tests/test_blame.py
+++ b/waxwingpitch/tests/test_blame.py
@@ -293,6 +293,20 @@
     assert list_blocked(peer, 50.0) == ["p"]
 
 
+def test_new_peer_does_not_blame_what_was_cleared():
+    """Two parts are blocked; the first part is in all of their requests."""
+    book, peer = BlameBook(), BlameBook()
+    for start, part in ((0.0, "p"), (50.0, "q")):
+        book.merge(
+            build_item(f"{part}{n}:1", ("first", part, f"{part}{n}"), start + n)
+            for n in range(4)
+        )
+        book.clear(("first",), start + 1.5)
+    assert sorted(list_blocked(book, 60.0)) == ["p", "q"]
+    peer.merge(book.list_blocking(60.0))
+    assert sorted(list_blocked(peer, 60.0)) == ["p", "q"]
+
+
 @pytest.mark.parametrize(("items", "ttl_s"), [(2, EVIDENCE_TTL_S), (3, BLOCK_TTL_S)])
 def test_crashes_are_forgotten(items, ttl_s):
     book = BlameBook()
