Clear keys at a gateway that missed the news of it

Cause: a gateway that hears of crashes, but not that requests with their shared part were served since, blocks this part alone; its own requests with it, which might clear it, are refused then. Change: a gateway that begins to block a key says so; the zones' heads that know it cleared answer. A request clears its keys again when it ends, so that one that was on its way at the block counts. Evidence: test_gateway_that_missed_news_does_not_block_what_others_cleared fails without the answer ([2] == []).

--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -32,8 +32,8 @@
         Monotonic time at which the last part of the answer was forwarded; the time of
         arrival until then.
     on_survived
-        Called once for each target that served the request, or went on to serve it,
-        with the monotonic time at which it was sent there.
+        Called when a target goes on to serve the request, and again when it has, with
+        the monotonic time at which the request was sent there.
 
     Attributes
     ----------
@@ -107,9 +107,8 @@
 
     def record_survival(self) -> None:
         """Record that the current target served the request, or went on to."""
-        if not self.has_survived:
-            self.has_survived = True
-            self._on_survived(self.sent_at)
+        self.has_survived = True
+        self._on_survived(self.sent_at)
 
     def record_run(self, target: str, address: str) -> None:
         """Record that the request ran, or may have run, on a target."""
@@ -126,7 +125,7 @@
         else:
             self.first_event_at = now
         self._first_event_here_at = min(now, self._first_event_here_at)
-        if now - self._first_event_here_at >= SURVIVAL_S:
+        if not self.has_survived and now - self._first_event_here_at >= SURVIVAL_S:
             self.record_survival()
         if last_event is not None:
             self.last_event = last_event
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -131,6 +131,7 @@
             self._peers.announce_crashes,
             self._peers.send,
             self._is_reachable,
+            lambda: self.roster.find_head(settings.zone) == settings.name,
         )
         self._peers.on_crash_news = self._suspects.handle_news
         self._peers.on_linked = self._suspects.tell
--- a/waxwingpitch/gateway/suspect_task.py
+++ b/waxwingpitch/gateway/suspect_task.py
@@ -30,6 +30,8 @@
         Sends news to one peer.
     is_reachable
         Probes a target, given its id and address; returns whether it answers.
+    is_head
+        Returns whether this gateway leads its zone, so that it answers for it.
     """
 
     def __init__(
@@ -38,11 +40,13 @@
         announce: Callable[[CrashNews], None],
         send: Callable[[str, CrashNews], None],
         is_reachable: Callable[[str, str], bool],
+        is_head: Callable[[], bool],
     ):
         self._view = view
         self._announce = announce
         self._send = send
         self._is_reachable = is_reachable
+        self._is_head = is_head
         self._crash_watch = CrashWatch()
         self._book = BlameBook()
         self._probed: set[tuple[str, int]] = set()
@@ -58,7 +62,7 @@
         cleared = self._book.find_served(keys, sent_at, now)
         if cleared:
             self._clear(cleared, now)
-            self._announce(CrashNews((), cleared))
+            self._announce(CrashNews(cleared=cleared))
 
     def record_broken(self, release: SlotRelease, at: float) -> None:
         """Record that a request's connection to a target broke.
@@ -100,6 +104,7 @@
         self._book.merge(_decode_item(item, at) for item in news.items)
         if news.cleared:
             self._clear(news.cleared, at)
+        self._object_to(news.blocked)
         self._log_changes()
 
     def tell(self, peer: str) -> None:
@@ -144,6 +149,13 @@
         self._announce(_encode_news(items, now))
         self._log_changes()
 
+    def _object_to(self, blocked: tuple[str, ...]) -> None:
+        """Tell gateways that block keys for want of the news that clears them."""
+        cleared = tuple(key for key in blocked if self._book.was_cleared(key))
+        if cleared and self._is_head():
+            logger.info("keys of a peer cleared", extra={"keys": list(cleared)})
+            self._announce(CrashNews(cleared=cleared))
+
     def _clear(self, keys: tuple[str, ...], now: float) -> None:
         logger.info("keys cleared of crashes", extra={"keys": list(keys)})
         self._book.clear(keys, now)
@@ -163,7 +175,9 @@
                 )
         for key in self._blocked - blocked:
             logger.info("requests no longer blocked", extra={"key": key})
-        self._blocked = blocked
+        added, self._blocked = blocked - self._blocked, blocked
+        if added:
+            self._announce(CrashNews(blocked=tuple(sorted(added))))
 
 
 def _encode_news(items: tuple[CrashItem, ...], now: float) -> CrashNews:
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -317,10 +317,13 @@
     ----------
     cleared
         Keys of which a request was served after such a crash.
+    blocked
+        Keys that the sender has begun to block.
     """
 
-    items: tuple[CrashedAttemptItem, ...]
+    items: tuple[CrashedAttemptItem, ...] = ()
     cleared: tuple[str, ...] = ()
+    blocked: tuple[str, ...] = ()
 
 
 FLEET_MESSAGES = (
--- /dev/null
+++ b/waxwingpitch/tests/test_suspect_task.py
@@ -0,0 +1,92 @@
+"""Tests of what gateways tell each other of requests that crash targets."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from ..gateway.suspect_task import SuspectTracker
+from ..mesh.fleet_messages import CrashedAttemptItem, CrashNews
+
+
+class Gateways:
+    """Trackers that hear each other's news, unless they are cut off."""
+
+    def __init__(self, number: int):
+        self.cut_off: set[int] = set()
+        self.now = 0.0
+        self.trackers = [self._build(index) for index in range(number)]
+
+    def _build(self, index: int) -> SuspectTracker:
+        view = SimpleNamespace(targets={})
+        return SuspectTracker(
+            view,
+            lambda news: self._spread(index, news),
+            lambda peer, news: self.trackers[peer].handle_news(news, self.now),
+            lambda target, address: True,
+            lambda: index == 0,
+        )
+
+    def _spread(self, sender: int, news: CrashNews) -> None:
+        for index, tracker in enumerate(self.trackers):
+            if index != sender and not {index, sender} & self.cut_off:
+                tracker.handle_news(news, self.now)
+
+    def crash(self, target: str, *keys: str) -> None:
+        """Tell all gateways, also those cut off, of a crash."""
+        news = CrashNews((CrashedAttemptItem(f"{target}:1", keys, 0.2, 0.0),))
+        for tracker in self.trackers:
+            tracker.handle_news(news, self.now)
+
+    def list_blocking(self, *keys: str) -> list[int]:
+        return [
+            index
+            for index, tracker in enumerate(self.trackers)
+            if tracker.find_blocked(keys)
+        ]
+
+
+def test_gateway_that_missed_news_does_not_block_what_others_cleared(monkeypatch):
+    gateways = Gateways(3)
+    monkeypatch.setattr(
+        "waxwingpitch.gateway.suspect_task.time", gateways_clock(gateways)
+    )
+    for number in range(2):
+        gateways.now += 1.0
+        gateways.crash(f"t{number}", "first", f"r{number}")
+    gateways.cut_off.add(2)
+    gateways.now += 1.0
+    gateways.trackers[0].record_served(("first", "sound"), 1.5)
+    gateways.cut_off.clear()
+    gateways.now += 1.0
+    gateways.crash("t9", "first", "r9")
+    assert gateways.list_blocking("first") == []
+
+
+def test_part_that_crashes_targets_is_blocked_at_all_gateways(monkeypatch):
+    gateways = Gateways(3)
+    monkeypatch.setattr(
+        "waxwingpitch.gateway.suspect_task.time", gateways_clock(gateways)
+    )
+    for number in range(3):
+        gateways.now += 1.0
+        gateways.crash(f"t{number}", "first", "bad", f"r{number}")
+    assert gateways.list_blocking("bad") == [0, 1, 2]
+    assert gateways.list_blocking("first") == []
+
+
+def test_new_peer_blocks_what_others_block(monkeypatch):
+    gateways = Gateways(2)
+    monkeypatch.setattr(
+        "waxwingpitch.gateway.suspect_task.time", gateways_clock(gateways)
+    )
+    for number in range(3):
+        gateways.now += 1.0
+        gateways.crash(f"t{number}", "first", "bad", f"r{number}")
+    gateways.trackers[1] = gateways._build(1)
+    assert gateways.list_blocking("bad") == [0]
+    gateways.trackers[0].tell(1)
+    assert gateways.list_blocking("bad") == [0, 1]
+
+
+def gateways_clock(gateways: Gateways) -> SimpleNamespace:
+    return SimpleNamespace(monotonic=lambda: gateways.now)
