Answer the requests that were read before malformed bytes

What callers saw: no answer to a whole request behind which malformed bytes came in the same read; only the 400 was sent. Cause: the reader raised before it returned what it had completed, and the connection dropped what waited. Evidence: test_requests_before_malformed_bytes_are_answered failed before. Why it works: the reader keeps the error until the requests before it are taken, and the connection answers them first. The second test guards the wait for a handler whose caller left.

--- a/waxwingpitch/forwarding/listener.py
+++ b/waxwingpitch/forwarding/listener.py
@@ -151,6 +151,8 @@
                 now = time.monotonic()
                 self._pending.extend((req, now) for req in self._reader.feed(data))
                 self._start_next_request()
+                if self._reader.error is not None:
+                    raise self._reader.error
         except MalformedRequestError as exc:
             self._reject(exc)
         except OSError as exc:
@@ -269,8 +271,10 @@
             logger.debug("caller connection was already closed")
 
     def _reject(self, exc: MalformedRequestError) -> None:
-        if self._handler_greenlet is not None:
-            self._handler_greenlet.join()
+        while (handling := self._handler_greenlet) is not None and not handling.dead:
+            handling.join()
+        if self._closing:
+            return
         message = str(exc).encode()
         answer = Answer(AnswerHead(exc.status, ()), message + b"\n")
         try:
--- a/waxwingpitch/forwarding/parsing.py
+++ b/waxwingpitch/forwarding/parsing.py
@@ -67,6 +67,8 @@
     ----------
     has_partial_request
         Whether a request has begun to arrive and is not complete.
+    error
+        What is wrong with the bytes behind the last complete request, if anything.
     """
 
     def __init__(self, *, header_bytes: int, body_bytes: int):
@@ -75,6 +77,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._completed: deque[CallerRequest] = deque()
         self.has_partial_request = False
+        self.error: MalformedRequestError | None = None
         self._reset()
 
     def feed(self, data: bytes) -> list[CallerRequest]:
@@ -83,8 +86,20 @@
         Raises
         ------
         MalformedRequestError
-            The bytes are malformed or exceed a limit; the connection is unusable.
+            The bytes are malformed or exceed a limit, and complete no request before
+            that; the connection is unusable.
         """
+        try:
+            self._parse(data)
+        except MalformedRequestError as exc:
+            if not self._completed:
+                raise
+            self.error = exc
+        completed = list(self._completed)
+        self._completed.clear()
+        return completed
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except MalformedRequestError:
@@ -98,9 +113,6 @@
             raise MalformedRequestError(400, str(exc)) from exc
         if self.has_partial_request and not self._in_body:
             self._check_header_bytes(len(data))
-        completed = list(self._completed)
-        self._completed.clear()
-        return completed
 
     def _reset(self) -> None:
         self._target = b""
--- a/waxwingpitch/tests/test_reported_failures.py
+++ b/waxwingpitch/tests/test_reported_failures.py
@@ -288,3 +288,23 @@
     answer = chat(gateway.settings.front, "h1", model=PAIR.name, events=10)
     assert answer.events == [1, 2, 3]
     assert not answer.is_complete
+
+
+def test_requests_before_malformed_bytes_are_answered():
+    server = SlowListener(0.05, 5.0)
+    caller = server.connect()
+    whole = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+    caller.sock.sendall(whole + whole + b"no request\r\n\r\n")
+    assert [caller.read().status for _ in range(3)] == [200, 200, 400]
+
+
+def test_caller_that_leaves_behind_malformed_bytes_holds_up_no_other():
+    server = SlowListener(0.2, 5.0)
+    leaving = server.connect()
+    leaving.sock.sendall(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\nno request\r\n\r\n")
+    gevent.sleep(0.05)
+    leaving.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1" + bytes(7))
+    leaving.close()
+    other = server.connect()
+    other.send("/x", "o1")
+    assert other.read().status == 200
