--- a/waxwingpitch/requests/blame.py
+++ b/waxwingpitch/requests/blame.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
@@ -185,8 +186,9 @@
                 self._items[name] = item
                 self._until[name] = item.broken_at + EVIDENCE_TTL_S
                 self._is_stale = True
-        while len(self._items) > MAX_ITEMS:
-            self._drop(min(self._until, key=self._until.__getitem__))
+        excess = max(0, len(self._items) - MAX_ITEMS)
+        for name in heapq.nsmallest(excess, self._until, key=self._until.__getitem__):
+            self._drop(name)
 
     def find_blocked(self, keys: Iterable[str], now: float) -> Culprit | None:
         """Return the blocked key among a request's keys, if any."""
--- a/waxwingpitch/tests/test_blame.py
+++ b/waxwingpitch/tests/test_blame.py
@@ -15,6 +15,7 @@
 from ..requests.blame import (
     BLOCK_TTL_S,
     EVIDENCE_TTL_S,
+    MAX_ITEMS,
     BlameBook,
     CrashItem,
     count_in_turn,
@@ -293,6 +294,16 @@
     assert list_blocked(peer, 50.0) == ["p"]
 
 
+def test_many_crashes_displace_none_that_blocks_a_part():
+    book = BlameBook()
+    book.merge(build_item(f"{n}:1", ("p", f"r{n}"), n * 1.0) for n in range(3))
+    assert list_blocked(book, 4.0) == ["p"]
+    for start in range(0, 4 * MAX_ITEMS, 100):
+        book.merge(build_item("x:1", (f"q{start + n}",), 5.0) for n in range(100))
+    assert list_blocked(book, 6.0) == ["p"]
+    assert book.count_crashes("q0", 6.0) == 0
+
+
 def test_new_peer_does_not_blame_what_was_cleared():
     """Two parts are blocked; the first part is in all of their requests."""
     book, peer = BlameBook(), BlameBook()
