Block no request that was served between two crashes

Callers of a request that many share, such as a call without a body, got 503 for up to 600 s after two crashes of targets that had nothing to do with it.

Cause: a request is blocked by its fingerprint from two crashes in turn on, and a served request cleared a key only from two crashes on. What was served between the first and the second crash therefore never counted, though a key is to be blocked only if no request with it has been served since. With few requests a minute none was in flight to clear it afterwards.

Evidence: the test failed before: a key served 50 times between two crashes 60 s apart was blocked.

A gateway now remembers that it served a request with a key of a known crash, and counts earlier crashes no more for that key. Nothing is sent for this, as crashes are common: the next request that it serves clears the key for all gateways, as before.

--- a/waxwingpitch/requests/blame.py
+++ b/waxwingpitch/requests/blame.py
@@ -166,13 +166,15 @@
 class BlameBook:
     """Crashes and the requests in flight, and the keys that are blocked for them.
 
-    Gateways that merge the same crashes, in any order, block the same keys.
+    Gateways that merge the same crashes, in any order, block the same keys, but for
+    those of requests that they served between the crashes.
     """
 
     def __init__(self):
         self._items: dict[tuple[str, str], CrashItem] = {}
         self._until: dict[tuple[str, str], float] = {}
         self._cleared_at: dict[str, float] = {}
+        self._served_at: dict[str, float] = {}
         self._by_key: dict[str, list[CrashItem]] = {}
         self._culprits: dict[str, Culprit] = {}
         self._is_stale = False
@@ -202,6 +204,8 @@
     ) -> tuple[str, ...]:
         """Return the keys of a served request that all gateways should clear.
 
+        Earlier crashes of requests with its other keys no longer block them here.
+
         Parameters
         ----------
         sent_at
@@ -210,6 +214,9 @@
         self._update(now)
         if not self._by_key:
             return ()
+        for key in keys:
+            if key in self._by_key:
+                self._served_at[key] = max(sent_at, self._served_at.get(key, sent_at))
         return tuple(key for key in keys if self._is_cleared_by(key, sent_at))
 
     def clear(self, keys: Iterable[str], now: float) -> None:
@@ -245,9 +252,10 @@
         expired = [name for name, until in self._until.items() if until <= now]
         for name in expired:
             self._drop(name)
-        for key, at in list(self._cleared_at.items()):
-            if at + BLOCK_TTL_S <= now:
-                del self._cleared_at[key]
+        for known in (self._cleared_at, self._served_at):
+            for key, at in list(known.items()):
+                if at + BLOCK_TTL_S <= now:
+                    del known[key]
 
     def _is_cleared_by(self, key: str, sent_at: float) -> bool:
         items = self._by_key.get(key, ())
@@ -255,6 +263,12 @@
             return False
         return count_in_turn(items) >= CLEAR_CRASHES
 
+    def _list_since_served(self, key: str, items: list[CrashItem]) -> list[CrashItem]:
+        served_at = self._served_at.get(key)
+        if served_at is None:
+            return items
+        return [item for item in items if item.broken_at > served_at]
+
     def _drop(self, name: tuple[str, str]) -> None:
         del self._items[name], self._until[name]
         self._is_stale = True
@@ -270,7 +284,11 @@
                 if item.broken_at > self._cleared_at.get(key, -math.inf):
                     by_key[key].append(item)
         self._by_key = dict(by_key)
-        self._culprits = {item.key: item for item in find_culprits(self._by_key)}
+        unserved = {
+            key: self._list_since_served(key, items)
+            for key, items in self._by_key.items()
+        }
+        self._culprits = {item.key: item for item in find_culprits(unserved)}
         for culprit in self._culprits.values():
             for item in culprit.items:
                 name = item.incarnation, item.fingerprint
--- a/waxwingpitch/tests/test_blame.py
+++ b/waxwingpitch/tests/test_blame.py
@@ -283,6 +283,18 @@
     assert list_blocked(book, 9.0) == []
 
 
+@pytest.mark.parametrize("keys", [("same",), ("p", "same")])
+def test_request_that_was_served_between_two_crashes_is_not_blocked(keys):
+    book = BlameBook()
+    book.merge([build_item("a:1", keys, 0.0)])
+    for served in range(50):
+        assert book.find_served(keys, sent_at=1.0 + served, now=1.5 + served) == ()
+    book.merge([build_item("b:1", keys, 60.0)])
+    assert list_blocked(book, 61.0) == []
+    book.merge([build_item("c:1", keys, 62.0)])
+    assert list_blocked(book, 63.0) == ["same"]
+
+
 def test_new_peer_is_told_what_blocks_a_part():
     book, peer = BlameBook(), BlameBook()
     book.merge(build_item(f"{n}:1", ("p", f"r{n}"), n * 1.0) for n in range(40))
