Tell new peers of crashes that follow one another

After a restart a gateway sent on requests with a part that crashes targets, though the others blocked them, until three more targets had crashed.

Cause: a peer was told the latest 16 requests in flight at the crashes that a key explains. Where many broke at the last crash, all of them were of one target, which blocks nothing.

Evidence: the test failed before: of 3 crashes and one with 20 requests, the peer was told the last one only.

Now one request of each crash is told, of crashes in turn, which is what blocks a key.

--- a/waxwingpitch/requests/blame.py
+++ b/waxwingpitch/requests/blame.py
@@ -87,8 +87,8 @@
     return xxhash.xxh3_64_hexdigest(f"{service}\0{part}".encode())
 
 
-def count_in_turn(items: Iterable[CrashItem]) -> int:
-    """Return the largest number of crashes of which each followed the one before.
+def select_in_turn(items: Iterable[CrashItem]) -> list[CrashItem]:
+    """Return a request of each of most crashes of which each followed the one before.
 
     Requests that were sent before the first of several crashes say little: an event
     such as a loss of power may have ended all of their targets.
@@ -96,18 +96,26 @@
     Examples
     --------
     >>> at_once = [CrashItem("a", ("k",), 0.0, 1.0), CrashItem("b", ("k",), 0.5, 1.0)]
-    >>> count_in_turn(at_once)
-    1
-    >>> count_in_turn([*at_once, CrashItem("c", ("k",), 1.1, 1.4)])
-    2
+    >>> [item.incarnation for item in select_in_turn(at_once)]
+    ['a']
+    >>> in_turn = [*at_once, CrashItem("c", ("k",), 1.1, 1.4)]
+    >>> [item.incarnation for item in select_in_turn(in_turn)]
+    ['a', 'c']
     """
+    selected: list[CrashItem] = []
     seen: set[str] = set()
     last_broken_at = -math.inf
     for item in sorted(items, key=lambda item: item.broken_at):
         if item.sent_at >= last_broken_at and item.incarnation not in seen:
             last_broken_at = item.broken_at
             seen.add(item.incarnation)
-    return len(seen)
+            selected.append(item)
+    return selected
+
+
+def count_in_turn(items: Iterable[CrashItem]) -> int:
+    """Return the largest number of crashes of which each followed the one before."""
+    return len(select_in_turn(items))
 
 
 def select_suspects(items: Iterable[CrashItem]) -> Iterator[CrashItem]:
@@ -231,14 +239,15 @@
         return len({item.incarnation for item in self._by_key.get(key, ())})
 
     def list_blocking(self, now: float) -> tuple[CrashItem, ...]:
-        """Return the crashes for which keys are blocked, the latest of each key."""
+        """Return the crashes for which keys are blocked, the latest of each key.
+
+        They follow one another, so that they block the key at another gateway too.
+        """
         self._update(now)
         latest = {
             (item.incarnation, item.fingerprint): item
             for culprit in self._culprits.values()
-            for item in sorted(culprit.items, key=lambda item: item.broken_at)[
-                -MAX_TOLD_ITEMS:
-            ]
+            for item in select_in_turn(culprit.items)[-MAX_TOLD_ITEMS:]
         }
         return tuple(latest.values())
 
--- a/waxwingpitch/tests/test_blame.py
+++ b/waxwingpitch/tests/test_blame.py
@@ -305,6 +305,15 @@
     assert list_blocked(peer, 50.0) == ["p"]
 
 
+def test_new_peer_is_told_of_several_crashes_though_many_requests_broke_at_the_last():
+    book, peer = BlameBook(), BlameBook()
+    book.merge(build_item(f"{n}:1", ("p", f"r{n}"), n * 1.0) for n in range(3))
+    book.merge(build_item("9:1", ("p", f"s{n}"), 9.0) for n in range(20))
+    assert list_blocked(book, 10.0) == ["p"]
+    peer.merge(book.list_blocking(10.0))
+    assert list_blocked(peer, 10.0) == ["p"]
+
+
 @pytest.mark.parametrize(("items", "ttl_s"), [(2, EVIDENCE_TTL_S), (3, BLOCK_TTL_S)])
 def test_crashes_are_forgotten(items, ttl_s):
     book = BlameBook()
