Tell new peers which keys were cleared of crashes

Sound requests with a part were refused with 503 for up to 600 s at gateways that had been cut off when the part was cleared, and nowhere else.

Cause: that a request was served is told once. A gateway that missed it went on to block the key, so that it served no request that could clear it; the others count no crash for the key any more and so tell nothing.

A gateway now tells each new peer the keys that were cleared and how long ago, beside the crashes that block keys. Only crashes before that are ignored, so that a part that has crashed targets since stays blocked on both sides.

--- a/waxwingpitch/gateway/suspect_task.py
+++ b/waxwingpitch/gateway/suspect_task.py
@@ -57,8 +57,8 @@
         now = time.monotonic()
         cleared = self._book.find_served(keys, sent_at, now)
         if cleared:
-            self._clear(cleared, now)
-            self._announce(CrashNews((), cleared))
+            self._clear(dict.fromkeys(cleared, now))
+            self._announce(CrashNews((), dict.fromkeys(cleared, 0.0)))
 
     def record_broken(self, release: SlotRelease, at: float) -> None:
         """Record that a request's connection to a target broke.
@@ -99,14 +99,19 @@
         """Merge the news of a peer, received at a monotonic time."""
         self._book.merge(_decode_item(item, at) for item in news.items)
         if news.cleared:
-            self._clear(news.cleared, at)
+            self._clear({key: at - age_s for key, age_s in news.cleared.items()})
         self._log_changes()
 
     def tell(self, peer: str) -> None:
-        """Tell a new peer why keys are blocked."""
+        """Tell a new peer why keys are blocked, and which ones were cleared.
+
+        It may have missed that while it was not linked.
+        """
         now = time.monotonic()
-        if items := self._book.list_blocking(now):
-            self._send(peer, _encode_news(items, now))
+        items = self._book.list_blocking(now)
+        cleared = {key: now - at for key, at in self._book.list_cleared().items()}
+        if items or cleared:
+            self._send(peer, _encode_news(items, now, cleared))
 
     def expire(self, now: float) -> None:
         """Forget crashes that no longer count."""
@@ -144,9 +149,11 @@
         self._announce(_encode_news(items, now))
         self._log_changes()
 
-    def _clear(self, keys: tuple[str, ...], now: float) -> None:
-        logger.info("keys cleared of crashes", extra={"keys": list(keys)})
-        self._book.clear(keys, now)
+    def _clear(self, cleared: dict[str, float]) -> None:
+        """Clear keys from the monotonic times at which requests were served."""
+        logger.info("keys cleared of crashes", extra={"keys": list(cleared)})
+        for key, at in cleared.items():
+            self._book.clear((key,), at)
 
     def _log_changes(self) -> None:
         culprits = self._book.list_culprits(time.monotonic())
@@ -166,7 +173,9 @@
         self._blocked = blocked
 
 
-def _encode_news(items: tuple[CrashItem, ...], now: float) -> CrashNews:
+def _encode_news(
+    items: tuple[CrashItem, ...], now: float, cleared: dict[str, float] | None = None
+) -> CrashNews:
     return CrashNews(
         tuple(
             CrashedAttemptItem(
@@ -177,7 +186,8 @@
                 item.had_output,
             )
             for item in items
-        )
+        ),
+        cleared or {},
     )
 
 
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -316,11 +316,12 @@
     Attributes
     ----------
     cleared
-        Keys of which a request was served after such a crash.
+        Keys of which a request was served after such a crash, and the time since then
+        in seconds.
     """
 
     items: tuple[CrashedAttemptItem, ...]
-    cleared: tuple[str, ...] = ()
+    cleared: dict[str, float] = {}
 
 
 FLEET_MESSAGES = (
--- a/waxwingpitch/requests/blame.py
+++ b/waxwingpitch/requests/blame.py
@@ -227,12 +227,16 @@
                 self._served_at[key] = max(sent_at, self._served_at.get(key, sent_at))
         return tuple(key for key in keys if self._is_cleared_by(key, sent_at))
 
-    def clear(self, keys: Iterable[str], now: float) -> None:
+    def clear(self, keys: Iterable[str], at: float) -> None:
         """Ignore earlier crashes of requests with these keys, as one was served."""
         for key in keys:
-            self._cleared_at[key] = now
+            self._cleared_at[key] = max(at, self._cleared_at.get(key, at))
         self._is_stale = True
 
+    def list_cleared(self) -> dict[str, float]:
+        """Return the monotonic times at which keys were cleared."""
+        return dict(self._cleared_at)
+
     def count_crashes(self, key: str, now: float) -> int:
         """Return the number of crashes that count against a key."""
         self._update(now)
