Pass on to a zone what its head is told of crashes when linked again

After a zone had been cut off, its gateways sent on requests with a part that the others had blocked meanwhile, until three more targets had crashed.

Cause: a gateway tells a new peer why keys are blocked, but only a zone's head and the owners of slots have links to other zones, and what they are told stayed with them.

--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -348,6 +348,8 @@
                 self._handle_news(peer, zone, message, at)
             case CrashNews():
                 self.on_crash_news(message, at)
+                if zone != self._local.zone:
+                    self._spread(FleetNews(encode_message(message), True), peer)
             case ProbeRequest():
                 gevent.spawn(self.witnesses.answer, peer, message)
             case ProbeResult():
