--- a/waxwingpitch/gateway/suspect_task.py
+++ b/waxwingpitch/gateway/suspect_task.py
@@ -61,8 +61,8 @@
         now = time.monotonic()
         cleared = self._book.find_served(keys, sent_at, now)
         if cleared:
-            self._clear(cleared, now)
-            self._announce(CrashNews(cleared=cleared))
+            self._clear(dict.fromkeys(cleared, now))
+            self._announce(CrashNews(cleared=dict.fromkeys(cleared, 0.0)))
 
     def record_broken(self, release: SlotRelease, at: float) -> None:
         """Record that a request's connection to a target broke.
@@ -103,15 +103,20 @@
         """Merge the news of a peer, received at a monotonic time."""
         self._book.merge(_decode_item(item, at) for item in news.items)
         if news.cleared:
-            self._clear(news.cleared, at)
+            self._clear({key: at - age_s for key, age_s in news.cleared.items()})
         self._object_to(news.blocked)
         self._log_changes()
 
     def tell(self, peer: str) -> None:
-        """Tell a new peer why keys are blocked."""
+        """Tell a new peer why keys are blocked, and which ones were cleared.
+
+        It may have missed that while it was not linked.
+        """
         now = time.monotonic()
-        if items := self._book.list_blocking(now):
-            self._send(peer, _encode_news(items, now))
+        items = self._book.list_blocking(now)
+        cleared = {key: now - at for key, at in self._book.list_cleared().items()}
+        if items or cleared:
+            self._send(peer, _encode_news(items, now, cleared))
 
     def expire(self, now: float) -> None:
         """Forget crashes that no longer count."""
@@ -151,14 +156,18 @@
 
     def _object_to(self, blocked: tuple[str, ...]) -> None:
         """Tell gateways that block keys for want of the news that clears them."""
-        cleared = tuple(key for key in blocked if self._book.was_cleared(key))
+        now = time.monotonic()
+        served = {key: self._book.find_served_at(key) for key in blocked}
+        cleared = {key: now - at for key, at in served.items() if at is not None}
         if cleared and self._is_head():
             logger.info("keys of a peer cleared", extra={"keys": list(cleared)})
             self._announce(CrashNews(cleared=cleared))
 
-    def _clear(self, keys: tuple[str, ...], now: float) -> None:
-        logger.info("keys cleared of crashes", extra={"keys": list(keys)})
-        self._book.clear(keys, now)
+    def _clear(self, cleared: dict[str, float]) -> None:
+        """Clear keys from the monotonic times at which requests were served."""
+        logger.info("keys cleared of crashes", extra={"keys": list(cleared)})
+        for key, at in cleared.items():
+            self._book.clear((key,), at)
 
     def _log_changes(self) -> None:
         culprits = self._book.list_culprits(time.monotonic())
@@ -180,7 +189,9 @@
             self._announce(CrashNews(blocked=tuple(sorted(added))))
 
 
-def _encode_news(items: tuple[CrashItem, ...], now: float) -> CrashNews:
+def _encode_news(
+    items: tuple[CrashItem, ...], now: float, cleared: dict[str, float] | None = None
+) -> CrashNews:
     return CrashNews(
         tuple(
             CrashedAttemptItem(
@@ -191,7 +202,8 @@
                 item.had_output,
             )
             for item in items
-        )
+        ),
+        cleared or {},
     )
 
 
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -316,13 +316,14 @@
     Attributes
     ----------
     cleared
-        Keys of which a request was served after such a crash.
+        Keys of which a request was served after such a crash, and the time since then
+        in seconds.
     blocked
         Keys that the sender has begun to block.
     """
 
     items: tuple[CrashedAttemptItem, ...] = ()
-    cleared: tuple[str, ...] = ()
+    cleared: dict[str, float] = {}
     blocked: tuple[str, ...] = ()
 
 
--- a/waxwingpitch/requests/blame.py
+++ b/waxwingpitch/requests/blame.py
@@ -88,8 +88,8 @@
     return xxhash.xxh3_64_hexdigest(f"{service}\0{part}".encode())
 
 
-def count_in_turn(items: Iterable[CrashItem]) -> int:
-    """Return the largest number of crashes of which each followed the one before.
+def select_in_turn(items: Iterable[CrashItem]) -> list[CrashItem]:
+    """Return a request of each of most crashes of which each followed the one before.
 
     Requests that were sent before the first of several crashes say little: an event
     such as a loss of power may have ended all of their targets.
@@ -97,18 +97,26 @@
     Examples
     --------
     >>> at_once = [CrashItem("a", ("k",), 0.0, 1.0), CrashItem("b", ("k",), 0.5, 1.0)]
-    >>> count_in_turn(at_once)
-    1
-    >>> count_in_turn([*at_once, CrashItem("c", ("k",), 1.1, 1.4)])
-    2
+    >>> [item.incarnation for item in select_in_turn(at_once)]
+    ['a']
+    >>> in_turn = [*at_once, CrashItem("c", ("k",), 1.1, 1.4)]
+    >>> [item.incarnation for item in select_in_turn(in_turn)]
+    ['a', 'c']
     """
+    selected: list[CrashItem] = []
     seen: set[str] = set()
     last_broken_at = -math.inf
     for item in sorted(items, key=lambda item: item.broken_at):
         if item.sent_at >= last_broken_at and item.incarnation not in seen:
             last_broken_at = item.broken_at
             seen.add(item.incarnation)
-    return len(seen)
+            selected.append(item)
+    return selected
+
+
+def count_in_turn(items: Iterable[CrashItem]) -> int:
+    """Return the largest number of crashes of which each followed the one before."""
+    return len(select_in_turn(items))
 
 
 def select_suspects(items: Iterable[CrashItem]) -> Iterator[CrashItem]:
@@ -167,13 +175,15 @@
 class BlameBook:
     """Crashes and the requests in flight, and the keys that are blocked for them.
 
-    Gateways that merge the same crashes, in any order, block the same keys.
+    Gateways that merge the same crashes, in any order, block the same keys, but for
+    those of requests that they served between the crashes.
     """
 
     def __init__(self):
         self._items: dict[tuple[str, str], CrashItem] = {}
         self._until: dict[tuple[str, str], float] = {}
         self._cleared_at: dict[str, float] = {}
+        self._served_at: dict[str, float] = {}
         self._by_key: dict[str, list[CrashItem]] = {}
         self._culprits: dict[str, Culprit] = {}
         self._is_stale = False
@@ -204,6 +214,8 @@
     ) -> tuple[str, ...]:
         """Return the keys of a served request that all gateways should clear.
 
+        Earlier crashes of requests with its other keys no longer block them here.
+
         Parameters
         ----------
         sent_at
@@ -212,14 +224,21 @@
         self._update(now)
         if not self._by_key:
             return ()
+        for key in keys:
+            if key in self._by_key:
+                self._served_at[key] = max(sent_at, self._served_at.get(key, sent_at))
         return tuple(key for key in keys if self._is_cleared_by(key, sent_at))
 
-    def clear(self, keys: Iterable[str], now: float) -> None:
+    def clear(self, keys: Iterable[str], at: float) -> None:
         """Ignore earlier crashes of requests with these keys, as one was served."""
         for key in keys:
-            self._cleared_at[key] = now
+            self._cleared_at[key] = max(at, self._cleared_at.get(key, at))
         self._is_stale = True
 
+    def list_cleared(self) -> dict[str, float]:
+        """Return the monotonic times at which keys were cleared."""
+        return dict(self._cleared_at)
+
     def count_crashes(self, key: str, now: float) -> int:
         """Return the number of crashes that count against a key."""
         self._update(now)
@@ -228,15 +247,14 @@
     def list_blocking(self, now: float) -> tuple[CrashItem, ...]:
         """Return the crashes for which keys are blocked, the latest of each key.
 
-        They are without the keys of which a request was served since.
+        They follow one another, so that they block the key at another gateway too, and
+        are without the keys of which a request was served since.
         """
         self._update(now)
         latest = {
             (item.incarnation, item.fingerprint): self._without_cleared(item)
             for culprit in self._culprits.values()
-            for item in sorted(culprit.items, key=lambda item: item.broken_at)[
-                -MAX_TOLD_ITEMS:
-            ]
+            for item in select_in_turn(culprit.items)[-MAX_TOLD_ITEMS:]
         }
         return tuple(latest.values())
 
@@ -250,13 +268,17 @@
         expired = [name for name, until in self._until.items() if until <= now]
         for name in expired:
             self._drop(name)
-        for key, at in list(self._cleared_at.items()):
-            if at + BLOCK_TTL_S <= now:
-                del self._cleared_at[key]
-
-    def was_cleared(self, key: str) -> bool:
-        """Return whether a request with a key was served that is not blocked now."""
-        return key in self._cleared_at and key not in self._culprits
+        for known in (self._cleared_at, self._served_at):
+            for key, at in list(known.items()):
+                if at + BLOCK_TTL_S <= now:
+                    del known[key]
+
+    def find_served_at(self, key: str) -> float | None:
+        """Return when a key that is not blocked was last served; None if unknown."""
+        times = [
+            known[key] for known in (self._cleared_at, self._served_at) if key in known
+        ]
+        return None if key in self._culprits else max(times, default=None)
 
     def _without_cleared(self, item: CrashItem) -> CrashItem:
         parts = (
@@ -272,6 +294,12 @@
             return False
         return count_in_turn(items) >= CLEAR_CRASHES
 
+    def _list_since_served(self, key: str, items: list[CrashItem]) -> list[CrashItem]:
+        served_at = self._served_at.get(key)
+        if served_at is None:
+            return items
+        return [item for item in items if item.broken_at > served_at]
+
     def _drop(self, name: tuple[str, str]) -> None:
         del self._items[name], self._until[name]
         self._is_stale = True
@@ -287,7 +315,11 @@
                 if item.broken_at > self._cleared_at.get(key, -math.inf):
                     by_key[key].append(item)
         self._by_key = dict(by_key)
-        self._culprits = {item.key: item for item in find_culprits(self._by_key)}
+        unserved = {
+            key: self._list_since_served(key, items)
+            for key, items in self._by_key.items()
+        }
+        self._culprits = {item.key: item for item in find_culprits(unserved)}
         for culprit in self._culprits.values():
             for item in culprit.items:
                 name = item.incarnation, item.fingerprint
