Look for the cause of crashes among fewer keys

With many crashes each gateway searched all keys again for every key that it blocked. A key that explains too few crashes explains no more once some are taken away, so that only the others have to be looked at again.

--- a/waxwingpitch/requests/blame.py
+++ b/waxwingpitch/requests/blame.py
@@ -137,19 +137,15 @@
     The key that explains most crashes comes first; of several, the last of a request's
     keys, which fewest share. What it explains counts against no other key.
     """
-    remaining = {
-        key: items
-        for key, items in items_by_key.items()
-        if len(items) >= BLOCK_CRASHES_FINGERPRINT
-    }
+    remaining = items_by_key
     while True:
-        culprits = [
-            Culprit(key, tuple(items))
-            for key, items in remaining.items()
-            if _is_culprit(key, items)
-        ]
-        if not culprits:
+        # With fewer items no other key becomes a culprit.
+        remaining = {
+            key: items for key, items in remaining.items() if _is_culprit(key, items)
+        }
+        if not remaining:
             return
+        culprits = (Culprit(key, tuple(items)) for key, items in remaining.items())
         found = max(culprits, key=lambda item: (item.crashes, _find_depth(item)))
         yield found
         explained = {item.incarnation for item in found.items}
