--- a/waxwingpitch/tests/test_missed_crash_news.py
+++ b/waxwingpitch/tests/test_missed_crash_news.py
@@ -4,6 +4,9 @@
 
 from types import SimpleNamespace
 
+import pytest
+
+from ..gateway import suspect_task
 from ..gateway.suspect_task import SuspectTracker
 from ..mesh.fleet_messages import CrashedAttemptItem, CrashNews
 
@@ -14,9 +17,9 @@
     def __init__(self, number: int):
         self.cut_off: set[int] = set()
         self.now = 0.0
-        self.trackers = [self._build(index) for index in range(number)]
+        self.trackers = [self.build_tracker(index) for index in range(number)]
 
-    def _build(self, index: int) -> SuspectTracker:
+    def build_tracker(self, index: int) -> SuspectTracker:
         view = SimpleNamespace(targets={})
         return SuspectTracker(
             view,
@@ -45,14 +48,22 @@
         ]
 
 
-def test_gateway_that_missed_news_does_not_block_what_others_cleared(monkeypatch):
+@pytest.fixture
+def gateways(monkeypatch):
     gateways = Gateways(3)
-    monkeypatch.setattr(
-        "waxwingpitch.gateway.suspect_task.time", gateways_clock(gateways)
-    )
-    for number in range(2):
+    clock = SimpleNamespace(monotonic=lambda: gateways.now)
+    monkeypatch.setattr(suspect_task, "time", clock)
+    return gateways
+
+
+def crash_in_turn(gateways: Gateways, targets: int, *keys: str) -> None:
+    for number in range(targets):
         gateways.now += 1.0
-        gateways.crash(f"t{number}", "first", f"r{number}")
+        gateways.crash(f"t{number}", *keys, f"r{number}")
+
+
+def test_gateway_that_missed_news_does_not_block_what_others_cleared(gateways):
+    crash_in_turn(gateways, 2, "first")
     gateways.cut_off.add(2)
     gateways.now += 1.0
     gateways.trackers[0].record_served(("first", "sound"), 1.5)
@@ -62,31 +73,15 @@
     assert gateways.list_blocking("first") == []
 
 
-def test_part_that_crashes_targets_is_blocked_at_all_gateways(monkeypatch):
-    gateways = Gateways(3)
-    monkeypatch.setattr(
-        "waxwingpitch.gateway.suspect_task.time", gateways_clock(gateways)
-    )
-    for number in range(3):
-        gateways.now += 1.0
-        gateways.crash(f"t{number}", "first", "bad", f"r{number}")
+def test_part_that_crashes_targets_is_blocked_at_all_gateways(gateways):
+    crash_in_turn(gateways, 3, "first", "bad")
     assert gateways.list_blocking("bad") == [0, 1, 2]
     assert gateways.list_blocking("first") == []
 
 
-def test_new_peer_blocks_what_others_block(monkeypatch):
-    gateways = Gateways(2)
-    monkeypatch.setattr(
-        "waxwingpitch.gateway.suspect_task.time", gateways_clock(gateways)
-    )
-    for number in range(3):
-        gateways.now += 1.0
-        gateways.crash(f"t{number}", "first", "bad", f"r{number}")
-    gateways.trackers[1] = gateways._build(1)
-    assert gateways.list_blocking("bad") == [0]
+def test_new_peer_blocks_what_others_block(gateways):
+    crash_in_turn(gateways, 3, "first", "bad")
+    gateways.trackers[1] = gateways.build_tracker(1)
+    assert gateways.list_blocking("bad") == [0, 2]
     gateways.trackers[0].tell(1)
-    assert gateways.list_blocking("bad") == [0, 1]
-
-
-def gateways_clock(gateways: Gateways) -> SimpleNamespace:
-    return SimpleNamespace(monotonic=lambda: gateways.now)
+    assert gateways.list_blocking("bad") == [0, 1, 2]
