--- a/waxwingpitch/gateway/suspect_task.py
+++ b/waxwingpitch/gateway/suspect_task.py
@@ -54,12 +54,12 @@
 
     def find_blocked(self, keys: tuple[str, ...]) -> Culprit | None:
         """Return the key of a request for which it is blocked, if any."""
-        return self._book.find_blocked(keys, time.monotonic())
+        return self._book.find_blocked(keys)
 
     def record_served(self, keys: tuple[str, ...], sent_at: float) -> None:
         """Clear the keys of a request that its target survived."""
         now = time.monotonic()
-        cleared = self._book.find_served(keys, sent_at, now)
+        cleared = self._book.find_served(keys, sent_at)
         if cleared:
             self._clear(dict.fromkeys(cleared, now))
             self._announce(CrashNews(cleared=dict.fromkeys(cleared, 0.0)))
@@ -113,7 +113,7 @@
         It may have missed that while it was not linked.
         """
         now = time.monotonic()
-        items = self._book.list_blocking(now)
+        items = self._book.list_blocking()
         cleared = {key: now - at for key, at in self._book.list_cleared().items()}
         if items or cleared:
             self._send(peer, _encode_news(items, now, cleared))
@@ -125,7 +125,7 @@
 
     def describe(self) -> list[dict]:
         """Return the blocked keys for the dump."""
-        culprits = self._book.list_culprits(time.monotonic())
+        culprits = self._book.list_culprits()
         return [{"key": item.key, "crashes": item.crashes} for item in culprits]
 
     def _probe(self, target: str, started_ms: int, address: str) -> None:
@@ -148,7 +148,7 @@
                     "fingerprint": item.fingerprint,
                     "parts": list(item.keys[:-1]),
                     "target": item.target,
-                    "crashes": self._book.count_crashes(item.fingerprint, now),
+                    "crashes": self._book.count_crashes(item.fingerprint),
                 },
             )
         self._announce(_encode_news(items, now))
@@ -170,7 +170,7 @@
             self._book.clear((key,), at)
 
     def _log_changes(self) -> None:
-        culprits = self._book.list_culprits(time.monotonic())
+        culprits = self._book.list_culprits()
         blocked = frozenset(item.key for item in culprits)
         for item in culprits:
             if item.key not in self._blocked:
--- a/waxwingpitch/requests/blame.py
+++ b/waxwingpitch/requests/blame.py
@@ -196,18 +196,16 @@
         for name in heapq.nsmallest(excess, self._until, key=self._until.__getitem__):
             self._drop(name)
 
-    def find_blocked(self, keys: Iterable[str], now: float) -> Culprit | None:
+    def find_blocked(self, keys: Iterable[str]) -> Culprit | None:
         """Return the blocked key among a request's keys, if any."""
-        self._update(now)
+        self._update()
         if not self._culprits:
             return None
         return next(
             (self._culprits[key] for key in keys if key in self._culprits), None
         )
 
-    def find_served(
-        self, keys: Iterable[str], sent_at: float, now: float
-    ) -> tuple[str, ...]:
+    def find_served(self, keys: Iterable[str], sent_at: float) -> tuple[str, ...]:
         """Return the keys of a served request that all gateways should clear.
 
         Earlier crashes of requests with its other keys no longer block them here.
@@ -217,7 +215,7 @@
         sent_at
             Monotonic time at which the request was sent.
         """
-        self._update(now)
+        self._update()
         if not self._by_key:
             return ()
         for key in keys:
@@ -235,18 +233,18 @@
         """Return the monotonic times at which keys were cleared."""
         return dict(self._cleared_at)
 
-    def count_crashes(self, key: str, now: float) -> int:
+    def count_crashes(self, key: str) -> int:
         """Return the number of crashes that count against a key."""
-        self._update(now)
+        self._update()
         return len({item.incarnation for item in self._by_key.get(key, ())})
 
-    def list_blocking(self, now: float) -> tuple[CrashItem, ...]:
+    def list_blocking(self) -> tuple[CrashItem, ...]:
         """Return the crashes for which keys are blocked, the latest of each key.
 
         They follow one another, so that they block the key at another gateway too, and
         are without the keys of which a request was served since.
         """
-        self._update(now)
+        self._update()
         latest = {
             (item.incarnation, item.fingerprint): self._without_cleared(item)
             for culprit in self._culprits.values()
@@ -254,9 +252,9 @@
         }
         return tuple(latest.values())
 
-    def list_culprits(self, now: float) -> tuple[Culprit, ...]:
+    def list_culprits(self) -> tuple[Culprit, ...]:
         """Return the blocked keys, for the dump and the log."""
-        self._update(now)
+        self._update()
         return tuple(self._culprits.values())
 
     def expire(self, now: float) -> None:
@@ -300,7 +298,7 @@
         del self._items[name], self._until[name]
         self._is_stale = True
 
-    def _update(self, now: float) -> None:
+    def _update(self) -> None:
         if not self._is_stale:
             return
         self._is_stale = False
--- a/waxwingpitch/tests/test_blame.py
+++ b/waxwingpitch/tests/test_blame.py
@@ -32,8 +32,8 @@
     return CrashItem(incarnation, tuple(keys), sent_at, broken_at)
 
 
-def list_blocked(book: BlameBook, now: float) -> list[str]:
-    return [item.key for item in book.list_culprits(now)]
+def list_blocked(book: BlameBook) -> list[str]:
+    return [item.key for item in book.list_culprits()]
 
 
 @dataclass
@@ -98,7 +98,7 @@
     def _send(self, now, request, sends) -> None:
         keys, is_bad = request
         gateway = self._random.randrange(self.gateways)
-        if self._books[gateway].find_blocked(keys, now):
+        if self._books[gateway].find_blocked(keys):
             self.refused[is_bad, int(now)] += 1
             return
         up = [item for item, until in self._down_until.items() if until <= now]
@@ -125,7 +125,7 @@
             return
         sent_at, (keys, _), _, _ = self._running[target][name]
         self._running[target][name] = (None, (keys, False), 0, now)
-        cleared = self._books[gateway].find_served(keys, sent_at, now)
+        cleared = self._books[gateway].find_served(keys, sent_at)
         if cleared:
             for other, book in enumerate(self._books):
                 delay_s = 0.0 if other == gateway else NEWS_S
@@ -166,7 +166,7 @@
         book.merge(items)
 
     def list_blocked(self) -> set[str]:
-        return {key for book in self._books for key in list_blocked(book, self.run_s)}
+        return {key for book in self._books for key in list_blocked(book)}
 
 
 SEEDS = st.integers(0, 10**6)
@@ -225,40 +225,40 @@
 def test_part_of_one_repeated_request_is_not_blocked():
     book = BlameBook()
     book.merge(build_item(f"{n}:1", ("p", "same"), n * 1.0) for n in range(5))
-    assert list_blocked(book, 6.0) == ["same"]
+    assert list_blocked(book) == ["same"]
     book.merge([build_item("9:1", ("p", "other"), 9.0)])
-    assert list_blocked(book, 10.0) == ["p"]
+    assert list_blocked(book) == ["p"]
 
 
 def test_of_parts_that_explain_the_same_crashes_the_last_is_blocked():
     book = BlameBook()
     book.merge(build_item(f"{n}:1", ("a", "b", f"r{n}"), n * 1.0) for n in range(3))
-    assert list_blocked(book, 4.0) == ["b"]
-    assert book.find_blocked(("a", "c", "r9"), 4.0) is None
+    assert list_blocked(book) == ["b"]
+    assert book.find_blocked(("a", "c", "r9")) is None
 
 
 def test_earlier_part_is_blocked_instead_once_it_explains_more():
     book = BlameBook()
     book.merge(build_item(f"{n}:1", ("a", "b", f"r{n}"), n * 1.0) for n in range(3))
     book.merge([build_item("7:1", ("a", "c", "r7"), 7.0)])
-    assert list_blocked(book, 8.0) == ["a"]
+    assert list_blocked(book) == ["a"]
 
 
 def test_request_with_the_same_content_is_blocked_after_two_crashes_in_turn():
     book = BlameBook()
     book.merge([build_item("a:1", ("f",), 0.0), build_item("b:1", ("f",), 0.1)])
-    assert list_blocked(book, 1.0) == []
+    assert list_blocked(book) == []
     book.merge([build_item("c:1", ("f",), 0.5)])
-    assert list_blocked(book, 1.0) == ["f"]
+    assert list_blocked(book) == ["f"]
 
 
 def test_request_beside_those_that_crash_targets_is_blocked_no_longer():
     """Its two crashes in turn are explained by a part that it does not have."""
     book = BlameBook()
     book.merge(build_item(f"{n}:1", ("sound",), n * 1.0) for n in range(2))
-    assert list_blocked(book, 2.0) == ["sound"]
+    assert list_blocked(book) == ["sound"]
     book.merge(build_item(f"{n}:1", ("bad", f"r{n}"), n * 1.0) for n in range(3))
-    assert list_blocked(book, 4.0) == ["bad"]
+    assert list_blocked(book) == ["bad"]
 
 
 def test_request_with_output_is_no_suspect_beside_one_without():
@@ -268,20 +268,20 @@
         for n in range(3)
     ]
     book.merge(with_output)
-    assert list_blocked(book, 4.0) == ["begun"]
+    assert list_blocked(book) == ["begun"]
     book.merge(build_item(f"{n}:1", (f"r{n}",), n * 1.0) for n in range(3))
-    assert list_blocked(book, 4.0) == []
+    assert list_blocked(book) == []
 
 
 def test_request_that_was_served_clears_its_parts():
     book = BlameBook()
     book.merge(build_item(f"{n}:1", ("p", f"r{n}"), n * 1.0) for n in range(3))
-    assert book.find_served(("p", "r9"), sent_at=0.1, now=3.0) == ()
-    assert book.find_served(("p", "r9"), sent_at=1.0, now=3.0) == ("p",)
+    assert book.find_served(("p", "r9"), sent_at=0.1) == ()
+    assert book.find_served(("p", "r9"), sent_at=1.0) == ("p",)
     book.clear(("p",), 3.0)
-    assert list_blocked(book, 3.0) == []
+    assert list_blocked(book) == []
     book.merge([build_item("9:1", ("p", "r8"), 8.0)])
-    assert list_blocked(book, 9.0) == []
+    assert list_blocked(book) == []
 
 
 @pytest.mark.parametrize("keys", [("same",), ("p", "same")])
@@ -289,31 +289,31 @@
     book = BlameBook()
     book.merge([build_item("a:1", keys, 0.0)])
     for served in range(50):
-        assert book.find_served(keys, sent_at=1.0 + served, now=1.5 + served) == ()
+        assert book.find_served(keys, sent_at=1.0 + served) == ()
     book.merge([build_item("b:1", keys, 60.0)])
-    assert list_blocked(book, 61.0) == []
+    assert list_blocked(book) == []
     book.merge([build_item("c:1", keys, 62.0)])
-    assert list_blocked(book, 63.0) == ["same"]
+    assert list_blocked(book) == ["same"]
 
 
 def test_new_peer_is_told_what_blocks_a_part():
     book, peer = BlameBook(), BlameBook()
     book.merge(build_item(f"{n}:1", ("p", f"r{n}"), n * 1.0) for n in range(40))
     book.merge([build_item("x:1", ("q", "other"), 5.0)])
-    told = book.list_blocking(50.0)
+    told = book.list_blocking()
     assert len(told) <= 16 and all("q" not in item.keys for item in told)
     peer.merge(told)
-    assert list_blocked(peer, 50.0) == ["p"]
+    assert list_blocked(peer) == ["p"]
 
 
 def test_many_crashes_displace_none_that_blocks_a_part():
     book = BlameBook()
     book.merge(build_item(f"{n}:1", ("p", f"r{n}"), n * 1.0) for n in range(3))
-    assert list_blocked(book, 4.0) == ["p"]
+    assert list_blocked(book) == ["p"]
     for start in range(0, 4 * MAX_ITEMS, 100):
         book.merge(build_item("x:1", (f"q{start + n}",), 5.0) for n in range(100))
-    assert list_blocked(book, 6.0) == ["p"]
-    assert book.count_crashes("q0", 6.0) == 0
+    assert list_blocked(book) == ["p"]
+    assert book.count_crashes("q0") == 0
 
 
 def test_new_peer_does_not_blame_what_was_cleared():
@@ -325,27 +325,27 @@
             for n in range(4)
         )
         book.clear(("first",), start + 1.5)
-    assert sorted(list_blocked(book, 60.0)) == ["p", "q"]
-    peer.merge(book.list_blocking(60.0))
-    assert sorted(list_blocked(peer, 60.0)) == ["p", "q"]
+    assert sorted(list_blocked(book)) == ["p", "q"]
+    peer.merge(book.list_blocking())
+    assert sorted(list_blocked(peer)) == ["p", "q"]
 
 
 def test_new_peer_is_told_of_several_crashes_though_many_requests_broke_at_the_last():
     book, peer = BlameBook(), BlameBook()
     book.merge(build_item(f"{n}:1", ("p", f"r{n}"), n * 1.0) for n in range(3))
     book.merge(build_item("9:1", ("p", f"s{n}"), 9.0) for n in range(20))
-    assert list_blocked(book, 10.0) == ["p"]
-    peer.merge(book.list_blocking(10.0))
-    assert list_blocked(peer, 10.0) == ["p"]
+    assert list_blocked(book) == ["p"]
+    peer.merge(book.list_blocking())
+    assert list_blocked(peer) == ["p"]
 
 
 @pytest.mark.parametrize(("items", "ttl_s"), [(2, EVIDENCE_TTL_S), (3, BLOCK_TTL_S)])
 def test_crashes_are_forgotten(items, ttl_s):
     book = BlameBook()
     book.merge(build_item(f"{n}:1", ("p", f"r{n}"), n * 1.0) for n in range(items))
-    is_blocked = bool(list_blocked(book, items))
+    is_blocked = bool(list_blocked(book))
     book.expire(ttl_s - 1.0)
-    assert bool(list_blocked(book, ttl_s)) == is_blocked
-    assert book.count_crashes("p", ttl_s) == items
+    assert bool(list_blocked(book)) == is_blocked
+    assert book.count_crashes("p") == items
     book.expire(ttl_s + 10.0)
-    assert book.count_crashes("p", ttl_s) == 0
+    assert book.count_crashes("p") == 0
