Take no reset at a living target for a request that crashed it

Cause: all attempts whose connection broke at a target in the 8 s before it was lost counted as in flight at its crash, also those that were reset while it answered others. A request that was reset at two targets in turn then explained the loss of both.

Why it works: a target that answers a request, or a probe, that was sent after the break has outlived it. The owner of slots hears of both at no further cost.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -135,7 +135,7 @@
         )
         self._peers.on_crash_news = self._suspects.handle_news
         self._peers.on_linked = self._suspects.tell
-        self.slots.owners.on_broken = self._suspects.record_broken
+        self.slots.owners.on_used = self._suspects.handle_use
         self.slots.client.on_leaving = self._on_leaving
         self.view.on_target_lost = self._on_target_lost
         self.view.on_restored = self._on_store_restored
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -75,9 +75,8 @@
 
     Attributes
     ----------
-    on_broken
-        Called with the release of a request whose connection broke, and the monotonic
-        time of its receipt.
+    on_used
+        Called with the release of a used slot and the monotonic time of its receipt.
     """
 
     def __init__(
@@ -113,7 +112,7 @@
         self._new_suspicions: list[tuple[str, int]] = []
         self._served_zones = (self._zone,)
         self._generation = -1
-        self.on_broken: Callable[[SlotRelease, float], None] = lambda message, at: None
+        self.on_used: Callable[[SlotRelease, float], None] = lambda release, at: None
 
     def find(self, key: SlotKey) -> SlotOwner:
         """Return the owner of a key's slots in this process, created on first use."""
@@ -384,14 +383,13 @@
         return True
 
     def _note_outcome(self, owner: SlotOwner, message: SlotRelease, now: float) -> None:
+        self.on_used(message, now)
         match Outcome(message.outcome):
             case Outcome.SERVED:
                 owner.record_times(message.service_s, message.first_s)
                 self._progress.record_progress(message.target, message.epoch, now)
             case Outcome.MISDIRECTED | Outcome.STALLED | Outcome.UNREACHABLE:
                 self._suspect(message.target, message.epoch, now)
-            case Outcome.BROKEN if message.fingerprint:
-                self.on_broken(message, now)
 
     def _suspect(self, target: str, epoch: int, now: float) -> None:
         """Give a replica no new requests for a while, and tell the peers."""
--- a/waxwingpitch/gateway/suspect_task.py
+++ b/waxwingpitch/gateway/suspect_task.py
@@ -11,6 +11,7 @@
 from ..mesh.fleet_messages import CrashedAttemptItem, CrashNews, SlotRelease
 from ..requests.blame import BlameBook, CrashItem, Culprit
 from ..requests.crash_watch import BrokenAttempt, CrashWatch
+from ..slots import Outcome
 from .beliefs import GatewayView
 
 # Time in which the connections of all requests at a target break, before it is probed.
@@ -64,19 +65,31 @@
             self._clear(dict.fromkeys(cleared, now))
             self._announce(CrashNews(cleared=dict.fromkeys(cleared, 0.0)))
 
-    def record_broken(self, release: SlotRelease, at: float) -> None:
-        """Record that a request's connection to a target broke.
+    def handle_use(self, release: SlotRelease, at: float) -> None:
+        """Learn from how a request that held a slot ended at its target.
+
+        A target that answers has outlived the requests before.
 
         Parameters
         ----------
         at
             Monotonic time of the release's receipt.
         """
-        target = release.target
-        known = self._view.targets.get(target)
+        known = self._view.targets.get(release.target)
         if known is None:
             return
         started_ms = known.record.started_ms
+        match Outcome(release.outcome):
+            case Outcome.SERVED:
+                sent_at = at - release.service_s
+                self._crash_watch.discard(release.target, started_ms, sent_at)
+            case Outcome.BROKEN if release.fingerprint:
+                self._record_broken(release, started_ms, known.record.address, at)
+
+    def _record_broken(
+        self, release: SlotRelease, started_ms: int, address: str, at: float
+    ) -> None:
+        target = release.target
         keys = (*release.parts, release.fingerprint)
         sent_at = at - release.service_s
         attempt = BrokenAttempt(
@@ -86,7 +99,7 @@
         is_model_target = release.epoch > 0
         if is_model_target and (target, started_ms) not in self._probed:
             self._probed.add((target, started_ms))
-            gevent.spawn(self._probe, target, started_ms, known.record.address)
+            gevent.spawn(self._probe, target, started_ms, address)
 
     def handle_lost_target(self, target: str, started_ms: int | None) -> None:
         """Find the requests that were in flight at a target that was lost.
@@ -131,7 +144,10 @@
     def _probe(self, target: str, started_ms: int, address: str) -> None:
         try:
             gevent.sleep(PROBE_DELAY_S)
-            if not self._is_reachable(target, address):
+            asked_at = time.monotonic()
+            if self._is_reachable(target, address):
+                self._crash_watch.discard(target, started_ms, asked_at)
+            else:
                 self.handle_lost_target(target, None)
         finally:
             self._probed.discard((target, started_ms))
--- a/waxwingpitch/requests/crash_watch.py
+++ b/waxwingpitch/requests/crash_watch.py
@@ -73,6 +73,22 @@
         self._broken.append(attempt)
         return ()
 
+    def discard(self, target: str, started_ms: int, before: float) -> None:
+        """Forget the attempts that an incarnation outlived, as it answered since.
+
+        Parameters
+        ----------
+        before
+            Monotonic time at which the request that it answered was sent.
+        """
+        if self._broken:
+            self._broken = [
+                item
+                for item in self._broken
+                if (item.target, item.started_ms) != (target, started_ms)
+                or item.broken_at >= before
+            ]
+
     def find_crashes(
         self, target: str, started_ms: int | None, now: float
     ) -> tuple[CrashItem, ...]:
--- a/waxwingpitch/tests/test_crash_watch.py
+++ b/waxwingpitch/tests/test_crash_watch.py
@@ -37,6 +37,24 @@
     assert watch.find_crashes("t1", 6, now=1.5 + CRASH_DETECTION_S) == ()
 
 
+def test_attempt_at_a_target_that_answered_afterwards_is_no_suspect():
+    watch = CrashWatch()
+    watch.add(build_attempt("reset", "t1"))
+    watch.add(build_attempt("other", "t2"))
+    watch.discard("t1", 5, before=2.0)
+    watch.add(build_attempt("in flight", "t1", broken_at=3.0))
+    found = watch.find_crashes("t1", None, now=3.1)
+    assert [crash.fingerprint for crash in found] == ["in flight"]
+    assert len(watch.find_crashes("t2", None, now=3.1)) == 1
+
+
+def test_answer_of_a_restarted_target_clears_no_attempt_at_the_one_before():
+    watch = CrashWatch()
+    watch.add(build_attempt("a", "t1"))
+    watch.discard("t1", 9, before=2.0)
+    assert len(watch.find_crashes("t1", 9, now=3.1)) == 1
+
+
 def test_attempt_reported_after_its_targets_crash_was_found_is_a_suspect():
     watch = CrashWatch()
     watch.add(build_attempt("a", "t1"))
