--- a/waxwingpitch/forwarding/answers.py
+++ b/waxwingpitch/forwarding/answers.py
@@ -4,7 +4,7 @@
 
 import http
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -42,7 +42,11 @@
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header, whose name is given in lower case."""
-        return next((value for key, value in self.headers if key.lower() == name), None)
+        return next(self.find_all(name), None)
+
+    def find_all(self, name: bytes) -> Iterator[bytes]:
+        """Yield all values of a header, whose name is given in lower case."""
+        return (value for key, value in self.headers if key.lower() == name)
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/platform/__init__.py
+++ b/waxwingpitch/platform/__init__.py
@@ -17,7 +17,7 @@
     decode_target_id,
     decode_target_record,
 )
-from .headers import HeaderNames
+from .headers import HeaderNames, decode_rate_limit
 from .orders import ORDER_PATH, REPORT_PATH, decode_report, encode_order
 from .ready import READY_PATH
 from .settings import load_platform_settings
@@ -34,6 +34,7 @@
     "REPORT_PATH",
     "TARGET_PREFIX",
     "decode_evacuated_zone",
+    "decode_rate_limit",
     "decode_report",
     "decode_routed_configuration",
     "decode_target_id",
--- a/waxwingpitch/platform/headers.py
+++ b/waxwingpitch/platform/headers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import enum
+import math
+from collections.abc import Iterable
 
 
 class HeaderNames(bytes, enum.Enum):
@@ -17,6 +19,7 @@
     NOT_RUN = b"not-executed"
     RETRY_AFTER = b"retry-after"
     LEAVING = b"server-leaving"
+    RATE_LIMIT = b"server-limit"
     TARGET = b"instance-id"
     TARGET_AT_FAULT = b"at-server"
     COLD_MS = b"cold-ms"
@@ -31,3 +34,36 @@
 BEARER_PREFIX = b"Bearer "
 # In all answers of the store; rises by one when it comes back from an older copy.
 STORE_ERA = "store-era"
+
+
+def decode_rate_limit(values: Iterable[bytes]) -> float | None:
+    """Return the lowest limit of requests a second that an answer states.
+
+    Parameters
+    ----------
+    values
+        Values of its headers ``HeaderNames.RATE_LIMIT``.
+
+    Returns
+    -------
+    float or None
+        None if it states none.
+
+    Raises
+    ------
+    ValueError
+        No value is a decimal number of at least 0.
+    """
+    values = list(values)
+    numbers = [number for number in map(_parse_number, values) if number is not None]
+    if values and not numbers:
+        raise ValueError(f"rate limit {values[0]!r} is not a number of at least 0")
+    return min(numbers, default=None)
+
+
+def _parse_number(value: bytes) -> float | None:
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0.0 <= number < math.inf else None
--- a/waxwingpitch/telemetry/metrics.py
+++ b/waxwingpitch/telemetry/metrics.py
@@ -68,6 +68,10 @@
             "waxwingpitch_target_pauses",
             description="Times that a target asked for a pause, by target",
         )
+        self._rate_limits = meter.create_counter(
+            "waxwingpitch_target_rate_limits",
+            description="Changes of the rates that targets state, by target",
+        )
         self._store_calls = meter.create_counter(
             "waxwingpitch_store_calls", description="Calls to the store by kind"
         )
@@ -92,6 +96,10 @@
         """Count that a target asked for a pause."""
         self._pauses.add(1, {"target": target})
 
+    def count_rate_limit(self, target: str) -> None:
+        """Count that a target stated another limit of requests a second, or none."""
+        self._rate_limits.add(1, {"target": target})
+
     def count_oversized_answer(self) -> None:
         """Count an answer that was over a limit."""
         self._oversized.add(1)
