Show that targets get more than the rate that they state

What callers' targets saw: three gateways together send 51 requests in 4 s to a target that states 1.5 a second, which allows 14.

--- a/waxwingpitch/tests/test_rate_limits.py
+++ b/waxwingpitch/tests/test_rate_limits.py
@@ -2,10 +2,30 @@
 
 from __future__ import annotations
 
+import time
+
+import gevent
 import pytest
 
 from ..forwarding import AnswerHead
 from ..platform import HeaderNames, decode_rate_limit
+from .gateway_client import call, start_gateway, wait_for
+from .platform_standin import TargetFaults
+
+WINDOW_S = 4.0
+
+
+def answer_with_limit(state: dict, arrivals: list[float]):
+    """Return a script that answers calls and states a limit."""
+
+    def _script(sock, request: str) -> None:
+        arrivals.append(time.monotonic())
+        limit = state["limit"]
+        lines = f"HTTP/1.1 200 OK\r\nAttempt-Id: {request}\r\nResponse-Seal: s\r\n"
+        lines += "".join(f"Server-Limit: {value}\r\n" for value in limit)
+        sock.sendall(f"{lines}Content-Length: 0\r\n\r\n".encode())
+
+    return _script
 
 
 @pytest.mark.parametrize(
@@ -28,3 +48,32 @@
 def test_rate_limit_that_is_no_number_is_not_taken_for_none(value):
     with pytest.raises(ValueError, match="rate limit"):
         decode_rate_limit([value])
+
+
+def test_target_gets_no_more_from_all_gateways_than_the_rate_that_it_states(platform):
+    limited, other = platform.plain
+    arrivals = {limited: [], other: []}
+    for target, limit in ((limited, ["1.5"]), (other, [])):
+        script = answer_with_limit({"limit": limit}, arrivals[target])
+        platform.targets[target].faults = TargetFaults(script=script)
+    daemons = [start_gateway(platform.store.address, f"gw-{n}") for n in range(3)]
+    try:
+        for daemon in daemons:
+            wait_for(lambda: len(daemon.view.find_replicas("plain", "")) == 2)
+        wait_for(lambda: all(daemon.dump()["peers"] for daemon in daemons))
+        started_at = time.monotonic()
+        number = 0
+        while time.monotonic() - started_at < WINDOW_S + 1.0:
+            front = daemons[number % 3].settings.front
+            assert call(front, "/read/x", f"r{number}").status == 200
+            number += 1
+            gevent.sleep(0.02)
+    finally:
+        for daemon in daemons:
+            daemon.stop()
+    counts = [
+        sum(at - WINDOW_S < other_at <= at for other_at in arrivals[limited])
+        for at in arrivals[limited]
+    ]
+    assert max(counts) <= 1.5 * 1.5 * WINDOW_S + 5
+    assert len(arrivals[limited]) >= 1.5 * WINDOW_S * 0.8
