Count the requests of all gateways against the rate that a target states

Cause: nothing read Server-Limit. Class: a rate stated for all callers together, which no single gateway can keep. Ruled out by the logs: retries and probes (all placements in the window are first sends), a planned stop (it comes after the break).

Change: the gateway that reads another limit than its grant named tells the owner of the target's slots, which counts all its grants against it. Free slots, queue, Retry-After, spill to other zones and the planner's slots follow what is left. Hosts report what they have sent, so that the next owner goes on from it; hosts of a zone that do not hear each other share the limit.

--- a/waxwingpitch/admission/forecast.py
+++ b/waxwingpitch/admission/forecast.py
@@ -27,7 +27,8 @@
     Attributes
     ----------
     slots
-        Requests that they can run at the same time, summed over the replicas.
+        Requests that they can run at the same time, summed over the replicas; less
+        where they limit the requests a second.
     waiting
         Requests that are queued ahead of this one.
     service_s
@@ -37,7 +38,7 @@
         seconds; None if there is none.
     """
 
-    slots: int
+    slots: float
     waiting: int
     service_s: float
     pause_s: float | None = None
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -152,6 +152,7 @@
                     self.slots.client.pauses,
                     self.metrics,
                     self.slots.client.note_leaving,
+                    self.slots.client.note_rate,
                 ),
             ),
             self.metrics,
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -115,7 +115,7 @@
             if ctx.route.kind is RouteKind.STREAM:
                 outcome = self._relay_stream(ctx, resp, attempts, slot, conn)
             else:
-                outcome = self._relay_call(ctx, resp, attempts, replica, conn)
+                outcome = self._relay_call(ctx, resp, attempts, slot, conn)
             is_reusable = conn.is_complete
         except TargetOversizedError as exc:
             self._metrics.count_oversized_answer()
@@ -180,17 +180,18 @@
         self,
         ctx: RequestContext,
         conn: TargetConnection,
-        replica: SlotOffer,
+        slot: Slot,
         until: float,
     ) -> AnswerHead:
         """Read the head of this request's answer, skipping answers to others."""
+        replica = slot.offer
         for _ in range(MAX_FOREIGN_ANSWERS):
             head = conn.read_head(until)
             echoed = head.find(HeaderNames.REQUEST_ID)
             if echoed is None and conn.is_reused and head.status < 300:
                 raise TargetBrokenError(f"{replica.id}: answer names no request")
             if echoed is None or echoed.decode("latin-1") == ctx.id:
-                self._notices.read(replica.id, head, time.monotonic())
+                self._notices.read(slot, head, time.monotonic())
                 return head
             logger.warning(
                 "answer to another request dropped",
@@ -200,14 +201,15 @@
         raise TargetBrokenError(f"{replica.id}: only answers to other requests")
 
     def _relay_call(
-        self, ctx: RequestContext, resp: Responder, attempts, replica, conn
+        self, ctx: RequestContext, resp: Responder, attempts, slot: Slot, conn
     ) -> Outcome:
+        replica = slot.offer
         until = ctx.deadline
         if ctx.route.is_repeatable and attempts.sends < ctx.route.max_attempts:
             left_s = ctx.deadline - time.monotonic()
             until = time.monotonic() + left_s * CALL_TIMEOUT_SHARE
         attempts.may_have_run = True
-        head = self._read_matching_head(ctx, conn, replica, until)
+        head = self._read_matching_head(ctx, conn, slot, until)
         body = conn.read_whole_body(until, max_bytes=MAX_CALL_BODY_BYTES)
         answer = Answer(head, body)
         outcome = self._check_answer(answer)
@@ -246,7 +248,7 @@
             ctx.route.latency_objective_s * STALL_TIMEOUT_OBJECTIVE_SHARE,
         )
         head = self._read_unless_stalled(
-            lambda until: self._read_matching_head(ctx, conn, replica, until),
+            lambda until: self._read_matching_head(ctx, conn, slot, until),
             ctx,
             attempts,
             slot,
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -23,6 +23,7 @@
     StallReply,
     StoreUpdate,
     Subscription,
+    TargetRate,
 )
 from ..mesh.messages import (
     Message,
@@ -268,6 +269,8 @@
             changes = {}
             if held := self.slots.list_held_for(peer, zone):
                 changes["held"] = held
+            if sent := self.slots.list_sent_for(zone):
+                changes["sent"] = sent
             if is_head and zone != self._local.zone:
                 changes["summaries"] = self.slots.list_zone_summaries()
             if changes:
@@ -336,6 +339,7 @@
                 | SlotGrant()
                 | SlotRefusal()
                 | SlotRelease()
+                | TargetRate()
                 | StallCheck()
                 | StallReply()
             ):
@@ -368,7 +372,7 @@
             self._view.mark_leaving(target, started_ms or None)
         for target, epoch in message.suspected:
             self._progress.suspect(target, epoch, at)
-        self.slots.handle_status(peer, message.summaries, message.held)
+        self.slots.handle_status(peer, message.summaries, message.held, message.sent)
 
     def _handle_news(self, peer: str, zone: str, message: FleetNews, at: float) -> None:
         match decode_message(message.data):
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -244,7 +244,9 @@
         demand, slots = {}, {}
         for model in service.engine.models:
             replicas = self._view.find_replicas(service.name, model.name)
-            slots[model.name] = sum(replica.capacity for replica in replicas)
+            withheld = self._slots.count_withheld(service.name, model.name)
+            capacity = sum(replica.capacity for replica in replicas)
+            slots[model.name] = max(0, capacity - withheld)
             current = self._slots.measure_demand(service.name, model.name)
             known = self._demand.get(model.name, current)
             demand[model.name] = known + DEMAND_SMOOTHING * (current - known)
--- a/waxwingpitch/gateway/roster.py
+++ b/waxwingpitch/gateway/roster.py
@@ -226,6 +226,11 @@
         heard_at = self._heard.get(peer)
         return heard_at is not None and self._clock() - heard_at < SILENCE_S
 
+    def measure_heard_share(self) -> float:
+        """Return the share of the zone's hosts that this one hears, itself included."""
+        hosts = [item for item in self.hosts.values() if item.zone == self.local.zone]
+        return sum(self.is_heard(host.name) for host in hosts) / len(hosts)
+
     def is_deciding(self, peer: str) -> bool:
         """Return whether a peer answers and knows the targets, even if it stops."""
         return self.is_heard(peer) and self._is_host_ready(peer)
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -339,7 +339,7 @@
                     extra={
                         **fields,
                         "reason": placement.reason,
-                        "slots": placement.pressure.slots,
+                        "slots": round(placement.pressure.slots, 1),
                         "waiting": placement.pressure.waiting,
                         "service_ms": round(1000 * placement.pressure.service_s),
                     },
--- a/waxwingpitch/gateway/slot_client.py
+++ b/waxwingpitch/gateway/slot_client.py
@@ -18,12 +18,14 @@
     SlotRelease,
     StallCheck,
     StallReply,
+    TargetRate,
 )
 from ..mesh.messages import Message
 from ..slots import Outcome, Refused, SlotKey, SlotOffer, SlotRequest
+from ..slots.rates import RecentSends
 from ..targets.pauses import PauseBook
 from .roster import Roster
-from .slot_wire import decode_grant, decode_refusal, encode_request
+from .slot_wire import decode_grant, decode_refusal, encode_rate, encode_request
 
 # Time in which an owner answers the question about a silent stream.
 STALL_CHECK_TIMEOUT_S = 0.05
@@ -83,6 +85,8 @@
         Slots held, by number.
     pauses
         Pauses that targets asked this gateway for.
+    sends
+        Requests sent to targets that limit the requests a second.
     on_leaving
         Called with a target that said here that it leaves.
     """
@@ -101,6 +105,7 @@
         self._leaving: dict[str, float] = {}
         self.held: dict[int, Slot] = {}
         self.pauses = PauseBook()
+        self.sends = RecentSends()
         self.on_leaving: Callable[[str], None] = lambda target: None
 
     def acquire(self, req: SlotRequest) -> Slot | Refused:
@@ -219,6 +224,21 @@
             logger.info("target says that it leaves", extra={"target": target})
             self.on_leaving(target)
 
+    def note_rate(self, slot: Slot, per_s: float | None) -> None:
+        """Tell the owner which limit of requests a second a slot's target states."""
+        key = slot.key
+        self._deliver(
+            self._find_present_owner(slot),
+            TargetRate(
+                slot.number,
+                key.zone,
+                key.service,
+                key.model,
+                slot.offer.id,
+                encode_rate(per_s),
+            ),
+        )
+
     def list_leaving(self) -> list[str]:
         """Return the targets that said here that they leave."""
         return list(self._leaving)
@@ -266,6 +286,7 @@
         if pending is not None:
             slot = Slot(number, owner, pending.key, offer, in_flight)
             self.held[number] = slot
+            self.sends.record(offer.id, offer.rate_per_s, time.monotonic())
             pending.result.set(slot)
 
     def finish_refused(self, number: int, refused: Refused) -> None:
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -18,6 +18,7 @@
     SlotRequestMessage,
     StallCheck,
     StallReply,
+    TargetRate,
 )
 from ..mesh.messages import Message
 from ..settings.gateway import OperatingBounds
@@ -34,6 +35,7 @@
 )
 from ..slots.budget import SharedRetryBudget
 from ..slots.ledger import REPORT_DELAY_S
+from ..slots.rates import RecentSends, ReportedSends
 from ..targets.progress import ProgressBook
 from .beliefs import GatewayView
 from .passed_on import PassedOn, PassedOnTable, build_unused
@@ -41,6 +43,7 @@
 from .slot_client import UNUSED, SlotClient
 from .slot_wire import (
     decode_grant,
+    decode_rate,
     decode_refusal,
     decode_request,
     encode_grant,
@@ -107,6 +110,7 @@
             lambda service, model: self.find(SlotKey(self._zone, service, model)),
             deliver,
         )
+        self._sends_of_zones: dict[str, RecentSends] = {}
         self._lost_clients: dict[str, float] = {}
         self._service_s: dict[tuple[str, str], float] = {}
         self._new_suspicions: list[tuple[str, int]] = []
@@ -162,6 +166,8 @@
             )
             return
         offer = decode_grant(message, item.key.service, item.key.model, now)
+        sends = self._sends_of_zones.setdefault(item.key.zone, RecentSends())
+        sends.record(offer.id, offer.rate_per_s, now)
         granted = Granted(item.client, item.number, offer, message.in_flight)
         if not self._give(granted, now):
             self.handle_release(item.client, build_unused(item.number, item.key), now)
@@ -191,6 +197,41 @@
                 self._note_outcome(owner, message, now)
             self._carry_out(owner, owner.cancel(peer, message.number, now))
 
+    def handle_rate(self, peer: str, message: TargetRate, now: float) -> None:
+        """Adopt a limit that a target states, or tell the zone that granted a slot."""
+        number = self._passed_on.find_number(peer, message.number)
+        item = None if number is None else self._passed_on.find(number)
+        if item is not None:
+            passed_on = structs.replace(message, number=number, zone=item.key.zone)
+            self._deliver(item.owner, passed_on)
+            return
+        owner = self.find(SlotKey(self._zone, message.service, message.model))
+        per_s = decode_rate(message.per_s)
+        if owner.rates.state(message.target, per_s):
+            logger.info(
+                "target's rate limit in force",
+                extra={
+                    "target": message.target,
+                    "per_s": per_s,
+                    "key": str(owner.key),
+                    "told_by": peer,
+                },
+            )
+            self._carry_out(owner, owner.assign(now))
+
+    def reconcile_sends(
+        self, peer: str, reports: Iterable[ReportedSends], now: float
+    ) -> None:
+        """Count what a host reports to have sent to targets with a limit."""
+        reports = list(reports)
+        for owner in self:
+            owner.reconcile_sends(peer, reports, now)
+
+    def list_sends_to(self, zone: str, now: float) -> list[ReportedSends]:
+        """Return what was passed on to another zone's targets with a limit."""
+        sends = self._sends_of_zones.get(zone)
+        return [] if sends is None else sends.list_reports(now)
+
     def handle_stall_check(self, peer: str, message: StallCheck, now: float) -> None:
         """Answer whether a silent stream may be resumed on another target."""
         self._stall_checks.handle(peer, message, now)
@@ -258,7 +299,9 @@
             self._give_back(self._passed_on.list_of(client), now)
             for owner in self:
                 self._carry_out(owner, owner.drop_client(client, now))
+        share = self._roster.measure_heard_share()
         for owner in self:
+            owner.rates.share = share
             self._carry_out(owner, owner.assign(now))
 
     def iter_passed_on(self, peer: str) -> Iterable[tuple[int, SlotKey, str]]:
--- a/waxwingpitch/gateway/slot_wire.py
+++ b/waxwingpitch/gateway/slot_wire.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 from ..admission.forecast import Pressure
 from ..mesh.fleet_messages import (
     KeySummaryItem,
+    SentItem,
     SlotGrant,
     SlotRefusal,
     SlotRequestMessage,
@@ -20,9 +22,12 @@
     SlotRequest,
 )
 from ..slots.budget import RetryCounts
+from ..slots.rates import ReportedSends
 
 # Sent for times that never come.
 NEVER_S = 1e6
+# Sent for a target that states no limit of requests a second.
+NO_RATE = -1.0
 
 
 def encode_request(
@@ -93,6 +98,7 @@
         epoch=offer.epoch,
         cold_left_s=max(0.0, offer.cold_until - now),
         in_flight=granted.in_flight,
+        rate_per_s=encode_rate(offer.rate_per_s),
     )
 
 
@@ -107,16 +113,37 @@
         capacity=message.capacity,
         epoch=message.epoch,
         cold_until=now + message.cold_left_s,
+        rate_per_s=decode_rate(message.rate_per_s),
     )
 
 
+def encode_rate(per_s: float | None) -> float:
+    """Return a limit of requests a second as messages tell it."""
+    return NO_RATE if per_s is None else per_s
+
+
+def decode_rate(per_s: float) -> float | None:
+    """Return the limit that a message tells; None for no limit."""
+    return None if per_s < 0 else per_s
+
+
+def encode_sends(reports: Iterable[ReportedSends]) -> tuple[SentItem, ...]:
+    """Return the items for a status."""
+    return tuple(SentItem(item.target, item.per_s, item.sent) for item in reports)
+
+
+def decode_sends(items: Iterable[SentItem]) -> list[ReportedSends]:
+    """Return what a status reports."""
+    return [ReportedSends(item.target, item.per_s, item.sent) for item in items]
+
+
 def encode_refusal(number: int, refused: Refused) -> SlotRefusal:
     """Return the message for a refusal."""
     return SlotRefusal(
         number=number,
         retry_after_s=refused.retry_after_s,
         reason=refused.reason,
-        slots=refused.pressure.slots,
+        slots=math.ceil(refused.pressure.slots),
         waiting=refused.pressure.waiting,
         service_s=refused.pressure.service_s,
     )
@@ -148,6 +175,7 @@
         summary.service_s,
         summary.retry_counts.requests,
         summary.retry_counts.retries,
+        summary.withheld,
     )
 
 
@@ -162,4 +190,5 @@
         item.unmet,
         item.service_s,
         RetryCounts(item.requests, item.retries),
+        item.withheld,
     )
--- a/waxwingpitch/gateway/slots.py
+++ b/waxwingpitch/gateway/slots.py
@@ -9,12 +9,14 @@
 from ..mesh.fleet_messages import (
     HeldSlotItem,
     KeySummaryItem,
+    SentItem,
     SlotGrant,
     SlotRefusal,
     SlotRelease,
     SlotRequestMessage,
     StallCheck,
     StallReply,
+    TargetRate,
 )
 from ..mesh.messages import Message
 from ..settings.gateway import OperatingBounds
@@ -24,7 +26,12 @@
 from .roster import Roster
 from .slot_client import SlotClient
 from .slot_owners import SlotOwners
-from .slot_wire import decode_summary, encode_summary
+from .slot_wire import (
+    decode_sends,
+    decode_summary,
+    encode_sends,
+    encode_summary,
+)
 
 # Age at which a key's summary is no longer used.
 SUMMARY_TTL_S = 1.0
@@ -91,6 +98,8 @@
                     self.owners.handle_refusal(message)
             case SlotRelease():
                 self.owners.handle_release(peer, message, now)
+            case TargetRate():
+                self.owners.handle_rate(peer, message, now)
             case StallCheck():
                 self.owners.handle_stall_check(peer, message, now)
             case StallReply():
@@ -102,8 +111,9 @@
         peer: str,
         summaries: tuple[KeySummaryItem, ...],
         held: tuple[HeldSlotItem, ...],
+        sent: tuple[SentItem, ...] = (),
     ) -> None:
-        """Take note of a peer's summaries, and of the slots that it holds."""
+        """Take note of a peer's summaries, and of what it holds and has sent."""
         now = time.monotonic()
         for item in summaries:
             key, summary = decode_summary(item)
@@ -112,6 +122,7 @@
             if self._roster.find_owner(key) == peer:
                 self.owners.update_zone(key, summary, now)
         self.owners.reconcile(peer, held, now)
+        self.owners.reconcile_sends(peer, decode_sends(sent), now)
 
     def handle_lost_peer(self, peer: str) -> None:
         """Ask the next owners for what the lost peer would have decided."""
@@ -121,6 +132,8 @@
     def tick(self, served_zones: tuple[str, ...]) -> None:
         """Expire what has waited too long, and move keys whose owner changed."""
         now = time.monotonic()
+        sends = self.client.sends.list_reports(now)
+        self.owners.reconcile_sends(self._name, sends, now)
         self.owners.tick(served_zones, now)
         self.client.tick(now)
         self.has_seen_requests |= bool(self.client.held)
@@ -159,6 +172,22 @@
             if slot.owner == peer or peer in self._roster.list_owners(slot.key)
         )
 
+    def list_sent_for(self, peer_zone: str) -> tuple[SentItem, ...]:
+        """Return what was sent to targets with a limit whose owner a peer may be."""
+        now = time.monotonic()
+        if peer_zone == self._zone:
+            return encode_sends(self.client.sends.list_reports(now))
+        return encode_sends(self.owners.list_sends_to(peer_zone, now))
+
+    def count_withheld(self, service: str, model: str) -> int:
+        """Return a model's slots that can't be used for limits of requests a second."""
+        now = time.monotonic()
+        return sum(
+            summary.withheld
+            for key, (at, summary) in self._summaries.items()
+            if (key.service, key.model) == (service, model) and now - at < SUMMARY_TTL_S
+        )
+
     def measure_demand(self, service: str, model: str) -> float:
         """Return the slots that a model's requests use or would use, in all zones."""
         now = time.monotonic()
@@ -187,6 +216,11 @@
                 for owner in self.owners
                 if self._roster.find_owner(owner.key) == self._name
             ],
+            "rate_limits": {
+                target: per_s
+                for owner in self.owners
+                for target, per_s in owner.rates.describe().items()
+            },
             "summaries": {str(key): item for key, (_, item) in self._summaries.items()},
         }
 
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -53,6 +53,9 @@
     ----------
     cold_left_s
         Time until the replica is warm.
+    rate_per_s
+        Requests a second that it takes from all entry hosts; negative if it states no
+        limit.
     """
 
     number: int
@@ -63,6 +66,7 @@
     epoch: int
     cold_left_s: float
     in_flight: int
+    rate_per_s: float = -1.0
 
 
 class SlotRefusal(MeshMessage, tag=32):
@@ -113,6 +117,25 @@
     had_output: bool = False
 
 
+class TargetRate(MeshMessage, tag=41):
+    """Tells the owner of a slot which limit of requests a second its target states.
+
+    Attributes
+    ----------
+    number
+        Number of the slot.
+    per_s
+        Requests a second from all entry hosts; negative if it states none any more.
+    """
+
+    number: int
+    zone: str
+    service: str
+    model: str
+    target: str
+    per_s: float
+
+
 class StallCheck(MeshMessage, tag=34):
     """Asks the owner whether a silent stream may be resumed on another target.
 
@@ -181,6 +204,15 @@
     service_s: float
     requests: int
     retries: int
+    withheld: int = 0
+
+
+class SentItem(MeshItem):
+    """Requests that the sender sent to a target with a limit of requests a second."""
+
+    target: str
+    per_s: float
+    sent: int
 
 
 class PlannedGroupsItem(MeshItem):
@@ -210,6 +242,8 @@
         Targets that make no progress, with the epochs of their groups.
     held
         Slots that the sender holds and whose owner the receiver is or may become.
+    sent
+        What the sender sent to targets with a limit of requests a second.
     is_ready
         Whether the sender knows the configuration and the targets.
     is_stopping
@@ -231,6 +265,7 @@
     is_stopping: bool = False
     follows: str = ""
     planned_groups: tuple[PlannedGroupsItem, ...] = ()
+    sent: tuple[SentItem, ...] = ()
 
 
 class Subscription(MeshMessage, tag=37):
@@ -332,6 +367,7 @@
     | SlotGrant
     | SlotRefusal
     | SlotRelease
+    | TargetRate
     | StallCheck
     | StallReply
     | FleetStatus
--- a/waxwingpitch/slots/common.py
+++ b/waxwingpitch/slots/common.py
@@ -51,6 +51,9 @@
         Epoch of its group; 0 for a plain target.
     cold_until
         Monotonic time of the owner until which it is cold.
+    rate_per_s
+        Requests a second that it takes from all entry hosts together; None if it states
+        no limit.
     """
 
     id: str
@@ -61,6 +64,7 @@
     capacity: int
     epoch: int
     cold_until: float = 0.0
+    rate_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,6 +187,8 @@
         Slots that waiting and recently refused requests would use.
     service_s
         Mean service time.
+    withheld
+        Slots that requests can't use, as targets limit the requests a second.
     retry_counts
         First attempts and retries within the window of the retry budget.
     """
@@ -195,6 +201,7 @@
     unmet: float
     service_s: float = 1.0
     retry_counts: RetryCounts = RetryCounts()
+    withheld: int = 0
 
     def find_wait_s(self, added: int) -> float:
         """Return the time until the queue, with requests added to it, is served."""
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -1,7 +1,8 @@
 """Decisions of the owner of a zone's slots, without input or output.
 
 The load it is for: bursts above the capacity, replicas that are lost and come back,
-cold targets, and entry hosts that die while they hold or wait for slots.
+cold targets, targets that limit the requests a second, and entry hosts that die while
+they hold or wait for slots.
 """
 
 from __future__ import annotations
@@ -9,8 +10,8 @@
 import math
 import random
 from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 
 from ..admission import OnTimeFirstQueue, Ticket
 from ..admission.forecast import Pressure, Refuse, decide_admission
@@ -29,6 +30,7 @@
     SlotRequest,
 )
 from .ledger import SlotLedger
+from .rates import ReportedSends, StatedRates
 
 # Weight of the newest sample in an exponentially weighted moving average.
 NEWEST_SAMPLE_WEIGHT = 0.05
@@ -71,6 +73,11 @@
     ----------
     accepts
         Returns whether a replica, given its id and epoch, is sound at a monotonic time.
+
+    Attributes
+    ----------
+    rates
+        Limits of requests a second that replicas state.
     """
 
     def __init__(
@@ -81,6 +88,7 @@
     ):
         self.key = key
         self.ledger = SlotLedger()
+        self.rates = StatedRates()
         self._budget = budget
         self._accepts = accepts
         self._cold = ColdRateLimit(1)
@@ -102,6 +110,7 @@
         """
         self._offers = {offer.id: offer for offer in offers}
         self._cold.per_s = cold_per_s
+        self.rates.keep(self._offers.keys())
 
     def request(
         self, client: str, number: int, req: SlotRequest, now: float
@@ -162,6 +171,14 @@
         decision = self._place(waiting, now)
         return [decision] if decision else self._queue_or_refuse(waiting, now)
 
+    def reconcile_sends(
+        self, client: str, reports: Iterable[ReportedSends], now: float
+    ) -> None:
+        """Count what a client reports to have sent to replicas with a limit."""
+        for report in reports:
+            if report.target in self._offers:
+                self.rates.merge(client, report, now)
+
     def release(self, client: str, number: int, now: float) -> list[Decision]:
         """Free a client's slot, and assign it to a request that waits."""
         self.ledger.remove(client, number)
@@ -221,18 +238,28 @@
         """Return the summary for other zones and the planner."""
         usable = [item for item in self._offers.values() if self._is_usable(item, now)]
         counts = [(item, self.ledger.count(item.id)) for item in usable]
+        slots = self._count_slots(usable)
+        rooms = {item.id: self.rates.count_room(item.id, now) for item in usable}
         return KeySummary(
-            slots=sum(item.capacity for item, _ in counts),
+            slots=math.ceil(slots),
             in_flight=sum(count for _, count in counts),
-            free=sum(max(0, item.capacity - count) for item, count in counts),
+            free=sum(
+                max(0, min(item.capacity - count, rooms[item.id]))
+                for item, count in counts
+            ),
             lowest_utilisation=min(
-                ((count + 1) / item.capacity for item, count in counts),
+                (
+                    (count + 1) / item.capacity
+                    for item, count in counts
+                    if rooms[item.id]
+                ),
                 default=NO_FREE_SLOT,
             ),
             waiting=len(self._queue),
             unmet=self._estimate_unmet(now),
             service_s=self._service_s,
             retry_counts=self._budget.count(now),
+            withheld=sum(item.capacity for item in usable) - math.ceil(slots),
         )
 
     def count_waiting(self) -> int:
@@ -258,10 +285,8 @@
 
     def _find_shorter_queue(self, now: float) -> str | None:
         """Return the zone whose queue is served clearly sooner than this one's."""
-        slots = sum(
-            item.capacity
-            for item in self._offers.values()
-            if self._is_usable(item, now)
+        slots = self._count_slots(
+            item for item in self._offers.values() if self._is_usable(item, now)
         )
         here_s = math.inf
         if slots:
@@ -278,6 +303,8 @@
 
     def _grant(self, client: str, number: int, offer: SlotOffer, now: float) -> Granted:
         self.ledger.add(client, number, offer.id, now)
+        self.rates.record(offer.id, client, now)
+        offer = replace(offer, rate_per_s=self.rates.find(offer.id))
         if offer.cold_until > now:
             self._cold.record(offer.id, now)
         else:
@@ -291,6 +318,7 @@
             for offer in self._offers.values()
             if self._is_usable_for(offer, req, now)
             and (offer.cold_until <= now or self._cold.has_room(offer.id, now))
+            and self.rates.has_room(offer.id, now)
         ]
         untried = [load for load in loads if load.id not in req.avoid]
         chosen = choose_replica(untried, zone="", tie_break=self._rng.random())
@@ -326,6 +354,13 @@
     def _is_usable(self, offer: SlotOffer, now: float) -> bool:
         return self._accepts(offer.id, offer.epoch, now)
 
+    def _count_slots(self, offers: Iterable[SlotOffer]) -> float:
+        """Return the slots of replicas that requests can use, by their limits too."""
+        return sum(
+            self.rates.limit_slots(offer.id, offer.capacity, self._service_s)
+            for offer in offers
+        )
+
     def _queue_or_refuse(self, waiting: _Waiting, now: float) -> list[Decision]:
         client, number, req = waiting.client, waiting.number, waiting.request
         decision = decide_admission(
@@ -358,15 +393,15 @@
     def _refuse(self, client, number, retry_after_s, reason, now: float) -> Refused:
         self._refused.append(now)
         pressure = Pressure(
-            slots=sum(item.capacity for item in self._offers.values()),
+            slots=self._count_slots(self._offers.values()),
             waiting=len(self._queue),
             service_s=self._service_s,
         )
         return Refused(client, number, retry_after_s, reason, pressure)
 
     def _measure_pressure(self, req: SlotRequest, now: float) -> Pressure:
-        slots = sum(
-            offer.capacity
+        slots = self._count_slots(
+            offer
             for offer in self._offers.values()
             if self._is_usable_for(offer, req, now)
         )
--- a/waxwingpitch/tests/test_rate_limits.py
+++ b/waxwingpitch/tests/test_rate_limits.py
@@ -77,3 +77,29 @@
     ]
     assert max(counts) <= 1.5 * 1.5 * WINDOW_S + 5
     assert len(arrivals[limited]) >= 1.5 * WINDOW_S * 0.8
+
+
+def test_target_that_states_no_rate_any_more_is_used_as_before(platform):
+    limited, other = platform.plain
+    state, arrivals = {"limit": ["1"]}, {limited: [], other: []}
+    for target, stated in ((limited, state), (other, {"limit": []})):
+        script = answer_with_limit(stated, arrivals[target])
+        platform.targets[target].faults = TargetFaults(script=script)
+    daemon = start_gateway(platform.store.address)
+    try:
+        wait_for(lambda: len(daemon.view.find_replicas("plain", "")) == 2)
+        for number in range(20):
+            call(daemon.settings.front, "/read/x", f"a{number}")
+        assert len(arrivals[limited]) <= 2
+        assert daemon.dump()["slots"]["rate_limits"] == {limited: 1.0}
+        state["limit"] = []
+        wait_for(
+            lambda: call(daemon.settings.front, "/read/x", "b")
+            and not daemon.dump()["slots"]["rate_limits"]
+        )
+        before = len(arrivals[limited])
+        for number in range(20):
+            call(daemon.settings.front, "/read/x", f"c{number}")
+        assert len(arrivals[limited]) - before >= 5
+    finally:
+        daemon.stop()
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -20,8 +20,10 @@
     SlotRequestMessage,
     StallCheck,
     StallReply,
+    TargetRate,
 )
 from ..slots import KeySummary, SlotKey, SlotOffer, SlotRequest
+from ..slots.rates import ReportedSends
 from ..targets.progress import ProgressBook
 from .gateway_client import BOUNDS
 
@@ -54,6 +56,7 @@
     roster = SimpleNamespace(
         local=SimpleNamespace(name="a-owner", zone="a"),
         find_owner=lambda key: zone_owners[key.zone],
+        measure_heard_share=lambda: 1.0,
     )
     view = SimpleNamespace(
         find_service=lambda name: None,
@@ -250,3 +253,31 @@
     waiting = wait_at_b(owners, sent)
     owners.handle_lost_peer("h1", time.monotonic())
     assert list_releases(sent) == [("b-owner", waiting.number)]
+
+
+def test_rate_that_a_target_of_another_zone_states_is_told_to_its_owner(owners, sent):
+    number = pass_on(owners, sent)
+    owners.handle_rate("h1", TargetRate(7, "a", "pool", "m", "t", 1.5), 0.0)
+    expected = TargetRate(number, "b", "pool", "m", "t", 1.5)
+    assert sent[-1] == ("b-owner", expected)
+    assert owners.find(KEY).rates.describe() == {}
+
+
+def test_rate_that_a_target_of_this_zone_states_is_in_force(owners, sent):
+    owners.handle_rate("h1", TargetRate(8, "a", "pool", "m", "t", 1.5), 0.0)
+    assert owners.find(KEY).rates.find("t") == 1.5
+    owners.handle_rate("h1", TargetRate(8, "a", "pool", "m", "t", -1.0), 0.0)
+    assert owners.find(KEY).rates.find("t") is None
+
+
+def test_requests_passed_on_to_limited_targets_are_reported_to_their_zone(owners, sent):
+    now = time.monotonic()
+    owners.find(KEY)
+    owners.update_zone(OTHER, KeySummary(8, 0, 8, 0.1, 0, 0.0), now)
+    req = SlotRequest("r", "pool", "m", "w", 1, 1.0, now + 5.0)
+    owners.handle_request("h1", encode_request(7, KEY, req, now), now)
+    number = sent[-1][1].number
+    grant = SlotGrant(number, "t", "x:1", "b", 8, 1, 0.0, 1, rate_per_s=1.5)
+    owners.handle_grant("b-owner", grant, now)
+    assert owners.list_sends_to("b", now) == [ReportedSends("t", 1.5, 1)]
+    assert owners.list_sends_to("a", now) == []
