--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -40,6 +40,23 @@
     """An answer, or a part of it, is over its limit."""
 
 
+def open_socket(address: str, timeout_s: float) -> socket.socket:
+    """Open a socket to ``IP:port``; OSError or ValueError if that fails."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+        )
+        sock.settimeout(timeout_s)
+        sock.connect((host, int(port)))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 class TargetConnection:
     """One connection to a target, which carries one request at a time.
 
@@ -193,9 +210,12 @@
     ----------
     opened
         Number of connections opened so far.
+    open_socket
+        Opens a socket, given an address and a timeout in seconds.
     """
 
     def __init__(self):
+        self.open_socket = open_socket
         self._idle: dict[str, list[TargetConnection]] = defaultdict(list)
         self.opened = 0
 
@@ -211,17 +231,11 @@
 
     def connect(self, address: str, *, timeout_s: float) -> TargetConnection:
         """Open a new connection; UnreachableError if that fails."""
-        host, _, port = address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+            sock = self.open_socket(
+                address, min(CONNECT_TIMEOUT_S, max(0.001, timeout_s))
             )
-            sock.settimeout(min(CONNECT_TIMEOUT_S, max(0.001, timeout_s)))
-            sock.connect((host, int(port)))
         except (OSError, ValueError) as exc:
-            sock.close()
             raise UnreachableError(f"{address}: {exc}") from exc
         self.opened += 1
         return TargetConnection(sock, address)
