Reach targets through a peer where the own link to them is lost

Cause: a gateway had one way to a target, its own link, and took each failure of it for the target's: it suspected sound targets for all gateways, spent the retry budget and reported crashes. Class: a host whose view of every target is wrong, what it tells others included. Ruled out by the logs: an owner of slots that refused for want of slots (the attempts were placed).

Change: a connection that a gateway can't open itself is opened by a peer, which passes the bytes on. The gateway that the caller is connected to decides as before. Lost links suspect no target.

--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import logging
+import random
 import socket
 import time
 from collections import defaultdict
+from collections.abc import Callable
 
+from ..targets.links import LinkBook
 from .answers import AnswerHead
 from .parsing import AnswerReader, OversizedAnswerError
+from .relay import RelayedSocket
 
 # Connecting within a region takes milliseconds. A lost packet of the handshake is sent
-# again only after a second, by when another target would long have answered.
-CONNECT_TIMEOUT_S = 0.2
+# again only after a second, by when a peer, or another target, would have answered.
+CONNECT_TIMEOUT_S = 0.1
+# Time in which peers are asked for a connection.
+RELAY_TIMEOUT_S = 0.25
 # Time for which sent bytes may stay unacknowledged before the kernel closes the
 # connection (TCP_USER_TIMEOUT).
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
@@ -24,6 +31,9 @@
 MAX_FOREIGN_BYTES = 1024 * 1024
 
 
+logger = logging.getLogger(__name__)
+
+
 class UnreachableError(Exception):
     """The target could not be reached; no byte of the request was sent."""
 
@@ -64,6 +74,8 @@
     ----------
     idle_until
         Monotonic time until which the idle connection may be used again.
+    is_relayed
+        Whether a peer opened it and passes its bytes on.
     is_reused
         Whether it has carried another request before.
     """
@@ -72,6 +84,7 @@
         self._sock = sock
         self.address = address
         self._reader = AnswerReader()
+        self.is_relayed = False
         self.idle_until = 0.0
         self.is_reused = False
         self._peer_closed = False
@@ -212,9 +225,18 @@
         Number of connections opened so far.
     open_socket
         Opens a socket, given an address and a timeout in seconds.
+    open_relayed
+        Asks peers for a connection, given an address and a timeout in seconds; returns
+        None if there is none.
+    links
+        Links to targets that are lost.
     """
 
     def __init__(self):
+        self.open_relayed: Callable[[str, float], RelayedSocket | None] = (
+            lambda address, timeout_s: None
+        )
+        self.links = LinkBook()
         self.open_socket = open_socket
         self._idle: dict[str, list[TargetConnection]] = defaultdict(list)
         self.opened = 0
@@ -230,16 +252,87 @@
         return None
 
     def connect(self, address: str, *, timeout_s: float) -> TargetConnection:
-        """Open a new connection; UnreachableError if that fails."""
+        """Open a new connection, by a peer if need be.
+
+        Raises
+        ------
+        UnreachableError
+            Neither this host nor the peers that it asked could open one.
+        """
+        deadline = time.monotonic() + timeout_s
+        prefers_relay = self.links.prefers_relay(address)
+        conn = self._connect_relayed(address, deadline) if prefers_relay else None
+        if conn is not None:
+            return conn
         try:
             sock = self.open_socket(
-                address, min(CONNECT_TIMEOUT_S, max(0.001, timeout_s))
+                address, min(CONNECT_TIMEOUT_S, max(0.001, timeout_s / 2))
             )
         except (OSError, ValueError) as exc:
+            if not prefers_relay:
+                conn = self._connect_relayed(address, deadline)
+            if conn is not None:
+                return conn
             raise UnreachableError(f"{address}: {exc}") from exc
+        self._record_reached(address)
         self.opened += 1
         return TargetConnection(sock, address)
 
+    def check_link(self, address: str) -> None:
+        """Find out whether a silent target is reached by peers, but not from here."""
+        if self._try_link(address):
+            return
+        conn = self._connect_relayed(address, time.monotonic() + RELAY_TIMEOUT_S)
+        if conn is not None:
+            conn.close()
+            self.drop(address)
+
+    def retry_lost_links(self, limit: int) -> None:
+        """Try some of the lost links again, to use those that are back."""
+        lost = self.links.list_lost()
+        for address in random.sample(lost, min(limit, len(lost))):
+            self._try_link(address)
+
+    def _try_link(self, address: str) -> bool:
+        try:
+            self.open_socket(address, CONNECT_TIMEOUT_S).close()
+        except (OSError, ValueError):
+            return False
+        self._record_reached(address)
+        return True
+
+    def _connect_relayed(
+        self, address: str, deadline: float
+    ) -> TargetConnection | None:
+        now = time.monotonic()
+        if deadline <= now or not self.links.may_ask_peers(address, now):
+            return None
+        timeout_s = min(RELAY_TIMEOUT_S, deadline - now)
+        sock = self.open_relayed(address, timeout_s)
+        now = time.monotonic()
+        if sock is None:
+            self.links.record_unreached(address, now)
+            return None
+        self._record_relayed(address, now)
+        conn = TargetConnection(sock, address)
+        conn.is_relayed = True
+        return conn
+
+    def _record_relayed(self, address: str, now: float) -> None:
+        was_cut = self.links.is_cut
+        if self.links.record_relayed(address, now):
+            logger.info("target reached through a peer", extra={"address": address})
+            self.drop(address)
+        if self.links.is_cut and not was_cut:
+            logger.warning("links to targets lost", extra={"last": address})
+            for idle in list(self._idle):
+                self.drop(idle)
+
+    def _record_reached(self, address: str) -> None:
+        if self.links.is_cut:
+            logger.warning("links to targets regained", extra={"first": address})
+        self.links.record_reached(address)
+
     def release(self, conn: TargetConnection, head: AnswerHead, now: float) -> None:
         """Return a connection to the pool if it is reusable, or close it."""
         if not conn.is_reusable:
--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -178,9 +178,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Stalled:
-    """The target sent nothing before the stall timeout or the deadline."""
+    """The target sent nothing before the stall timeout or the deadline.
+
+    Attributes
+    ----------
+    is_link_lost
+        Whether peers reach the target, and only the link to it from here is lost.
+    """
 
     reason: str
+    is_link_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -19,6 +19,7 @@
     TargetTimeoutError,
     UnreachableError,
 )
+from ..forwarding.relay import RelayListener
 from ..mesh.messages import PlanningHandover
 from ..platform import PlatformStore
 from ..ports import KeyValueStore
@@ -34,6 +35,7 @@
 from .planning import ZonePlanner
 from .probing import fetch_report
 from .registration import Registration
+from .relays import RelayChooser
 from .roles import Roles
 from .roster import Roster
 from .serving import RequestServer
@@ -51,6 +53,9 @@
 TARGET_WATCH_PAUSE_BUSY_S = 0.05
 HOUSEKEEPING_INTERVAL_S = 0.1
 SLOW_TICK_S = 0.25
+# Interval at which lost links to targets are tried again, and how many of them.
+LINK_RETRY_S = 0.5
+RETRIED_LINKS = 4
 # Link of an entry host below which it leads and owns less than its processor allows.
 FAST_LINK_MBPS = 100.0
 # Time for which a process must be the head or the next host before it plans, so that
@@ -87,6 +92,7 @@
             settings.zone,
             settings.processor_share * min(1.0, settings.link_mbps / FAST_LINK_MBPS),
             uuid.uuid4().hex,
+            str(settings.relay),
         )
         self.roster = Roster(local, self.view.list_hosts, boot_time)
         self._peers = PeerTask(
@@ -97,6 +103,15 @@
             self.progress,
             self._store_health,
             self._is_reachable,
+            lambda: self.pool.links.is_cut,
+        )
+        self.pool.open_relayed = RelayChooser(self.roster, self._peers.statuses).open
+        self._relay = RelayListener(
+            settings.relay.host,
+            settings.relay.port,
+            lambda address, timeout_s: self.pool.open_socket(address, timeout_s),
+            self._may_relay,
+            lambda: self.pool.links.is_cut,
         )
         self.slots = SlotTask(
             self.roster,
@@ -190,6 +205,7 @@
             settings.ready, settings.metrics, self.find_unready_reason, self.dump
         )
         self._slow_tick_at = 0.0
+        self._links_retried_at = 0.0
         self._roles = Roles(
             settings.zones,
             roster=self.roster,
@@ -222,6 +238,7 @@
         self._registration.start()
         self._lease_keeper.start()
         self._peers.start()
+        self._relay.start()
         for planner in self._planners:
             planner.start()
         self._web.start()
@@ -246,6 +263,7 @@
             self._listener.stop_accepting()
             self._web.stop()
             self._peers.stop()
+            self._relay.stop()
             self._lease_keeper.stop()
             self._registration.stop()
             self._follower.stop()
@@ -293,6 +311,8 @@
             "blocked": self._suspects.describe(),
             "waiting": self.slots.client.count_pending(),
             "store_answered_s_ago": boot_time() - self._store_health.answered_at,
+            "lost_links": self.pool.links.list_lost(),
+            "relayed_connections": self._relay.relayed,
             "store_era": self.view.mirror.era,
         }
 
@@ -304,6 +324,12 @@
             return False
         return True
 
+    def _may_relay(self, address: str) -> bool:
+        """Return whether an address is that of a listed target."""
+        return any(
+            known.record.address == address for known in self.view.targets.values()
+        )
+
     def _find_target_watch_pause(self) -> float:
         if any(planner.is_busy for planner in self._planners):
             return TARGET_WATCH_PAUSE_BUSY_S
@@ -353,10 +379,19 @@
         if now - self._slow_tick_at >= SLOW_TICK_S:
             self._slow_tick_at = now
             self.pool.close_idle(now)
+            self.pool.links.expire(now)
+            self._retry_lost_links(now)
             self.view.expire_removed()
             self.progress.expire(now)
             self._suspects.expire(now)
 
+    def _retry_lost_links(self, now: float) -> None:
+        """Try lost links again, without waiting for those that hang."""
+        is_due = now - self._links_retried_at >= LINK_RETRY_S
+        if is_due and self.pool.links.list_lost():
+            self._links_retried_at = now
+            gevent.spawn(self.pool.retry_lost_links, RETRIED_LINKS)
+
     def _on_hangup(self) -> None:
         logger.info(
             "SIGHUP received; settings are not reloaded",
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -6,6 +6,8 @@
 import time
 from collections.abc import Callable
 
+import gevent
+
 from ..configuration.routes import RouteKind
 from ..forwarding import (
     Answer,
@@ -107,7 +109,8 @@
                 timeout_s=ctx.deadline - time.monotonic(),
             )
         except UnreachableError as exc:
-            return NotRun(str(exc), is_unreachable=True)
+            is_cut = self._pool.links.is_cut
+            return NotRun(str(exc), is_unreachable=not is_cut)
         except TargetBrokenError as exc:
             return Broken(str(exc))
         is_reusable = False
@@ -127,7 +130,7 @@
         except TargetBrokenError as exc:
             outcome = Broken(str(exc))
         except TargetTimeoutError as exc:
-            outcome = Stalled(str(exc))
+            outcome = Stalled(str(exc), is_link_lost=self._is_link_lost(conn))
         finally:
             if is_reusable:
                 self._pool.release(conn, conn.read_head(0.0), time.monotonic())
@@ -252,6 +255,7 @@
             ctx,
             attempts,
             slot,
+            conn,
             sent_at,
             sent_at,
             first_event_timeout_s,
@@ -269,6 +273,7 @@
                 ctx,
                 attempts,
                 slot,
+                conn,
                 last_data_at,
                 last_event_at,
                 stall_timeout_s if has_events else first_event_timeout_s,
@@ -333,12 +338,25 @@
             ctx.route.gap_objective_s * STALL_TIMEOUT_OBJECTIVE_SHARE,
         )
 
+    def _is_link_lost(self, conn: TargetConnection) -> bool:
+        """Return whether a silent target is known to be reached by peers only.
+
+        What is not known is found out meanwhile, as it takes a tenth of a second.
+        """
+        links = self._pool.links
+        if conn.is_relayed or links.prefers_relay(conn.address):
+            return not conn.is_relayed
+        if links.may_check(conn.address, time.monotonic()):
+            gevent.spawn(self._pool.check_link, conn.address)
+        return False
+
     def _read_unless_stalled(
         self,
         read,
         ctx,
         attempts,
         slot: Slot,
+        conn: TargetConnection,
         last_data_at: float,
         last_event_at: float,
         stall_timeout_s: float,
@@ -375,6 +393,8 @@
                         raise TargetTimeoutError(
                             f"no event for {now - last_event_at:.2f} s"
                         )
+                    if self._is_link_lost(conn):
+                        raise TargetTimeoutError("the link to the target is lost")
                     if seen_elsewhere_at + stall_timeout_s > now:
                         until = seen_elsewhere_at + stall_timeout_s
             try:
--- a/waxwingpitch/gateway/host_records.py
+++ b/waxwingpitch/gateway/host_records.py
@@ -18,12 +18,13 @@
     zone: str
     weight: float
     incarnation: str
+    relay: str = ""
 
 
 def encode_host(host: EntryHost) -> bytes:
     """Encode the record of an entry host."""
     return msgspec.json.encode(
-        _HostRecord(host.address, host.zone, host.weight, host.incarnation)
+        _HostRecord(host.address, host.zone, host.weight, host.incarnation, host.relay)
     )
 
 
@@ -37,5 +38,10 @@
         )
         return None
     return EntryHost(
-        name, record.address, record.zone, record.weight, record.incarnation
+        name,
+        record.address,
+        record.zone,
+        record.weight,
+        record.incarnation,
+        record.relay,
     )
--- a/waxwingpitch/gateway/peer_statuses.py
+++ b/waxwingpitch/gateway/peer_statuses.py
@@ -38,6 +38,15 @@
             if now - at < STATUS_TTL_S:
                 yield now - at, status
 
+    def list_cut(self) -> frozenset[str]:
+        """Return the peers that said lately that they reach no targets."""
+        now = boot_time()
+        return frozenset(
+            peer
+            for peer, (at, status) in self._statuses.items()
+            if status.is_cut and now - at < STATUS_TTL_S
+        )
+
     @property
     def store_age_s(self) -> float:
         """Time since the store last answered this process."""
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -64,6 +64,8 @@
     ----------
     is_reachable
         Returns whether a target, given its id and address, answers this process.
+    is_cut
+        Returns whether this process presumes its links to all targets lost.
 
     Attributes
     ----------
@@ -92,7 +94,9 @@
         progress: ProgressBook,
         store_health: StoreHealth,
         is_reachable: Callable[[str, str], bool],
+        is_cut: Callable[[], bool],
     ):
+        self._is_cut = is_cut
         self._settings = settings
         self._local = local
         self._roster = roster
@@ -262,6 +266,7 @@
             is_stopping=self._is_stopping,
             follows=self.follower.source or "",
             planned_groups=self.plans.list_own_groups(),
+            is_cut=self._is_cut(),
         )
         data = encode_message(common)
         is_head = self._roster.find_head(self._local.zone) == self._local.name
--- /dev/null
+++ b/waxwingpitch/gateway/relays.py
@@ -0,0 +1,101 @@
+"""Ways to targets through peers, for when this gateway lost its own links to them."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections.abc import Callable, Iterator
+
+from ..forwarding.relay import RelayAnswer, RelayedSocket, ask_relay
+from ..slots import EntryHost
+from .peer_statuses import PeerStatuses
+from .roster import Roster
+
+# Peers that are asked for one connection.
+MAX_ASKED = 4
+# Peers with links of their own that must fail to reach a target before it counts as
+# unreachable.
+UNREACHED_BY = 2
+# Time for which a peer that could not relay is asked after all others.
+UNABLE_TTL_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+class RelayChooser:
+    """Asks peers for connections to targets, the last that could first.
+
+    Parameters
+    ----------
+    ask
+        Asks one relay, as :func:`~waxwingpitch.forwarding.relay.ask_relay` does.
+    """
+
+    def __init__(
+        self, roster: Roster, statuses: PeerStatuses, ask: Callable = ask_relay
+    ):
+        self._roster = roster
+        self._statuses = statuses
+        self._ask = ask
+        self._unable_until: dict[str, float] = {}
+        self._last = ""
+        self._random = random.Random(roster.local.name)
+
+    def open(self, address: str, timeout_s: float) -> RelayedSocket | None:
+        """Return a connection to a target, opened by a peer.
+
+        Returns
+        -------
+        RelayedSocket or None
+            None if peers that have links to targets do not reach this one, or if none
+            that was asked could tell.
+        """
+        deadline = time.monotonic() + timeout_s
+        unreached = 0
+        for host in self._iter_hosts():
+            left_s = deadline - time.monotonic()
+            if left_s <= 0 or unreached == UNREACHED_BY:
+                break
+            match self._ask_safely(host, address, left_s):
+                case RelayAnswer.OPEN, sock:
+                    self._last = host.name
+                    return sock
+                case RelayAnswer.UNREACHED, _:
+                    unreached += 1
+                case _:
+                    until = time.monotonic() + UNABLE_TTL_S
+                    self._unable_until[host.name] = until
+        return None
+
+    def _ask_safely(self, host: EntryHost, address: str, timeout_s: float):
+        try:
+            return self._ask(host.relay, address, timeout_s)
+        except (OSError, ValueError) as exc:
+            logger.info(
+                "peer does not relay", extra={"peer": host.name, "reason": str(exc)}
+            )
+            return RelayAnswer.UNABLE, None
+
+    def _iter_hosts(self) -> Iterator[EntryHost]:
+        """Yield the hosts to ask: the last that could, linked ones, then others."""
+        now = time.monotonic()
+        cut = self._statuses.list_cut()
+        hosts = [
+            host
+            for host in self._roster.hosts.values()
+            if host.relay
+            and host.name != self._roster.local.name
+            and host.name not in cut
+            and not self._roster.is_stopping(host.name)
+        ]
+        self._random.shuffle(hosts)
+        hosts.sort(
+            key=lambda host: (
+                now < self._unable_until.get(host.name, 0.0),
+                host.name != self._last,
+                not self._roster.is_live(host.name),
+                host.zone != self._roster.local.zone,
+            )
+        )
+        yield from hosts[:MAX_ASKED]
--- a/waxwingpitch/gateway/roster.py
+++ b/waxwingpitch/gateway/roster.py
@@ -89,6 +89,10 @@
         """Return whether a peer is linked, was heard lately and does not stop."""
         return peer not in self._stopping and self.is_heard(peer)
 
+    def is_stopping(self, peer: str) -> bool:
+        """Return whether a linked peer said that it stops."""
+        return peer in self._stopping
+
     def is_pending(self, peer: str) -> bool:
         """Return whether it is not known yet if a peer is live."""
         if peer in self._stopping or peer in self._heard:
--- a/waxwingpitch/gateway/slot_use.py
+++ b/waxwingpitch/gateway/slot_use.py
@@ -38,7 +38,7 @@
             return SlotOutcome.BROKEN
         case NotRun(is_unreachable=True) if has_epoch:
             return SlotOutcome.UNREACHABLE
-        case Stalled() if has_epoch:
+        case Stalled(is_link_lost=False) if has_epoch:
             return SlotOutcome.STALLED
         case _:
             return SlotOutcome.FAILED
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -252,6 +252,8 @@
         Gateway whose store updates the sender follows; empty if it reads the store.
     planned_groups
         Groups that the sender's planners are forming.
+    is_cut
+        Whether the sender presumes its links to all targets lost.
     """
 
     store_age_ms: int
@@ -266,6 +268,7 @@
     follows: str = ""
     planned_groups: tuple[PlannedGroupsItem, ...] = ()
     sent: tuple[SentItem, ...] = ()
+    is_cut: bool = False
 
 
 class Subscription(MeshMessage, tag=37):
--- a/waxwingpitch/platform/settings.py
+++ b/waxwingpitch/platform/settings.py
@@ -31,13 +31,15 @@
         raise SettingsError(f"{path}: {exc}; valid: a readable TOML file") from exc
     reader = _FieldReader(path, fields)
     bind = reader.text("bind_ip")
+    ports = reader.ports("port_range")
     return GatewaySettings(
         name=reader.text("node_name"),
         zone=reader.text("zone"),
         zones=tuple(reader.table("zones")),
         front=reader.address("listen", "front"),
         ready=reader.address("listen", "ready"),
-        peers=Address(bind, reader.port("port_range")),
+        peers=Address(bind, ports[0]),
+        relay=Address(bind, ports[1]),
         store=reader.address("provider", "address"),
         metrics=Address(bind, METRICS_PORT),
         bounds=OperatingBounds(
@@ -87,17 +89,17 @@
         text = self._read(names, _is_address, "IP:port")
         return Address.parse(text)
 
-    def port(self, *names: str) -> int:
-        """Return the first port of a port range."""
+    def ports(self, *names: str) -> tuple[int, int]:
+        """Return the first and the last port of a port range."""
         ports = self._read(
             names,
             lambda value: isinstance(value, list)
             and len(value) == 2
             and all(isinstance(port, int) for port in value)
-            and 0 < value[0] <= value[1] <= MAX_PORT,
-            "a list of the first and the last port",
+            and 0 < value[0] < value[1] <= MAX_PORT,
+            "a list of the first and the last port, which differ",
         )
-        return ports[0]
+        return ports[0], ports[1]
 
     def _read(self, names: tuple[str, ...], is_valid, valid: str) -> Any:
         value: Any = self._fields
--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -69,9 +69,9 @@
     ----------
     zones
         All availability zones.
-    front, ready, peers
-        Addresses for callers, for the load balancer's readiness checks, and for other
-        entry hosts.
+    front, ready, peers, relay
+        Addresses for callers, for the load balancer's readiness checks, for other entry
+        hosts, and for their connections to targets.
     store
         Address of the platform's key-value service.
     metrics
@@ -90,6 +90,7 @@
     front: Address
     ready: Address
     peers: Address
+    relay: Address
     store: Address
     metrics: Address
     bounds: OperatingBounds
--- a/waxwingpitch/slots/ranking.py
+++ b/waxwingpitch/slots/ranking.py
@@ -30,6 +30,8 @@
         What it can carry, in cores; less if its link is slow.
     incarnation
         Differs after each restart of its process.
+    relay
+        ``IP:port`` at which it opens connections to targets for others; empty for none.
     """
 
     name: str
@@ -37,6 +39,7 @@
     zone: str
     weight: float
     incarnation: str = ""
+    relay: str = ""
 
 
 def rank_hosts(key: str, zone: str, hosts: Iterable[EntryHost]) -> list[EntryHost]:
--- a/waxwingpitch/tests/gateway_client.py
+++ b/waxwingpitch/tests/gateway_client.py
@@ -48,6 +48,7 @@
         front=pick(),
         ready=pick(),
         peers=pick(),
+        relay=pick(),
         store=Address.parse(store),
         metrics=pick(),
         bounds=BOUNDS,
--- a/waxwingpitch/tests/test_lost_links.py
+++ b/waxwingpitch/tests/test_lost_links.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import time
+
 import gevent
 import pytest
 
-from .fleet_fake import PAIR
+from ..groups.orders_to_targets import Leave, Open
+from .fleet_fake import PAIR, QUAD
 from .gateway_client import call, chat, count_replicas, start_gateway, wait_for
 from .link_faults import LinkFault, TargetLinks
 
@@ -54,3 +57,87 @@
     gevent.joinall(callers)
     assert platform.invariant_violations == []
     assert max(platform.runs.values()) == 1
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_gateway_that_lost_its_links_takes_no_target_from_its_peers(
+    platform, gateways, fault
+):
+    cut, other = gateways
+    TargetLinks(cut).cut(fault)
+    callers = [gevent.spawn(ask, cut, f"cut-{n}") for n in range(12)]
+    seen = set()
+    for number in range(20):
+        assert ask(other, f"other-{number}")
+        seen.update(entry["key"] for entry in other.dump()["blocked"])
+        gevent.sleep(0.05)
+    gevent.joinall(callers)
+    assert seen == set()
+    assert other.dump()["suspects"] == []
+    assert count_replicas(other, PAIR.name) == 3
+
+
+def test_gateway_uses_its_links_again_once_they_are_back(platform, gateways):
+    cut, other = gateways
+    links = TargetLinks(cut)
+    links.cut(LinkFault.RESET)
+    assert ask_at_once(cut, "cut") == [True] * 6
+    assert cut.dump()["lost_links"]
+    links.fault = LinkFault.NONE
+    wait_for(lambda: not cut.pool.links.is_cut, 2.0)
+    wait_for(lambda: not cut.dump()["lost_links"], 4.0)
+    links.opened.clear()
+    gevent.sleep(0.1)
+    cut.pool.close_idle(float("inf"))
+    assert ask_at_once(cut, "back") == [True] * 6
+    assert links.opened
+
+
+def test_links_that_are_back_for_some_targets_only_are_used(platform, gateways):
+    cut, _ = gateways
+    links = TargetLinks(cut)
+    links.cut(LinkFault.RESET)
+    assert ask_at_once(cut, "cut") == [True] * 6
+    back = platform.targets[platform.plain[0]].address
+    links.spared = frozenset([back])
+    wait_for(lambda: back not in cut.dump()["lost_links"], 4.0)
+    assert ask_at_once(cut, "some") == [True] * 6
+
+
+def test_stream_whose_link_is_lost_is_resumed_through_a_peer(platform, gateways):
+    cut, _ = gateways
+    links = TargetLinks(cut)
+    caller = gevent.spawn(chat, cut.settings.front, "long", model=PAIR.name, events=120)
+    wait_for(lambda: platform.runs["long"])
+    gevent.sleep(0.3)
+    links.cut(LinkFault.RESET)
+    assert caller.get().events == list(range(1, 121))
+
+
+def test_silent_second_of_a_sound_target_is_no_lost_link(platform, gateways):
+    daemon, _ = gateways
+    until = time.monotonic() + 1.0
+    for target in platform.targets.values():
+        target.faults.pause_until = until
+    callers = [gevent.spawn(ask, daemon, f"paused-{n}") for n in range(4)]
+    while time.monotonic() < until + 0.3:
+        assert daemon.dump()["lost_links"] == []
+        gevent.sleep(0.05)
+    gevent.joinall(callers)
+    wait_for(lambda: ask(daemon, "after"))
+
+
+def test_groups_are_formed_by_a_planner_that_lost_its_links(platform, gateways):
+    def list_orders(first: int):
+        return platform.fleet.orders[first:]
+
+    planner = next(item for item in gateways if item.dump()["plans"])
+    wait_for(lambda: count_replicas(planner, QUAD.name) >= 1)
+    TargetLinks(planner).cut(LinkFault.RESET)
+    lost = platform.find_group(QUAD.name)[2]
+    platform.kill(lost)
+    chat(planner.settings.front, "s", model=QUAD.name, events=10)
+    before = len(platform.fleet.orders)
+    wait_for(lambda: any(isinstance(order, Leave) for _, order in list_orders(before)))
+    wait_for(lambda: any(isinstance(order, Open) for _, order in list_orders(before)))
+    assert platform.invariant_violations == []
