Let a gateway's peer task be built without a view of its links

Change: it is an attribute that the daemon sets, like the task's other callbacks. No test is changed.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -103,8 +103,8 @@
             self.progress,
             self._store_health,
             self._is_reachable,
-            lambda: self.pool.links.is_cut,
         )
+        self._peers.is_cut = lambda: self.pool.links.is_cut
         self.pool.open_relayed = RelayChooser(self.roster, self._peers.statuses).open
         self._relay = RelayListener(
             settings.relay.host,
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -64,11 +64,11 @@
     ----------
     is_reachable
         Returns whether a target, given its id and address, answers this process.
-    is_cut
-        Returns whether this process presumes its links to all targets lost.
 
     Attributes
     ----------
+    is_cut
+        Returns whether this process presumes its links to all targets lost.
     on_linked
         Called with the name of a peer when a link to it is up.
     on_crash_news
@@ -94,15 +94,14 @@
         progress: ProgressBook,
         store_health: StoreHealth,
         is_reachable: Callable[[str, str], bool],
-        is_cut: Callable[[], bool],
     ):
-        self._is_cut = is_cut
         self._settings = settings
         self._local = local
         self._roster = roster
         self._view = view
         self._progress = progress
         self._store_health = store_health
+        self.is_cut: Callable[[], bool] = lambda: False
         self.on_linked: Callable[[str], None] = lambda peer: None
         self.on_crash_news: Callable[[CrashNews, float], None] = lambda news, at: None
         self.on_planning_handover: Callable[[PlanningHandover], None] = (
@@ -266,7 +265,7 @@
             is_stopping=self._is_stopping,
             follows=self.follower.source or "",
             planned_groups=self.plans.list_own_groups(),
-            is_cut=self._is_cut(),
+            is_cut=self.is_cut(),
         )
         data = encode_message(common)
         is_head = self._roster.find_head(self._local.zone) == self._local.name
