Keep targets cold for the whole test of the cold cap

Cause, shown by runs on that print it: targets are cold for 4 s from their start; 2.9 to 3.3 s of that are left when the streams begin, and -0.2 to 0.6 s when they end. A target that has become warm may run more. Starting the streams 1, 2 or 4 s later gives 11 to 17 in flight.

Change: they are cold for 30 s, longer than the test.

--- a/waxwingpitch/tests/test_process_zones.py
+++ b/waxwingpitch/tests/test_process_zones.py
@@ -210,7 +210,7 @@
 
 
 def test_all_entries_together_respect_the_cold_cap():
-    performance = EnginePerformance(step_s=STEP_S, cold_s=4.0, cold_cap=3)
+    performance = EnginePerformance(step_s=STEP_S, cold_s=30.0, cold_cap=3)
     with Cluster(
         engines=2, entries=3, hosts_per_replica=1, performance=performance, cold_cap=3
     ) as cluster:
