Stay ready while targets take no requests for a while

And a target that states 0 got two requests at once, as the one whose answer told the limit was not counted.

Change: slots that limits withhold count as slots for readiness; the request whose answer tells a limit counts against it. test_gateway_whose_targets_take_no_requests_for_now_stays_ready failed before on both counts ('no target'; 4 arrivals instead of 2).

--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -207,7 +207,10 @@
             return
         owner = self.find(SlotKey(self._zone, message.service, message.model))
         per_s = decode_rate(message.per_s)
+        was_limited = owner.rates.find(message.target) is not None
         if owner.rates.state(message.target, per_s):
+            if not was_limited:
+                owner.rates.record(message.target, peer, now)
             logger.info(
                 "target's rate limit in force",
                 extra={
--- a/waxwingpitch/gateway/slots.py
+++ b/waxwingpitch/gateway/slots.py
@@ -199,10 +199,10 @@
 
     @property
     def has_slots(self) -> bool:
-        """Whether an owner that was heard lately has any slot."""
+        """Whether an owner that was heard lately has any slot, even if withheld."""
         now = time.monotonic()
         return any(
-            summary.slots > 0 and now - at < SUMMARY_TTL_S
+            summary.slots + summary.withheld > 0 and now - at < SUMMARY_TTL_S
             for at, summary in self._summaries.values()
         )
 
--- a/waxwingpitch/tests/test_rate_limits.py
+++ b/waxwingpitch/tests/test_rate_limits.py
@@ -10,7 +10,7 @@
 from ..forwarding import AnswerHead
 from ..platform import HeaderNames, decode_rate_limit
 from .gateway_client import call, start_gateway, wait_for
-from .platform_standin import TargetFaults
+from .platform_standin import PlatformFake, TargetFaults
 
 WINDOW_S = 4.0
 
@@ -103,3 +103,24 @@
         assert len(arrivals[limited]) - before >= 5
     finally:
         daemon.stop()
+
+
+def test_gateway_whose_targets_take_no_requests_for_now_stays_ready():
+    platform = PlatformFake(size=0)
+    platform.configure()
+    state, arrivals = {"limit": ["0"]}, []
+    for target in platform.plain:
+        script = answer_with_limit(state, arrivals)
+        platform.targets[target].faults = TargetFaults(script=script)
+    daemon = start_gateway(platform.store.address)
+    try:
+        wait_for(lambda: len(daemon.view.find_replicas("plain", "")) == 2)
+        for number in range(4):
+            call(daemon.settings.front, "/read/x", f"a{number}", deadline_ms=500)
+        assert daemon.dump()["slots"]["rate_limits"] == dict.fromkeys(platform.plain, 0)
+        gevent.sleep(0.5)
+        assert len(arrivals) == 2
+        assert daemon.find_unready_reason() is None
+    finally:
+        daemon.stop()
+        platform.stop()
