Take a peer that does not answer in time for no proof that a target is gone

Change: only a peer that reaches other targets and not this one is evidence. The time for asking peers is 0.5 s where the link is known to be lost, and 0.15 s (a relay's connect: 0.06 s) where the target may as well be gone, so that a dark target holds a request up as long as before the relays, 0.25 s against 0.2 s. Relays log whom they serve, and the end frame that a host no longer reads is logged as what it is.

--- a/waxwingpitch/forwarding/relay.py
+++ b/waxwingpitch/forwarding/relay.py
@@ -20,7 +20,7 @@
 from gevent.server import StreamServer
 
 # Time in which a relay opens a connection to a target.
-OPEN_TIMEOUT_S = 0.1
+OPEN_TIMEOUT_S = 0.06
 # Time in which a relay answers, including the time for the connection to it.
 ANSWER_TIMEOUT_S = 0.2
 # Connections that a relay passes on at the same time; each takes two descriptors.
@@ -37,6 +37,10 @@
 logger = logging.getLogger(__name__)
 
 
+class TargetNotReachedError(OSError):
+    """Peers that have links to targets do not reach a target."""
+
+
 class RelayAnswer(bytes, enum.Enum):
     """First line of a relay's answer.
 
@@ -256,10 +260,9 @@
     try:
         while data := target.recv(READ_BYTES):
             sock.sendall(_LENGTH.pack(len(data)) + data)
+        sock.sendall(_LENGTH.pack(0))
     except OSError as exc:
         logger.info("relayed connection lost", extra={"reason": str(exc)})
-        return
-    sock.sendall(_LENGTH.pack(0))
 
 
 def _set_keep_alive(sock: socket.socket) -> None:
--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -12,13 +12,15 @@
 from ..targets.links import LinkBook
 from .answers import AnswerHead
 from .parsing import AnswerReader, OversizedAnswerError
-from .relay import RelayedSocket
+from .relay import RelayedSocket, TargetNotReachedError
 
 # Connecting within a region takes milliseconds. A lost packet of the handshake is sent
 # again only after a second, by when a peer, or another target, would have answered.
 CONNECT_TIMEOUT_S = 0.1
-# Time in which peers are asked for a connection.
-RELAY_TIMEOUT_S = 0.25
+# Time in which peers are asked for a connection, if the link may be sound and if it is
+# known to be lost.
+RELAY_TIMEOUT_S = 0.15
+LOST_LINK_TIMEOUT_S = 0.5
 # Time for which sent bytes may stay unacknowledged before the kernel closes the
 # connection (TCP_USER_TIMEOUT).
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
@@ -227,7 +229,7 @@
         Opens a socket, given an address and a timeout in seconds.
     open_relayed
         Asks peers for a connection, given an address and a timeout in seconds; returns
-        None if there is none.
+        None if none can tell, and raises TargetNotReachedError if it is not reached.
     links
         Links to targets that are lost.
     """
@@ -307,13 +309,16 @@
         now = time.monotonic()
         if deadline <= now or not self.links.may_ask_peers(address, now):
             return None
-        timeout_s = min(RELAY_TIMEOUT_S, deadline - now)
-        sock = self.open_relayed(address, timeout_s)
-        now = time.monotonic()
+        is_lost = self.links.prefers_relay(address)
+        limit_s = LOST_LINK_TIMEOUT_S if is_lost else RELAY_TIMEOUT_S
+        try:
+            sock = self.open_relayed(address, min(limit_s, deadline - now))
+        except TargetNotReachedError:
+            self.links.record_unreached(address, time.monotonic())
+            return None
         if sock is None:
-            self.links.record_unreached(address, now)
             return None
-        self._record_relayed(address, now)
+        self._record_relayed(address, time.monotonic())
         conn = TargetConnection(sock, address)
         conn.is_relayed = True
         return conn
--- a/waxwingpitch/gateway/relays.py
+++ b/waxwingpitch/gateway/relays.py
@@ -7,7 +7,12 @@
 import time
 from collections.abc import Callable, Iterator
 
-from ..forwarding.relay import RelayAnswer, RelayedSocket, ask_relay
+from ..forwarding.relay import (
+    RelayAnswer,
+    RelayedSocket,
+    TargetNotReachedError,
+    ask_relay,
+)
 from ..slots import EntryHost
 from .peer_statuses import PeerStatuses
 from .roster import Roster
@@ -48,8 +53,12 @@
         Returns
         -------
         RelayedSocket or None
-            None if peers that have links to targets do not reach this one, or if none
-            that was asked could tell.
+            None if no peer that was asked could tell whether the target is reachable.
+
+        Raises
+        ------
+        TargetNotReachedError
+            Peers that have links to targets do not reach this one.
         """
         deadline = time.monotonic() + timeout_s
         unreached = 0
@@ -59,13 +68,17 @@
                 break
             match self._ask_safely(host, address, left_s):
                 case RelayAnswer.OPEN, sock:
+                    if host.name != self._last:
+                        logger.info("peer relays", extra={"peer": host.name})
                     self._last = host.name
                     return sock
                 case RelayAnswer.UNREACHED, _:
                     unreached += 1
-                case _:
+                case RelayAnswer.UNABLE, _:
                     until = time.monotonic() + UNABLE_TTL_S
                     self._unable_until[host.name] = until
+        if unreached:
+            raise TargetNotReachedError(f"{address}: not reached by {unreached} peers")
         return None
 
     def _ask_safely(self, host: EntryHost, address: str, timeout_s: float):
--- a/waxwingpitch/tests/test_links.py
+++ b/waxwingpitch/tests/test_links.py
@@ -14,7 +14,13 @@
 
 from ..forwarding import ConnectionPool, TargetBrokenError, UnreachableError
 from ..forwarding.exchange import send_request
-from ..forwarding.relay import RelayAnswer, RelayedSocket, RelayListener, ask_relay
+from ..forwarding.relay import (
+    RelayAnswer,
+    RelayedSocket,
+    RelayListener,
+    TargetNotReachedError,
+    ask_relay,
+)
 from ..forwarding.targets import open_socket
 from ..gateway.relays import MAX_ASKED, RelayChooser
 from ..slots import EntryHost
@@ -266,10 +272,20 @@
     fleet = Fleet(
         answers=dict.fromkeys(["h1", "h2"], RelayAnswer.UNREACHED), zones="aaa"
     )
-    assert fleet.chooser.open("t", 1.0) is None
+    with pytest.raises(TargetNotReachedError):
+        fleet.chooser.open("t", 1.0)
     assert len(fleet.asked) == 2
 
 
+def test_peer_that_does_not_answer_in_time_is_no_proof_that_a_target_is_gone():
+    answers = [None, "opened"]
+    pool = build_pool("")
+    pool.open_relayed = lambda address, timeout_s: answers.pop(0)
+    with pytest.raises(UnreachableError):
+        pool.connect("127.0.0.1:1", timeout_s=1.0)
+    assert pool.connect("127.0.0.1:1", timeout_s=1.0).is_relayed
+
+
 def test_number_of_peers_that_are_asked_is_bounded():
     answers = {f"h{number}": RelayAnswer.UNABLE for number in range(40)}
     fleet = Fleet(zones="a" * 40, answers=answers)
