Start with a single port for peers

What was seen: with `port_range` of a single port no gateway started ("port_range: [1, 1] is invalid"). Cause: took the last port for the relay and demanded that it differ from the first, which the platform does not promise.

Change: such a gateway relays for nobody; it may still ask others.

--- a/waxwingpitch/forwarding/relay.py
+++ b/waxwingpitch/forwarding/relay.py
@@ -74,8 +74,6 @@
 
     def __init__(
         self,
-        host: str,
-        port: int,
         open_socket: Callable[[str, float], socket.socket],
         may_relay: Callable[[str], bool],
         is_cut: Callable[[], bool],
@@ -83,16 +81,18 @@
         self._open_socket = open_socket
         self._may_relay = may_relay
         self._is_cut = is_cut
-        self._server = StreamServer((host, port), self._serve)
+        self._server: StreamServer | None = None
         self.relayed = 0
 
-    def start(self) -> None:
+    def start(self, host: str, port: int) -> None:
         """Accept connections."""
+        self._server = StreamServer((host, port), self._serve)
         self._server.start()
 
     def stop(self) -> None:
         """Close the listening socket; open connections go on."""
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
 
     def _serve(self, sock: socket.socket, peer) -> None:
         target = None
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -92,7 +92,7 @@
             settings.zone,
             settings.processor_share * min(1.0, settings.link_mbps / FAST_LINK_MBPS),
             uuid.uuid4().hex,
-            str(settings.relay),
+            str(settings.relay or ""),
         )
         self.roster = Roster(local, self.view.list_hosts, boot_time)
         self._peers = PeerTask(
@@ -107,8 +107,6 @@
         self._peers.is_cut = lambda: self.pool.links.is_cut
         self.pool.open_relayed = RelayChooser(self.roster, self._peers.statuses).open
         self._relay = RelayListener(
-            settings.relay.host,
-            settings.relay.port,
             lambda address, timeout_s: self.pool.open_socket(address, timeout_s),
             self._may_relay,
             lambda: self.pool.links.is_cut,
@@ -238,7 +236,8 @@
         self._registration.start()
         self._lease_keeper.start()
         self._peers.start()
-        self._relay.start()
+        if self.settings.relay is not None:
+            self._relay.start(self.settings.relay.host, self.settings.relay.port)
         for planner in self._planners:
             planner.start()
         self._web.start()
--- a/waxwingpitch/platform/settings.py
+++ b/waxwingpitch/platform/settings.py
@@ -39,7 +39,7 @@
         front=reader.address("listen", "front"),
         ready=reader.address("listen", "ready"),
         peers=Address(bind, ports[0]),
-        relay=Address(bind, ports[1]),
+        relay=Address(bind, ports[1]) if ports[1] > ports[0] else None,
         store=reader.address("provider", "address"),
         metrics=Address(bind, METRICS_PORT),
         bounds=OperatingBounds(
@@ -96,8 +96,8 @@
             lambda value: isinstance(value, list)
             and len(value) == 2
             and all(isinstance(port, int) for port in value)
-            and 0 < value[0] < value[1] <= MAX_PORT,
-            "a list of the first and the last port, which differ",
+            and 0 < value[0] <= value[1] <= MAX_PORT,
+            "a list of the first and the last port",
         )
         return ports[0], ports[1]
 
--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -71,7 +71,8 @@
         All availability zones.
     front, ready, peers, relay
         Addresses for callers, for the load balancer's readiness checks, for other entry
-        hosts, and for their connections to targets.
+        hosts, and for their connections to targets; ``relay`` is None where no port is
+        left for it.
     store
         Address of the platform's key-value service.
     metrics
@@ -90,7 +91,7 @@
     front: Address
     ready: Address
     peers: Address
-    relay: Address
+    relay: Address | None
     store: Address
     metrics: Address
     bounds: OperatingBounds
--- a/waxwingpitch/tests/test_links.py
+++ b/waxwingpitch/tests/test_links.py
@@ -103,8 +103,8 @@
             "is_cut": lambda: False,
         }
         port = find_port()
-        listener = RelayListener("127.0.0.1", port, **{**parts, **changes})
-        listener.start()
+        listener = RelayListener(**{**parts, **changes})
+        listener.start("127.0.0.1", port)
         listeners.append(listener)
         return f"127.0.0.1:{port}"
 
--- a/waxwingpitch/tests/test_lost_links.py
+++ b/waxwingpitch/tests/test_lost_links.py
@@ -8,9 +8,11 @@
 import pytest
 
 from ..groups.orders_to_targets import Leave, Open
+from ..platform import load_platform_settings
 from .fleet_fake import PAIR, QUAD
 from .gateway_client import call, chat, count_replicas, start_gateway, wait_for
 from .link_faults import LinkFault, TargetLinks
+from .test_process_gateway import SETTINGS
 
 # Time that operators allow for gateways to agree.
 CONTACT_S = 3.0
@@ -141,3 +143,16 @@
     wait_for(lambda: any(isinstance(order, Leave) for _, order in list_orders(before)))
     wait_for(lambda: any(isinstance(order, Open) for _, order in list_orders(before)))
     assert platform.invariant_violations == []
+
+
+@pytest.mark.parametrize(
+    "last, relay", [(7340, None), (7341, "127.0.0.1:7341"), (7355, "127.0.0.1:7355")]
+)
+def test_gateway_with_a_single_port_for_peers_starts_without_a_relay(
+    tmp_path, last, relay
+):
+    path = tmp_path / "settings.toml"
+    text = SETTINGS.replace("[{peers}, {peers}]", f"[7340, {last}]")
+    path.write_text(text.format(front=1, ready=2, store="127.0.0.1:3"))
+    loaded = load_platform_settings(str(path)).relay
+    assert (loaded and str(loaded)) == relay
