--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -29,6 +29,8 @@
 CRASH_DELAY_S = 0.03
 # Time after which a crashed target accepts connections and is listed again, in seconds.
 RESTART_S = 1.0
+# Time for which a silent call is not answered, in seconds.
+SILENCE_S = 60.0
 
 
 class StoreFake:
@@ -46,9 +48,12 @@
         Number of calls by path.
     era
         Number of times that it was restored from a copy.
+    silent_before
+        Watches that began before this monotonic time are never answered.
     """
 
     def __init__(self):
+        self.silent_before = 0.0
         self.items: dict[str, dict] = {}
         self.history: list[dict] = []
         self.revision = 10
@@ -194,8 +199,11 @@
 
     def _watch(self, query):
         after = int(query["after"])
-        until = time.monotonic() + int(query["wait_ms"]) / 1000
+        began_at = time.monotonic()
+        until = began_at + int(query["wait_ms"]) / 1000
         while True:
+            if began_at < self.silent_before:
+                gevent.sleep(SILENCE_S)
             if after < self.compacted_revision or after > self.revision:
                 return 410, {}
             matching = [
