Follow the store at a gateway that has lost all its peers

Callers were refused with 401 and 404 by what an older configuration says, at a gateway without links to its peers, though it reached the store.

Cause: whom to follow is looked at while the gateway is settled, that is, has listed the entry hosts itself or has a link to a peer. One that a peer had found at its start never listed them; without its last link it was unsettled again, kept its lost source and read nothing. Whether a gateway lists the hosts depends on a random delay at its start.

Being settled now lasts. test_configuration_is_in_force_at_a_gateway_that_lost_all_its_peers failed before (not in force within 2 s) and passes. That this was the cause in the users' record is not shown: in the play of it the gateway kept its links.

--- a/waxwingpitch/gateway/registration.py
+++ b/waxwingpitch/gateway/registration.py
@@ -54,12 +54,13 @@
         self._has_found_peers = has_found_peers
         self._greenlet: gevent.Greenlet | None = None
         self._written = 0
-        self._is_listed = False
+        self._is_settled = False
 
     @property
     def is_settled(self) -> bool:
-        """Whether this process was found, or has listed the entry hosts itself."""
-        return self._is_listed or self._has_found_peers()
+        """Whether this process was once found, or has listed the entry hosts itself."""
+        self._is_settled |= self._has_found_peers()
+        return self._is_settled
 
     def start(self) -> None:
         """Start to register."""
@@ -115,7 +116,7 @@
 
     def _list_hosts(self) -> None:
         self._retry(self._apply_list)
-        self._is_listed = True
+        self._is_settled = True
 
     def _apply_list(self) -> None:
         listed = self._store.list(GATEWAY_PREFIX)
