Follow the store by the age of what is known here, not of any answer

Callers were refused by an older configuration at gateways that took what they knew for fresh, and whose peers followed them.

Cause: the age of a gateway's knowledge was the time since the store had answered any of its calls, a lease's renewal too, and a follower took over its source's age whether or not its updates had arrived here. A watch could hang for 13 s beside that. Class: freshness that is proved by something else than the data's own way.

Each prefix has the time as of which it is known: the watch's own answers, at most as late as the call waited; for a follower an update, or a status of its source with no change that is lacking here. Watches of the operators' and targets' keys wait 0.5 s and are given up 0.5 s later (longer if the store is slow), with all idle connections. A source by which the knowledge gets 1.2 s old is passed over for 5 s. A next host that the store does not answer follows another zone's head. An older build's messages count as before.

Price: up to 4 calls a second more of the one gateway that reads the store.

--- a/waxwingpitch/agreed/mirror.py
+++ b/waxwingpitch/agreed/mirror.py
@@ -28,6 +28,7 @@
         self._entries: dict[str, StoredEntry] = {}
         self._deleted: dict[str, int] = {}
         self._synced: dict[str, int] = {}
+        self._latest_change: dict[str, int] = {}
         self._history_since: dict[str, int] = {}
         self._evicted_version = 0
         self._era = 0
@@ -53,6 +54,10 @@
         """Return the version up to which all changes below a prefix are known."""
         return self._synced.get(prefix, 0)
 
+    def get_latest_change(self, prefix: str) -> int:
+        """Return the version of the last known change below a top-level prefix."""
+        return self._latest_change.get(prefix, 0)
+
     def get(self, key: str) -> StoredEntry | None:
         """Return the entry of a key."""
         return self._entries.get(key)
@@ -112,6 +117,7 @@
             return False
         self._deleted.pop(entry.key, None)
         self._entries[entry.key] = entry
+        self._note_change(entry.key, entry.version)
         return True
 
     def _delete(self, item: StoredDeletion) -> bool:
@@ -119,12 +125,17 @@
         if known is not None and known.version > item.version:
             return False
         self._deleted[item.key] = max(item.version, self._deleted.get(item.key, 0))
+        self._note_change(item.key, item.version)
         self._evict_tombstones()
         if known is None:
             return False
         del self._entries[item.key]
         return True
 
+    def _note_change(self, key: str, version: int) -> None:
+        prefix = key[: key.find("/") + 1]
+        self._latest_change[prefix] = max(version, self.get_latest_change(prefix))
+
     def _evict_tombstones(self) -> None:
         while len(self._deleted) > MAX_TOMBSTONES:
             version = self._deleted.pop(next(iter(self._deleted)))
--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -72,6 +72,8 @@
         Boot time until which orders may be given under planner keys of an earlier era.
     leaving
         Targets that said that they leave, whatever their entries say.
+    find_age_s
+        Returns the age of what is known of the store, in seconds.
     on_restored
         Called when the store is found to have been restored from an older copy.
     on_target_lost
@@ -90,6 +92,7 @@
         self.relist_deadline = 0.0
         self.restore_deadline = 0.0
         self.older_keys_until = 0.0
+        self.find_age_s: Callable[[], float] = lambda: 0.0
         self.on_restored: Callable[[], None] = lambda: None
         self.leaving = LeavingBook(clock)
         self._hosts: dict[str, EntryHost] = {}
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -129,6 +129,7 @@
         )
         self._peers.slots = self.slots
         self._peers.follower = self._follower
+        self.view.find_age_s = lambda: self._follower.data_age_s
         self._lease_keeper = LeaseKeeper(
             self._store, self._store_health, max(LEASE_S, settings.min_lease_s)
         )
@@ -305,6 +306,7 @@
             "replicas": list(self.view.iter_replicas()),
             "slots": self.slots.describe(),
             "store_source": self._follower.source,
+            "store_knowledge_age_s": self._follower.data_age_s,
             "head": self.roster.find_head(self.settings.zone),
             "suspects": [list(key) for key in self.progress.list_suspicions(now)],
             "blocked": self._suspects.describe(),
--- a/waxwingpitch/gateway/following.py
+++ b/waxwingpitch/gateway/following.py
@@ -17,7 +17,9 @@
 import gevent
 
 from ..agreed.mirror import StoreMirror
+from ..clocks import boot_time
 from ..mesh.fleet_messages import (
+    FleetStatus,
     RemovedItem,
     StoredItem,
     StoreUpdate,
@@ -27,11 +29,14 @@
 from ..platform import OPERATOR_PREFIX, TARGET_PREFIX
 from ..ports import KeyValueStore, StoredChange, StoredDeletion, StoredEntry
 from .beliefs import GATEWAY_PREFIX, GatewayView
+from .freshness import STALE_AFTER_S, TIMELY_PREFIXES, Freshness, to_age_ms
 from .store_tasks import PrefixWatcher, StoreHealth
 
 # Interval at which a subscription is repeated, and time after which it has ended.
 SUBSCRIBE_INTERVAL_S = 0.5
 SUBSCRIPTION_TTL_S = 2.0
+# Time for which a source whose updates did not arrive is passed over.
+FAILED_SOURCE_S = 5.0
 # Time in which changes are collected for one message.
 PUSH_DELAY_S = 0.01
 # Values from this size on are compressed: a head sends its zone a configuration of
@@ -72,7 +77,11 @@
         self._send = send
         self._multicast = multicast
         self._find_pause_s = find_pause_s
+        self._freshness = Freshness()
+        self._is_stale = False
         self._source: str | None = ""
+        self._source_since = 0.0
+        self._failed_until: dict[str | None, float] = {}
         self._subscribed_at = 0.0
         self._wants_targets = False
         self._watchers: dict[str, PrefixWatcher] = {}
@@ -84,6 +93,33 @@
         """Gateway that is followed; None while the store is read, "" at the start."""
         return self._source
 
+    @property
+    def data_age_s(self) -> float:
+        """Age of what is known here of the store."""
+        synced = self._view.mirror.get_synced
+        kept = [item for item in TIMELY_PREFIXES if synced(item) or item in PREFIXES]
+        return self._freshness.find_age_s(set(kept) & set(self._list_prefixes()))
+
+    def list_failed_sources(self) -> frozenset[str | None]:
+        """Return the sources lately followed by which what is known here got old."""
+        now = boot_time()
+        if self._source != "":
+            followed_s = now - self._source_since
+            if min(followed_s, self.data_age_s) >= STALE_AFTER_S:
+                self._failed_until[self._source] = now + FAILED_SOURCE_S
+        return frozenset(
+            source for source, until in self._failed_until.items() if until > now
+        )
+
+    def list_changes(self) -> dict[str, int]:
+        """Return the versions of the last known changes, by prefix."""
+        mirror = self._view.mirror
+        return {
+            prefix: mirror.get_latest_change(prefix)
+            for prefix in self._list_prefixes()
+            if mirror.get_synced(prefix)
+        }
+
     def follow(self, source: str | None, *, wants_targets: bool) -> None:
         """Follow a gateway, or read the store if it is None.
 
@@ -97,7 +133,9 @@
         if source != self._source:
             logger.info("store source", extra={"source": source or "store"})
             self._source = source
+            self._source_since = boot_time()
             self._subscribed_at = 0.0
+        self._log_age()
         self._wants_targets = wants_targets
         self._run_watchers(self._list_prefixes() if source is None else ())
         now = time.monotonic()
@@ -127,6 +165,21 @@
     def handle_update(self, peer: str, message: StoreUpdate) -> None:
         """Apply changes that the followed gateway sent."""
         apply_store_update(self._view, message)
+        synced = self._view.mirror.get_synced(message.prefix)
+        if peer == self._source and message.age_ms >= 0 and synced >= message.version:
+            known_at = boot_time() - message.age_ms / 1000
+            self._freshness.confirm(message.prefix, known_at)
+
+    def handle_status(self, peer: str, status: FleetStatus) -> None:
+        """Take what is known here for as new as the source's, if it is the same."""
+        if peer != self._source:
+            return
+        known_at = boot_time() - status.data_age_ms / 1000
+        for prefix in self._list_prefixes():
+            synced = self._view.mirror.get_synced(prefix)
+            change = status.changes.get(prefix)
+            if synced and (not status.changes or _is_reached(synced, change)):
+                self._freshness.confirm(prefix, known_at)
 
     def handle_lost_peer(self, peer: str) -> None:
         """Stop sending changes to a peer."""
@@ -146,6 +199,18 @@
             if TARGET_PREFIX in positions
         ]
 
+    def _log_age(self) -> None:
+        """Log once that what is known here gets old, and that it is new again."""
+        age_s = self.data_age_s
+        is_stale = age_s >= STALE_AFTER_S
+        if is_stale != self._is_stale and self._source != "":
+            self._is_stale = is_stale
+            logger.log(
+                logging.WARNING if is_stale else logging.INFO,
+                "knowledge of the store is old" if is_stale else "knowledge is new",
+                extra={"age_ms": int(1000 * age_s), "source": self._source or "store"},
+            )
+
     def _list_prefixes(self) -> tuple[str, ...]:
         return (*PREFIXES, TARGET_PREFIX) if self._wants_targets else PREFIXES
 
@@ -156,7 +221,12 @@
             if prefix not in self._watchers:
                 pause_s = self._find_pause_s if prefix == TARGET_PREFIX else _no_pause
                 watcher = PrefixWatcher(
-                    self._store, prefix, self._view, self._store_health, pause_s
+                    self._store,
+                    prefix,
+                    self._view,
+                    self._store_health,
+                    self._freshness,
+                    pause_s,
                 )
                 self._watchers[prefix] = watcher
                 watcher.start()
@@ -171,12 +241,13 @@
 
     def _push(self, peers: list[str]) -> None:
         """Send peers what they lack; those at the same position get one message."""
+        age_ms = to_age_ms(self.data_age_s)
         behind: dict[tuple[str, int], list[str]] = defaultdict(list)
         for peer in peers:
             for prefix, position in self._followers[peer][1].items():
                 behind[prefix, position].append(peer)
         for (prefix, position), receivers in behind.items():
-            update = build_store_update(self._view.mirror, prefix, position)
+            update = build_store_update(self._view.mirror, prefix, position, age_ms)
             if update is None:
                 continue
             self._multicast(update, receivers)
@@ -185,7 +256,7 @@
 
 
 def build_store_update(
-    mirror: StoreMirror, prefix: str, after: int
+    mirror: StoreMirror, prefix: str, after: int, age_ms: int = -1
 ) -> StoreUpdate | None:
     """Return what a peer lacks that knows the changes up to a version; None if nothing.
 
@@ -209,6 +280,7 @@
             else tuple(RemovedItem(item.key, item.version) for item in change.deletions)
         ),
         is_complete,
+        age_ms,
     )
 
 
@@ -247,5 +319,9 @@
     return StoredEntry(item.key, item.version, value)
 
 
+def _is_reached(synced: int, change: int | None) -> bool:
+    return change is not None and synced >= change
+
+
 def _no_pause() -> float:
     return 0.0
--- a/waxwingpitch/gateway/peer_statuses.py
+++ b/waxwingpitch/gateway/peer_statuses.py
@@ -6,12 +6,13 @@
 
 from ..clocks import boot_time
 from ..mesh.fleet_messages import FleetStatus
+from .freshness import STALE_AFTER_S
 from .roster import Roster
 from .store_tasks import StoreHealth
 
 # Age after which a peer's status says nothing about the store or its weight loads.
 STATUS_TTL_S = 2.0
-# Age of the store's last answer from which what a peer knows of it is no longer fresh.
+# Age of the store's last answer to this process from which it is not read in vain.
 STORE_SILENT_AFTER_S = 2.0
 
 
@@ -52,23 +53,13 @@
         """Time since the store last answered this process."""
         return boot_time() - self._store_health.answered_at
 
-    def find_data_age_s(self, source: str | None) -> float:
-        """Return the age of what this process knows of the store.
-
-        Parameters
-        ----------
-        source
-            Gateway that it follows; None or empty if it reads the store.
-        """
-        if not source:
-            return self.store_age_s
-        known = self._statuses.get(source)
-        if known is None:
-            return 0.0
-        at, status = known
-        return status.data_age_ms / 1000 + boot_time() - at
-
-    def find_source(self, zones: Iterable[str], present: str | None) -> str | None:
+    def find_source(
+        self,
+        zones: Iterable[str],
+        present: str | None,
+        *,
+        failed: frozenset[str | None] = frozenset(),
+    ) -> str | None:
         """Return the gateway to follow; None to read the store, "" if not yet known.
 
         Parameters
@@ -77,24 +68,30 @@
             All zones, in the order in which their heads are followed.
         present
             Whom this process follows now.
+        failed
+            Whom it has followed in vain lately; None for the store.
         """
         name, zone = self._roster.local.name, self._roster.local.zone
         head = self._roster.find_head(zone)
         if head == name:
-            return self._find_source_of_head(zones, present)
+            return self._find_source_of_head(zones, present, failed)
         if head is None:
-            return ""
-        if self._is_in_touch(head):
+            return present
+        if head not in failed and self._is_in_touch(head):
             return head
         deputies = [item for item in self._roster.list_heads(zone) if item != head]
         if name in deputies:
-            return None
-        return next(filter(self._is_in_touch, deputies), head)
+            return self._find_source_of_head(zones, present, failed)
+        sound = (item for item in deputies if item not in failed)
+        return next(filter(self._is_in_touch, sound), None if head in failed else head)
 
     def _find_source_of_head(
-        self, zones: Iterable[str], present: str | None
+        self,
+        zones: Iterable[str],
+        present: str | None,
+        failed: frozenset[str | None],
     ) -> str | None:
-        is_answered = (
+        is_answered = None not in failed and (
             not self._store_health.failing or self.store_age_s < STORE_SILENT_AFTER_S
         )
         for zone in zones:
@@ -103,14 +100,15 @@
                     return None
                 continue
             head = self._roster.find_head(zone)
-            if head is not None and self._is_followable(head):
+            if head is not None and head not in failed and self._is_followable(head):
                 return head
             if head is None and present == "" and self._roster.may_have_head(zone):
                 return ""
         if is_answered:
             return None
         deputies = self._roster.list_heads(self._roster.local.zone)
-        return next(filter(self._is_followable, deputies), None)
+        sound = (item for item in deputies if item not in failed)
+        return next(filter(self._is_followable, sound), None)
 
     def _is_followable(self, peer: str) -> bool:
         """Return whether a peer's knowledge is fresh and does not come from here."""
@@ -126,4 +124,4 @@
         if known is None:
             return True  # linked just now
         at, status = known
-        return status.data_age_ms / 1000 + boot_time() - at < STORE_SILENT_AFTER_S
+        return status.data_age_ms / 1000 + boot_time() - at < STALE_AFTER_S
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -39,6 +39,7 @@
 from ..targets.records import Membership, MembershipReport, MemberState
 from .beliefs import GatewayView
 from .following import StoreFollower
+from .freshness import to_age_ms
 from .peer_statuses import PeerStatuses
 from .roster import KEPT_HOSTS, Roster
 from .shared_plans import SharedPlans
@@ -50,8 +51,6 @@
 # Interval of statuses while this gateway holds slots, whose progress others ask for.
 BUSY_STATUS_INTERVAL_S = 0.1
 DIAL_INTERVAL_S = 0.1
-# Largest age that a status tells.
-MAX_AGE_S = 600.0
 FRAME_BYTES = 4 * 1024 * 1024
 
 logger = logging.getLogger(__name__)
@@ -254,8 +253,8 @@
         for target in self.slots.client.list_leaving():
             leaving.setdefault(target, 0)
         common = FleetStatus(
-            store_age_ms=_to_ms(self.statuses.store_age_s) if calls_store else -1,
-            data_age_ms=_to_ms(self.statuses.find_data_age_s(self.follower.source)),
+            store_age_ms=to_age_ms(self.statuses.store_age_s) if calls_store else -1,
+            data_age_ms=to_age_ms(self.follower.data_age_s),
             weight_loads=self.plans.count_own_loads(),
             leaving=leaving,
             suspected=self.slots.owners.take_new_suspicions(),
@@ -266,6 +265,7 @@
             follows=self.follower.source or "",
             planned_groups=self.plans.list_own_groups(),
             is_cut=self.is_cut(),
+            changes=self.follower.list_changes(),
         )
         data = encode_message(common)
         is_head = self._roster.find_head(self._local.zone) == self._local.name
@@ -369,6 +369,7 @@
 
     def _handle_status(self, peer: str, message: FleetStatus, at: float) -> None:
         self.statuses.record(peer, message)
+        self.follower.handle_status(peer, message)
         self._roster.record_state(
             peer, is_ready=message.is_ready, is_stopping=message.is_stopping
         )
@@ -401,7 +402,3 @@
         heads = {self._roster.find_head(other) for other in self._settings.zones}
         others = heads - {None, self._local.name, sender}
         self._node.multicast(FleetNews(message.data, True), others)
-
-
-def _to_ms(age_s: float) -> int:
-    return int(1000 * min(MAX_AGE_S, max(0.0, age_s)))
--- a/waxwingpitch/gateway/roles.py
+++ b/waxwingpitch/gateway/roles.py
@@ -143,7 +143,9 @@
     def _follow_store(self, wants_targets: bool) -> None:
         """Read the store, or follow the one that this process should follow now."""
         source = self._peers.statuses.find_source(
-            self._zone_order, self._follower.source
+            self._zone_order,
+            self._follower.source,
+            failed=self._follower.list_failed_sources(),
         )
         if source != "":
             self._follower.follow(source, wants_targets=wants_targets)
--- a/waxwingpitch/gateway/store_tasks.py
+++ b/waxwingpitch/gateway/store_tasks.py
@@ -18,11 +18,15 @@
 from ..ports import KeyValueStore
 from ..task import PeriodicTask
 from .beliefs import GatewayView
+from .freshness import TIMELY_PREFIXES, Freshness
 
 WATCH_WAIT_S = 10.0
-# Wait of the first watch call, and of those while calls fail. A call that the store has
-# swallowed is only given up at its timeout.
-CAUTIOUS_WATCH_WAIT_S = 0.5
+# Wait of watch calls for what must be known in time, of the first one, and of those
+# while calls fail. A call that the store has swallowed is only given up at its timeout.
+SHORT_WATCH_WAIT_S = 0.5
+# Bounds of the time for which an answer is waited for beyond that.
+MIN_WATCH_MARGIN_S = 0.5
+MAX_WATCH_MARGIN_S = 3.0
 BACKOFF_MIN_S = 0.2
 BACKOFF_MAX_S = 1.0
 
@@ -84,13 +88,16 @@
         prefix: str,
         view: GatewayView,
         store_health: StoreHealth,
+        freshness: Freshness,
         pause_s: Callable[[], float],
     ):
         self._store = store
         self._prefix = prefix
         self._view = view
         self._store_health = store_health
+        self._freshness = freshness
         self._pause_s = pause_s
+        self._margin_s = MIN_WATCH_MARGIN_S
         self._is_proved = False
         self._greenlet: gevent.Greenlet | None = None
 
@@ -120,29 +127,45 @@
                 version = None
             except StoreError as exc:
                 self._store_health.record_failure(exc)
+                self._margin_s = min(MAX_WATCH_MARGIN_S, 2 * self._margin_s)
                 gevent.sleep(backoff_s * random.uniform(0.5, 1.0))
                 backoff_s = min(BACKOFF_MAX_S, backoff_s * 2)
 
     def _list(self) -> int:
+        started_at = boot_time()
         listed = self._store.list(self._prefix)
         self._store_health.record_answer()
         self._view.apply_list(self._prefix, listed)
         self._view.mirror.mark_synced(self._prefix, listed.version)
+        self._freshness.confirm(self._prefix, started_at)
         return listed.version
 
     def _watch(self, version: int) -> int:
         is_cautious = self._store_health.failing or not self._is_proved
-        wait_s = CAUTIOUS_WATCH_WAIT_S if is_cautious else WATCH_WAIT_S
-        change = self._store.watch(self._prefix, version, wait_s=wait_s)
+        is_short = is_cautious or self._prefix in TIMELY_PREFIXES
+        wait_s = SHORT_WATCH_WAIT_S if is_short else WATCH_WAIT_S
+        started_at = boot_time()
+        change = self._store.watch(
+            self._prefix, version, wait_s=wait_s, margin_s=self._margin_s
+        )
         self._is_proved = True
         self._store_health.record_answer()
         self._view.apply(change)
         self._view.mirror.mark_synced(self._prefix, change.version)
+        self._record_answer(started_at, wait_s)
         pause_s = self._pause_s()
         if pause_s > 0:
             gevent.sleep(pause_s)
         return max(version, change.version)
 
+    def _record_answer(self, started_at: float, wait_s: float) -> None:
+        """Take what is known for as old as the answer, if this process was paused."""
+        now, due_at = boot_time(), started_at + wait_s
+        self._freshness.confirm(self._prefix, min(now, due_at))
+        margin_s = 2 * (now - due_at)
+        if margin_s > 0:
+            self._margin_s = min(MAX_WATCH_MARGIN_S, max(MIN_WATCH_MARGIN_S, margin_s))
+
 
 class LeaseKeeper(PeriodicTask):
     """Keeps a lease of this process while one is needed.
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -232,8 +232,7 @@
         Time since the store last answered the sender itself; negative if it does not
         call the store.
     data_age_ms
-        Time since the store last answered the one that the sender's knowledge of it
-        comes from.
+        Age of what the sender knows of the store.
     weight_loads
         Number of loads of model weights in progress that the sender started.
     leaving
@@ -254,6 +253,9 @@
         Groups that the sender's planners are forming.
     is_cut
         Whether the sender presumes its links to all targets lost.
+    changes
+        Versions of the last changes that the sender knows below the prefixes that it
+        keeps; empty from a version that does not send them.
     """
 
     store_age_ms: int
@@ -269,6 +271,7 @@
     planned_groups: tuple[PlannedGroupsItem, ...] = ()
     sent: tuple[SentItem, ...] = ()
     is_cut: bool = False
+    changes: dict[str, int] = {}
 
 
 class Subscription(MeshMessage, tag=37):
@@ -305,6 +308,9 @@
         Versions between which the changes are complete.
     complete
         Whether the items are all that the store holds below the prefix.
+    age_ms
+        Age of what the sender knows of the store; negative from a version that does
+        not send it.
     """
 
     prefix: str
@@ -313,6 +319,7 @@
     items: tuple[StoredItem, ...]
     removed: tuple[RemovedItem, ...]
     complete: bool
+    age_ms: int = -1
 
 
 class FleetNews(MeshMessage, tag=39):
--- a/waxwingpitch/platform/store.py
+++ b/waxwingpitch/platform/store.py
@@ -75,7 +75,11 @@
 
     def __init__(self, address: str, *, timeout_s: float = CALL_TIMEOUT_S):
         self.on_call: Callable[[str], None] = lambda kind: None
-        self._client = HttpClient(f"http://{address}", max_body_bytes=MAX_ANSWER_BYTES)
+        self._client = HttpClient(
+            f"http://{address}",
+            max_body_bytes=MAX_ANSWER_BYTES,
+            keeps_idle_on_timeout=False,
+        )
         self._timeout_s = timeout_s
         self._era = 0
 
@@ -136,13 +140,15 @@
                 return StoredChange(version, tuple(entries))
             after = page.items[-1].key
 
-    def watch(self, prefix: str, after: int, *, wait_s: float) -> StoredChange:
+    def watch(
+        self, prefix: str, after: int, *, wait_s: float, margin_s: float | None = None
+    ) -> StoredChange:
         query = {
             "path_prefix": prefix,
             "after": self._find_watch_position(after),
             "wait_ms": int(wait_s * 1000),
         }
-        timeout_s = wait_s + WATCH_MARGIN_S
+        timeout_s = wait_s + (WATCH_MARGIN_S if margin_s is None else margin_s)
         resp, era = self._read("/waxwingpitch/kv-watch", query, timeout_s)
         if resp.status == 410 or era != get_era(after):
             raise StoreHistoryLostError(
--- a/waxwingpitch/ports/common.py
+++ b/waxwingpitch/ports/common.py
@@ -107,10 +107,14 @@
         """Return all entries whose key starts with a prefix."""
 
     @abstractmethod
-    def watch(self, prefix: str, after: int, *, wait_s: float) -> StoredChange:
+    def watch(
+        self, prefix: str, after: int, *, wait_s: float, margin_s: float | None = None
+    ) -> StoredChange:
         """Wait for changes of keys with a prefix that are later than a version.
 
-        Returns after ``wait_s`` seconds at the latest, then without changes.
+        Returns after ``wait_s`` seconds at the latest, then without changes. The
+        answer is waited for ``margin_s`` seconds longer; by default as long as suits
+        the service.
         """
 
     @abstractmethod
--- a/waxwingpitch/ports/http.py
+++ b/waxwingpitch/ports/http.py
@@ -58,6 +58,9 @@
         Number of idle connections to keep.
     max_body_bytes
         Largest body that is read; a longer one counts as a lost connection.
+    keeps_idle_on_timeout
+        Whether idle connections are kept when a response has not come in time. They
+        may be silent too.
     """
 
     def __init__(
@@ -66,9 +69,11 @@
         *,
         connections: int = POOL_CONNECTIONS,
         max_body_bytes: int = MAX_BODY_BYTES,
+        keeps_idle_on_timeout: bool = True,
     ):
         self._base_url = base_url.rstrip("/")
         self._max_body_bytes = max_body_bytes
+        self._keeps_idle_on_timeout = keeps_idle_on_timeout
         self._pool = urllib3.PoolManager(num_pools=2, maxsize=connections, block=False)
 
     def send(
@@ -135,6 +140,8 @@
         except (NewConnectionError, ConnectTimeoutError) as exc:
             raise NotSentError(f"{self._base_url}: {exc}") from exc
         except ReadTimeoutError as exc:
+            if not self._keeps_idle_on_timeout:
+                self.close()
             raise ResponseTimeoutError(
                 f"{self._base_url}: no response in {timeout_s:.2f} s"
             ) from exc
--- a/waxwingpitch/ports/store_http.py
+++ b/waxwingpitch/ports/store_http.py
@@ -54,9 +54,11 @@
         query = urlencode({"prefix": prefix})
         return _decode_change(self._read(f"/v1/list?{query}").data)
 
-    def watch(self, prefix: str, after: int, *, wait_s: float) -> StoredChange:
+    def watch(
+        self, prefix: str, after: int, *, wait_s: float, margin_s: float | None = None
+    ) -> StoredChange:
         query = urlencode({"prefix": prefix, "after": after, "wait_s": wait_s})
-        timeout_s = wait_s + WATCH_MARGIN_S
+        timeout_s = wait_s + (WATCH_MARGIN_S if margin_s is None else margin_s)
         return _decode_change(self._read(f"/v1/watch?{query}", timeout_s).data)
 
     def grant_lease(self, ttl_s: float) -> str:
--- a/waxwingpitch/tests/fakes.py
+++ b/waxwingpitch/tests/fakes.py
@@ -81,7 +81,9 @@
         found = (e for e in self.entries.values() if e.key.startswith(prefix))
         return StoredChange(self.version, tuple(found))
 
-    def watch(self, prefix: str, after: int, *, wait_s: float) -> StoredChange:
+    def watch(
+        self, prefix: str, after: int, *, wait_s: float, margin_s: float | None = None
+    ) -> StoredChange:
         return self.list(prefix)
 
     def grant_lease(self, ttl_s: float) -> str:
