Deny no key or route that a newer configuration may have

Callers with a key or route of a confirmed configuration got 401 or 404, which say that nobody has it, from a gateway whose knowledge was old.

Asking a peer or the store at each unknown key was ruled out: probes of routes that never existed would each cost a read, and the age tells whether it is needed.

--- a/waxwingpitch/errors.py
+++ b/waxwingpitch/errors.py
@@ -42,6 +42,7 @@
     SUSPECT_BLOCKED = 2007
     RETRY_BUDGET_EXHAUSTED = 2008
     SUSPECT_ON_TRIAL = 2009
+    CONFIGURATION_OUTDATED = 2010
     ANSWER_INCOMPLETE = 3001
     OUTCOME_UNKNOWN = 3002
     IN_PROGRESS_ELSEWHERE = 3003
@@ -134,6 +135,9 @@
     ResultCode.SUSPECT_ON_TRIAL: ResultInfo(
         503, Ran.NO, "Send it again after Retry-After; a like request is on trial."
     ),
+    ResultCode.CONFIGURATION_OUTDATED: ResultInfo(
+        503, Ran.NO, "Send it again after Retry-After; operators: see 'dump'."
+    ),
     ResultCode.ANSWER_INCOMPLETE: ResultInfo(
         502, Ran.YES, "Discard the pieces received and send the request again."
     ),
--- a/waxwingpitch/gateway/routed.py
+++ b/waxwingpitch/gateway/routed.py
@@ -14,10 +14,12 @@
 from ..requests.suspects import fingerprint_request
 from ..routing.routes import choose_service
 from .beliefs import GatewayView
+from .freshness import OUTDATED_AFTER_S
 
 # Margin before the caller's own deadline by which the final answer is sent.
 ANSWER_MARGIN_S = 0.03
-# Retry-After of requests that arrive before a configuration is known.
+# Retry-After of requests that arrive before a configuration is known, or while there
+# may be a newer one.
 STARTUP_RETRY_AFTER_S = 0.5
 # A caller is assumed to abandon a stream that delivers nothing for the longest of: this
 # time, and these multiples of the route's objectives for the first event and a gap.
@@ -102,7 +104,7 @@
     ------
     RequestError
         No configuration is known yet, there is no such route, or the request's key
-        is unknown.
+        is unknown; the last two are not said if there may be a newer configuration.
     """
     request = read_request_id(req)
     table = view.route_table
@@ -115,6 +117,7 @@
     host = (req.find(b"host") or b"").decode("latin-1")
     route = table.find(host, req.path.decode("latin-1"))
     if route is None:
+        _check_age(view)
         raise RequestError(ResultCode.NOT_FOUND, "no such route")
     workspace, priority = _authenticate(req, route, view)
     caller_timeout_ms = _read_number(
@@ -153,6 +156,7 @@
     owner = keys.get(_read_key(req))
     if owner is None:
         if not route.public:
+            _check_age(view)
             raise RequestError(ResultCode.UNAUTHENTICATED, "unknown key")
         return None, route.priority
     if owner.priority is None:
@@ -160,6 +164,16 @@
     return owner.workspace, owner.priority
 
 
+def _check_age(view: GatewayView) -> None:
+    """Raise if a newer configuration than the known one may have been confirmed."""
+    if view.find_age_s() >= OUTDATED_AFTER_S:
+        raise RequestError(
+            ResultCode.CONFIGURATION_OUTDATED,
+            "there may be a newer configuration than the one known here",
+            retry_after_s=STARTUP_RETRY_AFTER_S,
+        )
+
+
 def _read_key(req: CallerRequest) -> str:
     value = req.find(HeaderNames.AUTHORIZATION) or b""
     if not value.startswith(BEARER_PREFIX):
