Take only a refusal that names the request for proof that it did not run

Cause: what identifies an answer. One that names no request counted as the current one's if it was no success; and a request that is sent once more to a target that refused it has the same id as that refusal, so that on the same connection the copy can't be told from a new one. Now an answer without an id is skipped on a connection that has carried another request, a request is not sent on a connection on which it was refused, and one without an id gets a new connection.

--- a/waxwingpitch/forwarding/exchange.py
+++ b/waxwingpitch/forwarding/exchange.py
@@ -32,12 +32,23 @@
 
 
 def send_request(
-    pool: ConnectionPool, address: str, data: bytes, *, timeout_s: float
+    pool: ConnectionPool,
+    address: str,
+    data: bytes,
+    *,
+    timeout_s: float,
+    request: str | None = None,
 ) -> TargetConnection:
     """Send a request over an idle connection of the pool, or over a new one.
 
     An idle connection on which nothing could be sent is replaced by a new one.
 
+    Parameters
+    ----------
+    request
+        Id that the answer names; empty if the caller sent none, None for calls whose
+        answers name no request.
+
     Raises
     ------
     UnreachableError
@@ -45,7 +56,7 @@
     TargetBrokenError
         A part of the request may have been sent.
     """
-    conn = pool.acquire(address, time.monotonic())
+    conn = pool.acquire(address, time.monotonic(), request)
     if conn is not None:
         try:
             conn.send(data)
--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -29,6 +29,8 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 READ_BYTES = 65536
 SEND_TIMEOUT_S = 2.0
+# Refused requests that are remembered for a connection before it is closed.
+MAX_REFUSED = 64
 # Body of an answer to an earlier request, which is skipped.
 MAX_FOREIGN_BYTES = 1024 * 1024
 
@@ -90,6 +92,7 @@
         self.idle_until = 0.0
         self.is_reused = False
         self._peer_closed = False
+        self._refused: set[str] = set()
 
     def send(self, data: bytes) -> None:
         """Send a complete request.
@@ -113,6 +116,14 @@
         except OSError as exc:
             raise TargetBrokenError(f"{self.address}: {exc}") from exc
 
+    def record_refusal(self, request: str) -> None:
+        """Record that the target refused a request here; it may say so again later."""
+        self._refused.add(request)
+
+    def identifies(self, request: str | None) -> bool:
+        """Return whether an answer to a request can't be taken for an earlier one."""
+        return request is None or (request != "" and request not in self._refused)
+
     def read_head(self, deadline: float) -> AnswerHead:
         """Return the head of the answer, waiting for it until the deadline."""
         while self._reader.head is None:
@@ -170,6 +181,7 @@
             and reader.keep_alive
             and not reader.has_surplus_bytes
             and not self._peer_closed
+            and len(self._refused) < MAX_REFUSED
         )
 
     def has_stayed_idle(self) -> bool:
@@ -243,11 +255,20 @@
         self._idle: dict[str, list[TargetConnection]] = defaultdict(list)
         self.opened = 0
 
-    def acquire(self, address: str, now: float) -> TargetConnection | None:
-        """Remove and return a usable idle connection, or None if there is none."""
+    def acquire(
+        self, address: str, now: float, request: str | None = None
+    ) -> TargetConnection | None:
+        """Remove and return a usable idle connection, or None if there is none.
+
+        Parameters
+        ----------
+        request
+            Id of the request to send; one that was refused on a connection is not
+            sent there again. See :meth:`TargetConnection.identifies`.
+        """
         idle = self._idle[address]
-        while idle:
-            conn = idle.pop()
+        for conn in [item for item in reversed(idle) if item.identifies(request)]:
+            idle.remove(conn)
             if conn.idle_until > now and conn.has_stayed_idle():
                 return conn
             conn.close()
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -106,6 +106,7 @@
                 self._pool,
                 replica.address,
                 data,
+                request=ctx.id,
                 timeout_s=ctx.deadline - time.monotonic(),
             )
         except UnreachableError as exc:
@@ -119,6 +120,8 @@
                 outcome = self._relay_stream(ctx, resp, attempts, slot, conn)
             else:
                 outcome = self._relay_call(ctx, resp, attempts, slot, conn)
+            if isinstance(outcome, NotRun):
+                conn.record_refusal(ctx.id)
             is_reusable = conn.is_complete
         except TargetOversizedError as exc:
             self._metrics.count_oversized_answer()
@@ -191,14 +194,20 @@
         for _ in range(MAX_FOREIGN_ANSWERS):
             head = conn.read_head(until)
             echoed = head.find(HeaderNames.REQUEST_ID)
-            if echoed is None and conn.is_reused and head.status < 300:
+            answered = None if echoed is None else echoed.decode("latin-1")
+            if answered is None and conn.is_reused and head.status < 300:
                 raise TargetBrokenError(f"{replica.id}: answer names no request")
-            if echoed is None or echoed.decode("latin-1") == ctx.id:
+            if answered == ctx.id or (answered is None and not conn.is_reused):
                 self._notices.read(slot, head, time.monotonic())
                 return head
             logger.warning(
                 "answer to another request dropped",
-                extra={"request": ctx.id, "answered": echoed.decode("latin-1")},
+                extra={
+                    "request": ctx.id,
+                    "answered": answered,
+                    "target": replica.id,
+                    "status": head.status,
+                },
             )
             conn.skip_answer(until)
         raise TargetBrokenError(f"{replica.id}: only answers to other requests")
--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -595,7 +595,7 @@
         request = headers.get("attempt-id", "")
         faults = self.targets[target].faults
         if headers.get("expect-instance", target) != target:
-            _send(sock, 421, {"Instance-Id": target})
+            _send(sock, 421, {"Instance-Id": target, "Attempt-Id": request})
         elif path == "/waxwingpitch/report":
             report = {"seq": self._orders[target]}
             if target in self.fleet.targets:
@@ -655,7 +655,7 @@
         place = item.record.membership
         if place is None or place.rank != 0 or place.state is not MemberState.OPEN:
             self.misdirected[target] += 1
-            _send(sock, 421, {"Not-Executed": "1"})
+            _send(sock, 421, {"Not-Executed": "1", "Attempt-Id": request})
             return
         members = item.members
         self.sends.append((time.monotonic(), request))
--- /dev/null
+++ b/waxwingpitch/tests/test_refusals.py
@@ -0,0 +1,83 @@
+"""Refusals as not run, which promise that a call neither ran nor will run."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import gevent
+import pytest
+
+from .gateway_client import call, start_gateway, wait_for
+from .plain_target import PlainFaults, PlainTarget
+from .platform_standin import PlatformFake
+
+PROMISES = (408, 421, 429, 503)
+
+
+@pytest.fixture
+def platform():
+    platform = PlatformFake(plain=0)
+    platform.configure()
+    yield platform
+    platform.stop()
+
+
+@pytest.fixture
+def runs():
+    return Counter()
+
+
+@pytest.fixture
+def gateway(platform):
+    daemon = start_gateway(platform.store.address)
+    yield daemon
+    daemon.stop()
+
+
+@pytest.fixture
+def targets(platform, gateway, runs):
+    targets = [PlainTarget(f"real-{n}", runs, seed=n) for n in range(2)]
+    for target in targets:
+        platform.store.write(f"servers/{target.id}", target.describe())
+    wait_for(lambda: len(gateway.view.find_replicas("plain", "")) == 2)
+    yield targets
+    for target in targets:
+        target.stop()
+
+
+def list_broken_promises(statuses: dict[str, int], runs: Counter) -> list[str]:
+    """Return the calls that ran twice, or ran and were refused as not run."""
+    return [
+        request
+        for request, status in statuses.items()
+        if runs[request] > 1 or (runs[request] and status in PROMISES)
+    ]
+
+
+def call_many(front, count: int, at_once: int) -> dict[str, int]:
+    """Make calls that may run once each, and return their statuses by id."""
+    statuses = {}
+
+    def _call(first: int) -> None:
+        for number in range(first, count, at_once):
+            try:
+                answer = call(front, "/file/x", f"call-{number}", deadline_ms=1500)
+            except (OSError, IndexError):
+                statuses[f"call-{number}"] = 0
+            else:
+                statuses[f"call-{number}"] = answer.status
+
+    gevent.joinall([gevent.spawn(_call, first) for first in range(at_once)])
+    return statuses
+
+
+@pytest.mark.parametrize("unnamed", [0.0, 1.0])
+def test_refusal_that_is_repeated_on_a_kept_connection_is_no_proof_of_not_run(
+    gateway, targets, runs, unnamed
+):
+    for target in targets:
+        target.faults = PlainFaults(refuse=0.4, repeat_refusal=1.0, unnamed=unnamed)
+    statuses = call_many(gateway.settings.front, 200, 4)
+    assert list_broken_promises(statuses, runs) == []
+    served = [status for status in statuses.values() if status == 200]
+    assert len(served) > 0.8 * len(statuses)
