Let a peer show that it has links before its word ends a target

Cause: a gateway asks the peers of its zone first and takes two that don't reach a target as evidence that it is gone. Cut peers that have not noticed it say so too; nothing is relayed, so nobody presumes its links lost, and that goes on for as long as the cut. Class: evidence from a host whose own view is wrong.

--- a/waxwingpitch/forwarding/relay.py
+++ b/waxwingpitch/forwarding/relay.py
@@ -49,9 +49,9 @@
     OPEN
         The connection to the target is open.
     UNREACHED
-        The relay can't open one, though it reaches other targets.
+        The relay can't open one, though it has just reached another target.
     UNABLE
-        The relay reaches no targets itself, is busy, or knows no such target.
+        The relay does not reach another target either, is busy, or knows no such one.
     """
 
     OPEN = b"open\n"
@@ -70,6 +70,8 @@
         Returns whether this host passes bytes on to a target, given its address.
     is_cut
         Returns whether this host's own links to targets are presumed lost.
+    reaches_another
+        Returns whether a target other than the given address can be reached now.
     """
 
     def __init__(
@@ -77,10 +79,12 @@
         open_socket: Callable[[str, float], socket.socket],
         may_relay: Callable[[str], bool],
         is_cut: Callable[[], bool],
+        reaches_another: Callable[[str], bool],
     ):
         self._open_socket = open_socket
         self._may_relay = may_relay
         self._is_cut = is_cut
+        self._reaches_another = reaches_another
         self._server: StreamServer | None = None
         self.relayed = 0
 
@@ -117,11 +121,17 @@
         try:
             return RelayAnswer.OPEN, self._open_socket(address, OPEN_TIMEOUT_S)
         except (OSError, ValueError) as exc:
+            has_links = self._reaches_another(address)
             logger.info(
                 "target not reached for a peer",
-                extra={"address": address, "reason": str(exc)},
+                extra={
+                    "address": address,
+                    "reason": str(exc),
+                    "reaches_another": has_links,
+                },
             )
-            return RelayAnswer.UNREACHED, None
+            answer = RelayAnswer.UNREACHED if has_links else RelayAnswer.UNABLE
+            return answer, None
 
     def _relay(self, sock: socket.socket, target: socket.socket) -> None:
         self.relayed += 1
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -35,7 +35,7 @@
 from .planning import ZonePlanner
 from .probing import fetch_report
 from .registration import Registration
-from .relays import RelayChooser
+from .relays import LinkCheck, RelayChooser
 from .roles import Roles
 from .roster import Roster
 from .serving import RequestServer
@@ -110,6 +110,10 @@
             lambda address, timeout_s: self.pool.open_socket(address, timeout_s),
             self._may_relay,
             lambda: self.pool.links.is_cut,
+            LinkCheck(
+                lambda address, timeout_s: self.pool.open_socket(address, timeout_s),
+                lambda: (item.record.address for item in self.view.iter_targets()),
+            ).reaches_another,
         )
         self.slots = SlotTask(
             self.roster,
--- a/waxwingpitch/gateway/relays.py
+++ b/waxwingpitch/gateway/relays.py
@@ -1,11 +1,14 @@
-"""Ways to targets through peers, for when this gateway lost its own links to them."""
+"""Ways to targets through peers, for when a gateway lost its own links to them."""
 
 from __future__ import annotations
 
 import logging
 import random
+import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+
+from gevent.lock import BoundedSemaphore
 
 from ..forwarding.relay import (
     RelayAnswer,
@@ -25,9 +28,60 @@
 # Time for which a peer that could not relay is asked after all others.
 UNABLE_TTL_S = 1.0
 
+# Targets that are tried to tell whether this gateway has links, the time for each, and
+# the time for which the result holds.
+TRIED_TARGETS = 2
+TRY_TIMEOUT_S = 0.04
+TRIED_TTL_S = 0.3
+
 logger = logging.getLogger(__name__)
 
 
+class LinkCheck:
+    """Tells a target that has ended from links that this gateway has lost.
+
+    Parameters
+    ----------
+    open_socket
+        Opens a socket to a target, given its address and a timeout in seconds.
+    list_addresses
+        Returns the addresses of all listed targets.
+    """
+
+    def __init__(
+        self,
+        open_socket: Callable[[str, float], socket.socket],
+        list_addresses: Callable[[], Iterable[str]],
+    ):
+        self._open_socket = open_socket
+        self._list_addresses = list_addresses
+        self._lock = BoundedSemaphore()
+        self._reached = ""
+        self._tried_at = -TRIED_TTL_S
+
+    def reaches_another(self, address: str) -> bool:
+        """Return whether a target other than that at an address is reached now."""
+        with self._lock:
+            if time.monotonic() - self._tried_at >= TRIED_TTL_S:
+                self._reached = self._find_reached(address)
+                self._tried_at = time.monotonic()
+            return self._reached not in ("", address)
+
+    def _find_reached(self, address: str) -> str:
+        others = [item for item in set(self._list_addresses()) if item != address]
+        for other in random.sample(others, min(TRIED_TARGETS, len(others))):
+            try:
+                self._open_socket(other, TRY_TIMEOUT_S).close()
+            except (OSError, ValueError) as exc:
+                logger.info(
+                    "target not reached to check the own links",
+                    extra={"address": other, "reason": str(exc)},
+                )
+            else:
+                return other
+        return ""
+
+
 class RelayChooser:
     """Asks peers for connections to targets, the last that could first.
 
--- a/waxwingpitch/tests/test_links.py
+++ b/waxwingpitch/tests/test_links.py
@@ -22,7 +22,7 @@
     ask_relay,
 )
 from ..forwarding.targets import open_socket
-from ..gateway.relays import MAX_ASKED, RelayChooser
+from ..gateway.relays import MAX_ASKED, LinkCheck, RelayChooser
 from ..slots import EntryHost
 from ..targets.links import LOST_TTL_S, LinkBook
 from .gateway_client import find_port, wait_for
@@ -101,6 +101,7 @@
             "open_socket": open_socket,
             "may_relay": lambda address: True,
             "is_cut": lambda: False,
+            "reaches_another": lambda address: True,
         }
         port = find_port()
         listener = RelayListener(**{**parts, **changes})
@@ -205,6 +206,30 @@
     assert pool.links.list_lost() == []
 
 
+def test_peer_that_reaches_no_other_target_either_can_not_tell(relays):
+    relay = relays(reaches_another=lambda address: False)
+    closed = f"127.0.0.1:{find_port()}"
+    assert ask_relay(relay, closed, 1.0) == (RelayAnswer.UNABLE, None)
+
+
+def test_own_links_are_checked_by_another_target_than_the_one_not_reached():
+    reached = {"t1:1": False, "t2:1": True}
+    tried = []
+
+    def _open(address, timeout_s):
+        tried.append(address)
+        if not reached[address]:
+            raise ConnectionRefusedError("Connection refused")
+        return socket.socket()
+
+    check = LinkCheck(_open, lambda: reached)
+    assert check.reaches_another("t1:1")
+    assert tried == ["t2:1"]
+    check = LinkCheck(_open, lambda: reached)
+    assert not check.reaches_another("t2:1")
+    assert not LinkCheck(_open, lambda: ["t1:1"]).reaches_another("t1:1")
+
+
 @pytest.mark.parametrize("line", [b"", b"x" * 200, b"\xff\n", b"no address\n"])
 def test_malformed_line_does_not_stop_a_relay(relays, line):
     relay = relays()
--- a/waxwingpitch/tests/test_lost_links.py
+++ b/waxwingpitch/tests/test_lost_links.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 
 import gevent
 import pytest
 
+from ..gateway import GatewayDaemon
 from ..groups.orders_to_targets import Leave, Open
 from ..platform import load_platform_settings
 from .fleet_fake import PAIR, QUAD
-from .gateway_client import call, chat, count_replicas, start_gateway, wait_for
+from .gateway_client import (
+    build_settings,
+    call,
+    chat,
+    count_replicas,
+    start_gateway,
+    wait_for,
+)
 from .link_faults import LinkFault, TargetLinks
 from .test_process_gateway import SETTINGS
 
@@ -156,3 +165,35 @@
     path.write_text(text.format(front=1, ready=2, store="127.0.0.1:3"))
     loaded = load_platform_settings(str(path)).relay
     assert (loaded and str(loaded)) == relay
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_callers_are_served_while_all_gateways_of_a_zone_lost_their_links(
+    platform, fault
+):
+    daemons = []
+    for number, zone in enumerate("zzzy"):
+        settings = build_settings(platform.store.address, f"gw-{number}", zone)
+        daemons.append(GatewayDaemon(replace(settings, zones=("z", "y"))))
+        daemons[-1].start()
+    try:
+        for daemon in daemons[:3]:
+            wait_for(lambda: count_replicas(daemon, PAIR.name) >= 3)
+            wait_for(lambda: len(daemon.dump()["peers"]) == 3)
+            assert ask(daemon, f"before-{daemon.settings.name}")
+            TargetLinks(daemon).cut(fault)
+        callers = [
+            gevent.spawn(ask, daemon, f"early-{daemon.settings.name}-{n}")
+            for daemon in daemons[:3]
+            for n in range(8)
+        ]
+        gevent.sleep(CONTACT_S)
+        served = []
+        for daemon in daemons[:3]:
+            served += ask_at_once(daemon, f"late-{daemon.settings.name}")
+        assert served.count(True) >= len(served) - 1
+        gevent.joinall(callers)
+        assert max(platform.runs.values()) == 1
+    finally:
+        for daemon in daemons:
+            daemon.stop()
--- a/waxwingpitch/tests/test_refusals.py
+++ b/waxwingpitch/tests/test_refusals.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
+from dataclasses import fields
 
 import gevent
 import pytest
@@ -81,3 +83,30 @@
     assert list_broken_promises(statuses, runs) == []
     served = [status for status in statuses.values() if status == 200]
     assert len(served) > 0.8 * len(statuses)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_calls_run_once_and_are_not_refused_once_run_whatever_targets_do(
+    gateway, targets, runs, seed
+):
+    draw = random.Random(seed)
+    for target in targets:
+        target.faults = PlainFaults(
+            *(draw.choice((0.0, 0.02, 0.2)) for _ in fields(PlainFaults))
+        )
+        target.slots = draw.choice((1, 2, 6))
+        target.queue = draw.choice((1, 6, 30))
+        target.work_s = draw.choice((0.01, 0.05, 0.2))
+
+    def _restart_in_turn() -> None:
+        while True:
+            gevent.sleep(draw.uniform(0.2, 1.5))
+            draw.choice(targets).restart(draw.uniform(0.0, 0.3))
+
+    restarts = gevent.spawn(_restart_in_turn)
+    try:
+        statuses = call_many(gateway.settings.front, 600, 30)
+    finally:
+        restarts.kill()
+    assert list_broken_promises(statuses, runs) == []
+    assert 200 in statuses.values()
