Decode what others write within bounds, in one place

Cause: the decoder's own errors (RecursionError for 100,000 nested arrays, OverflowError for a port of 99999 at the connect) were not among those expected, and numbers had no range: a capacity of 400 digits or of -3 was taken as sound. decoding.py now decodes JSON of targets, operators, entry hosts and the store with one error for malformed, too deeply nested and out-of-range input; ports, capacities, epochs, times and counts have ranges.

--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 
+from ..decoding import parse_address
 from ..targets.links import LinkBook
 from .answers import AnswerHead
 from .parsing import AnswerReader, OversizedAnswerError
@@ -56,7 +57,7 @@
 
 def open_socket(address: str, timeout_s: float) -> socket.socket:
     """Open a socket to ``IP:port``; OSError or ValueError if that fails."""
-    host, _, port = address.rpartition(":")
+    host, port = parse_address(address)
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -64,7 +65,7 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
         )
         sock.settimeout(timeout_s)
-        sock.connect((host, int(port)))
+        sock.connect((host, port))
     except BaseException:
         sock.close()
         raise
--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -342,7 +342,9 @@
         try:
             record = decode_target_record(key, entry.value)
         except ValueError as exc:
-            logger.warning("entry names no target", extra={"reason": str(exc)})
+            logger.warning(
+                "entry names no target", extra={"key": key, "reason": str(exc)}
+            )
             self.targets.pop(target, None)
             if known is not None:
                 self._replicas.mark_dirty(known.record.zone)
--- a/waxwingpitch/gateway/host_records.py
+++ b/waxwingpitch/gateway/host_records.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..decoding import MalformedInputError, decode_json, parse_address
 from ..slots import EntryHost
 
 HOST_PREFIX = "waxwingpitch/hosts/"
@@ -31,8 +32,11 @@
 def decode_host(name: str, data: bytes) -> EntryHost | None:
     """Decode the record of an entry host; None if it is malformed."""
     try:
-        record = msgspec.json.decode(data, type=_HostRecord)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        record = decode_json(data, _HostRecord)
+        parse_address(record.address)
+        if record.relay:
+            parse_address(record.relay)
+    except MalformedInputError as exc:
         logger.warning(
             "record names no entry host", extra={"host": name, "reason": str(exc)}
         )
--- a/waxwingpitch/platform/documents.py
+++ b/waxwingpitch/platform/documents.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import msgspec
 
 from ..configuration.routes import (
@@ -17,6 +15,7 @@
     ServiceShare,
     ServiceSpec,
 )
+from ..decoding import Count, DurationMs, Number, decode_json, parse_address
 from ..errors import ConfigurationError
 from ..targets.records import Membership, MemberState, TargetRecord
 
@@ -111,8 +110,8 @@
 
 class _GroupMembership(msgspec.Struct):
     name: str
-    epoch: int
-    rank: int
+    epoch: Number
+    rank: Count
     state: MemberState
 
 
@@ -124,15 +123,15 @@
     service: str
     address: str
     zone: str
-    capacity: int
+    capacity: Count
     state: str
-    cold_left_ms: float = 0.0
-    fault_domain: Any = ""
-    staged: list[Any] = []
+    cold_left_ms: DurationMs = 0.0
+    fault_domain: str | Number | None = ""
+    staged: list[str | _EntryModel] = []
     models: list[_EntryModel] = []
     group: _GroupMembership | None = None
-    born: int = 0
-    seq: int = 0
+    born: Number = 0
+    seq: Number = 0
 
 
 def decode_routed_configuration(data: bytes) -> RoutedConfiguration:
@@ -144,7 +143,7 @@
         The bytes are not a valid configuration.
     """
     try:
-        document = msgspec.json.decode(data, type=_Configuration)
+        document = decode_json(data, _Configuration)
         return RoutedConfiguration(
             version=document.version,
             routes=tuple(map(_convert_route, document.routes)),
@@ -152,7 +151,7 @@
             limits=_convert_limits(document.limits),
             keys=_convert_keys(document.tenants),
         )
-    except (msgspec.MsgspecError, KeyError) as exc:
+    except (ValueError, KeyError) as exc:
         raise ConfigurationError(f"configuration: {exc}") from exc
 
 
@@ -164,10 +163,8 @@
     ValueError
         The entry is malformed, or its state is neither ready nor draining.
     """
-    try:
-        entry = msgspec.json.decode(data, type=_TargetEntry)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise ValueError(f"{key}: {exc}") from exc
+    entry = decode_json(data, _TargetEntry)
+    parse_address(entry.address)
     if entry.state not in ("ready", "draining"):
         raise ValueError(f"{key}: state {entry.state!r}; valid: ready, draining")
     group = entry.group
@@ -179,8 +176,10 @@
         capacity=entry.capacity,
         leaving=entry.state == "draining",
         cold_s=entry.cold_left_ms / 1000,
-        domain=str(entry.fault_domain),
-        staged=tuple(_read_staged_name(item) for item in entry.staged),
+        domain="" if entry.fault_domain is None else str(entry.fault_domain),
+        staged=tuple(
+            item if isinstance(item, str) else item.name for item in entry.staged
+        ),
         model=entry.models[0].name if entry.models else "",
         membership=(
             None
@@ -281,7 +280,3 @@
         for tenant in tenants
         for key in tenant.api_keys
     }
-
-
-def _read_staged_name(item: Any) -> str:
-    return str(item.get("name", "")) if isinstance(item, dict) else str(item)
--- a/waxwingpitch/platform/orders.py
+++ b/waxwingpitch/platform/orders.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..decoding import Count, Number, decode_json
 from ..groups.orders_to_targets import Close, Join, Leave, Open, Order, Stage
 from ..targets.records import Membership, MembershipReport, MemberState
 
@@ -52,8 +53,8 @@
 
 class _GroupMembership(msgspec.Struct):
     name: str = ""
-    epoch: int = 0
-    rank: int = 0
+    epoch: Number = 0
+    rank: Count = 0
     state: MemberState | None = None
 
 
@@ -62,7 +63,7 @@
 
 
 class _Report(msgspec.Struct):
-    seq: int = 0
+    seq: Number = 0
     pace: float = 1.0
     group: _GroupMembership | None = None
     models: list[_Model] = []
@@ -71,7 +72,7 @@
 
 def decode_report(data: bytes) -> MembershipReport:
     """Decode a target's report; ValueError if it is malformed."""
-    report = msgspec.json.decode(data, type=_Report)
+    report = decode_json(data, _Report)
     group = report.group
     member = None
     if group is not None and group.name and group.state is not None:
--- a/waxwingpitch/platform/store.py
+++ b/waxwingpitch/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..agreed.versions import combine_version, get_era, get_revision
+from ..decoding import MalformedInputError, decode_json
 from ..errors import (
     StoreAnswerLostError,
     StoreConflictError,
@@ -262,8 +263,8 @@
 
 def _decode(data: bytes, struct_type):
     try:
-        return msgspec.json.decode(data, type=struct_type)
-    except msgspec.MsgspecError as exc:
+        return decode_json(data, struct_type)
+    except MalformedInputError as exc:
         raise StoreUnavailableError(f"malformed answer of the store: {exc}") from exc
 
 
