Keep following the store after an entry that can't be applied

An error that nobody expected in one entry ended the watch of its prefix, or left the other entries of its batch known to the mirror and not applied, so that they never came again (a configuration among them). Now each key of a batch is applied by itself, with a log line and traceback for one that fails; the loop of a watch and the registration log such an error and go on.

--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -262,18 +262,24 @@
         if not changed:
             return
         for key in changed:
-            if key == CONFIGURATION_KEY:
-                self._load_configuration()
-                self._replicas.mark_dirty()
-            elif key.startswith(EVACUATION_PREFIX):
-                self._load_evacuations()
-                self._replicas.mark_dirty()
-            elif key.startswith(TARGET_PREFIX):
-                self._load_target(key)
-            elif key.startswith(HOST_PREFIX):
-                self._load_host(key)
+            try:
+                self._apply_changed_key(key)
+            except Exception:
+                logger.exception("changed key not applied", extra={"key": key})
         self._on_change()
 
+    def _apply_changed_key(self, key: str) -> None:
+        if key == CONFIGURATION_KEY:
+            self._load_configuration()
+            self._replicas.mark_dirty()
+        elif key.startswith(EVACUATION_PREFIX):
+            self._load_evacuations()
+            self._replicas.mark_dirty()
+        elif key.startswith(TARGET_PREFIX):
+            self._load_target(key)
+        elif key.startswith(HOST_PREFIX):
+            self._load_host(key)
+
     def _load_configuration(self) -> None:
         entry = self.mirror.get(CONFIGURATION_KEY)
         if entry is None:
--- a/waxwingpitch/gateway/registration.py
+++ b/waxwingpitch/gateway/registration.py
@@ -139,6 +139,9 @@
                 self._store_health.record_failure(exc)
                 gevent.sleep(pause_s * random.uniform(0.5, 1.0))
                 pause_s = min(MAX_RETRY_S, pause_s * 2)
+            except Exception:
+                logger.exception("registration failed")
+                gevent.sleep(MAX_RETRY_S)
             else:
                 self._store_health.record_answer()
                 return
--- a/waxwingpitch/gateway/store_tasks.py
+++ b/waxwingpitch/gateway/store_tasks.py
@@ -130,6 +130,9 @@
                 self._margin_s = min(MAX_WATCH_MARGIN_S, 2 * self._margin_s)
                 gevent.sleep(backoff_s * random.uniform(0.5, 1.0))
                 backoff_s = min(BACKOFF_MAX_S, backoff_s * 2)
+            except Exception:
+                logger.exception("watch failed", extra={"prefix": self._prefix})
+                gevent.sleep(BACKOFF_MAX_S)
 
     def _list(self) -> int:
         started_at = boot_time()
--- a/waxwingpitch/tests/test_odd_entries.py
+++ b/waxwingpitch/tests/test_odd_entries.py
@@ -115,3 +115,19 @@
     platform.store.write("servers/odd", b"{}")
     platform.publish_plain(platform.plain[1])
     check_following(platform, gateways)
+
+
+def test_watch_goes_on_after_an_error_that_nobody_expected(
+    platform, gateways, monkeypatch
+):
+    for daemon in gateways:
+        apply, calls = daemon.view.apply, []
+
+        def _fail_once(change, apply=apply, calls=calls):
+            calls.append(change)
+            if len(calls) == 1:
+                raise RuntimeError("unexpected")
+            apply(change)
+
+        monkeypatch.setattr(daemon.view, "apply", _fail_once)
+    check_following(platform, gateways)
