--- a/waxwingpitch/tests/plain_target.py
+++ b/waxwingpitch/tests/plain_target.py
@@ -23,7 +23,8 @@
     silent
         Requests that run and are never answered.
     late_copy
-        Answers of which a second copy follows later on the same connection.
+        Answers and refusals of which a second copy follows later on the same
+        connection, maybe while another request runs there.
     repeat_refusal
         Requests before whose answer the connection's last refusal is sent again.
     unnamed
@@ -140,7 +141,9 @@
 
     def _refuse(self, sock, request: str) -> bytes:
         names = {"Not-Executed": "1", "Attempt-Id": request}
-        sock.sendall(_format(503, names))
+        refusal = _format(503, names)
+        sock.sendall(refusal)
+        self._copy_later(sock, refusal)
         if self._happens(self.faults.unnamed):
             del names["Attempt-Id"]
         return _format(503, names)
@@ -171,12 +174,23 @@
         names = {"Attempt-Id": request, "Response-Seal": f"seal.{self.id}"}
         answer = _format(200, names, f"answer to {request}".encode())
         sock.sendall(answer)
-        if self._happens(self.faults.late_copy):
-            gevent.sleep(self._random.uniform(0.0, 0.02))
-            sock.sendall(answer)
+        self._copy_later(sock, answer)
         if self._happens(self.faults.close):
             raise OSError("closed")
 
+    def _copy_later(self, sock, data: bytes) -> None:
+        if self._happens(self.faults.late_copy):
+            gevent.spawn_later(
+                self._random.uniform(0.0, 0.05), _send_safely, sock, data
+            )
+
+
+def _send_safely(sock, data: bytes) -> None:
+    try:
+        sock.sendall(data)
+    except OSError:
+        pass  # the connection has ended
+
 
 def _read_headers(reader) -> dict[str, str]:
     headers = {}
