Pass no target's own 408, 429 or 503 on for a call that may have run

Callers were told by 503 that a call which may run once had not run, though a target had run it (REFUSED); who then sends it again has it run twice (TWICE). Report of real processes; no logs were kept, so that this was their case is likely at most.

Cause: an answer of a target's own with its seal was passed on with its status, also if that status is a promise which the target does not make: only a refusal that says so, or 421, proves that a call did not run. For routes whose calls may not be repeated such an answer now counts as lost, and the caller gets 502 without the seal.

test_failure_of_a_target_that_ran_a_call_is_not_passed_on_as_a_promise (408, 429, 503) failed before and passes.

--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -58,6 +58,9 @@
 STALL_RECHECK_INTERVAL_S = 0.5
 # Body of a call's answer, which is kept until it is complete.
 MAX_CALL_BODY_BYTES = 8 * 1024 * 1024
+# Statuses that tell callers that a request did not run. A target that does not say so
+# itself may have run it.
+PROMISE_STATUSES = frozenset({408, 429, 503})
 # Answers to earlier requests that are skipped before that to the current one.
 MAX_FOREIGN_ANSWERS = 4
 
@@ -224,7 +227,7 @@
         head = self._read_matching_head(ctx, conn, slot, until)
         body = conn.read_whole_body(until, max_bytes=MAX_CALL_BODY_BYTES)
         answer = Answer(head, body)
-        outcome = self._check_answer(answer)
+        outcome = self._check_answer(ctx, answer)
         if isinstance(outcome, NotRun):
             attempts.may_have_run = attempts.runs > 0
             return outcome
@@ -236,7 +239,7 @@
             return Done()
         return outcome
 
-    def _check_answer(self, answer: Answer) -> Outcome | None:
+    def _check_answer(self, ctx: RequestContext, answer: Answer) -> Outcome | None:
         """Return the outcome of an answer that is no success; None for a success."""
         head = answer.head
         if head.find(HeaderNames.NOT_RUN) is not None or head.status == 421:
@@ -247,7 +250,10 @@
         sealed = head.find(HeaderNames.SEAL) is not None
         if 200 <= head.status < 300:
             return None if sealed else Broken("the answer has no seal")
-        return Failed(answer) if sealed else Broken(f"status {head.status}")
+        is_promise = head.status in PROMISE_STATUSES and not ctx.route.is_repeatable
+        if is_promise or not sealed:
+            return Broken(f"status {head.status}")
+        return Failed(answer)
 
     def _relay_stream(
         self, ctx: RequestContext, resp: Responder, attempts, slot: Slot, conn
@@ -272,7 +278,7 @@
         if not 200 <= head.status < 300 or head.find(HeaderNames.SEAL) is None:
             until = min(ctx.deadline, time.monotonic() + REFUSAL_BODY_TIMEOUT_S)
             body = conn.read_whole_body(until, max_bytes=MAX_CALL_BODY_BYTES)
-            return self._check_answer(Answer(head, body)) or Broken("no seal")
+            return self._check_answer(ctx, Answer(head, body)) or Broken("no seal")
         splitter = EventSplitter()
         last_event_at = last_data_at = time.monotonic()
         has_events = False
--- a/waxwingpitch/tests/plain_target.py
+++ b/waxwingpitch/tests/plain_target.py
@@ -33,6 +33,8 @@
         Answers after which the connection is closed without notice.
     refuse
         Requests that are refused though slots are free.
+    own_status
+        Status of the answers to requests that ran.
     """
 
     reset_before: float = 0.0
@@ -43,6 +45,7 @@
     unnamed: float = 0.0
     close: float = 0.0
     refuse: float = 0.0
+    own_status: int = 200
 
 
 @dataclass
@@ -172,7 +175,7 @@
         if self._happens(self.faults.silent):
             gevent.sleep(30.0)
         names = {"Attempt-Id": request, "Response-Seal": f"seal.{self.id}"}
-        answer = _format(200, names, f"answer to {request}".encode())
+        answer = _format(self.faults.own_status, names, f"answer to {request}".encode())
         sock.sendall(answer)
         self._copy_later(sock, answer)
         if self._happens(self.faults.close):
--- a/waxwingpitch/tests/test_refusals.py
+++ b/waxwingpitch/tests/test_refusals.py
@@ -92,7 +92,11 @@
     draw = random.Random(seed)
     for target in targets:
         target.faults = PlainFaults(
-            *(draw.choice((0.0, 0.02, 0.2)) for _ in fields(PlainFaults))
+            **{
+                item.name: draw.choice((0.0, 0.02, 0.2))
+                for item in fields(PlainFaults)
+                if item.type == "float"
+            }
         )
         target.slots = draw.choice((1, 2, 6))
         target.queue = draw.choice((1, 6, 30))
@@ -110,3 +114,15 @@
         restarts.kill()
     assert list_broken_promises(statuses, runs) == []
     assert 200 in statuses.values()
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_failure_of_a_target_that_ran_a_call_is_not_passed_on_as_a_promise(
+    gateway, targets, runs, status
+):
+    for target in targets:
+        target.faults = PlainFaults(own_status=status)
+    answer = call(gateway.settings.front, "/file/x", "once")
+    assert runs["once"] == 1
+    assert answer.status == 502
+    assert "response-seal" not in answer.headers
