Send a peer only messages that its version knows, and drop unknown ones

While hosts are replaced one after the other, an old and a new build serve side by side.

Each message names the version it came with (TargetRate: 2); MESH_VERSION is 2 now, and the peer's version is settled in the handshake, as both builds accept 1 to 2. A message of a later kind is dropped with a count and one line for each kind and link; malformed bytes end the link as before.

test_message_that_an_older_peer_does_not_know_is_not_sent_to_it and test_message_of_a_later_version_is_dropped_and_the_link_stays fail when either part is taken out.

--- a/waxwingpitch/errors.py
+++ b/waxwingpitch/errors.py
@@ -55,6 +55,7 @@
     PEER_VERSION = 5001
     PEER_UNAUTHENTICATED = 5002
     PEER_MESSAGE_MALFORMED = 5003
+    PEER_MESSAGE_UNKNOWN = 5004
     INVALID_SETTINGS = 6001
 
 
@@ -172,6 +173,9 @@
     ResultCode.PEER_MESSAGE_MALFORMED: ResultInfo(
         400, Ran.NO, "Compare the versions of the two entry hosts."
     ),
+    ResultCode.PEER_MESSAGE_UNKNOWN: ResultInfo(
+        400, Ran.NO, "Upgrade the older of the two entry hosts."
+    ),
     ResultCode.INVALID_SETTINGS: ResultInfo(
         400, Ran.NO, "Correct the key that the message names."
     ),
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -306,6 +306,8 @@
             "configuration": None if cfg is None else cfg.version,
             "evacuated": sorted(self.view.evacuated),
             "peers": sorted(self._peers.peers),
+            "peer_versions": self._peers.peer_versions,
+            "unknown_messages": self._peers.unknown_messages,
             "plans": self._roles.planned_zones,
             "replicas": list(self.view.iter_replicas()),
             "slots": self.slots.describe(),
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -137,6 +137,16 @@
         """Names of the entry hosts that this one has a link to."""
         return self._node.peers
 
+    @property
+    def peer_versions(self) -> dict[str, int]:
+        """Version of the messages that each linked peer knows."""
+        return self._node.peer_versions
+
+    @property
+    def unknown_messages(self) -> int:
+        """Number of messages that only a later version knows."""
+        return self._node.unknown_messages
+
     @property
     def sent(self) -> tuple[int, int]:
         """Messages and bytes sent so far."""
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 from .base import MeshItem, MeshMessage
 
 
@@ -128,6 +130,8 @@
         Requests a second from all entry hosts; negative if it states none any more.
     """
 
+    since_version: ClassVar[int] = 2
+
     number: int
     zone: str
     service: str
--- a/waxwingpitch/mesh/handshake.py
+++ b/waxwingpitch/mesh/handshake.py
@@ -36,11 +36,14 @@
     ----------
     incarnation
         Differs after each restart of the process.
+    version
+        Newest version of the messages that it knows.
     """
 
     id: str
     incarnation: str
     zone: str
+    version: int = MESH_VERSION
 
 
 def connect_handshake(
@@ -66,10 +69,15 @@
     send(encode_message(hello))
     match decode_message(receive()):
         case Challenge() as challenge:
-            peer = Identity(challenge.id, challenge.incarnation, challenge.zone)
-            expected = _prove(key, b"accept", nonce, challenge.nonce, peer)
+            peer = Identity(
+                challenge.id,
+                challenge.incarnation,
+                challenge.zone,
+                challenge.version,
+            )
+            expected = prove(key, b"accept", nonce, challenge.nonce, peer)
             _check_proof(expected, challenge.proof)
-            proof = _prove(key, b"connect", nonce, challenge.nonce, local)
+            proof = prove(key, b"connect", nonce, challenge.nonce, local)
             send(encode_message(Proof(proof)))
             return peer
         case message:
@@ -98,9 +106,9 @@
             f"peer {hello.id!r} supports versions {hello.oldest} to {hello.version}; "
             f"valid: {OLDEST_MESH_VERSION} to {MESH_VERSION}",
         )
-    peer = Identity(hello.id, hello.incarnation, hello.zone)
+    peer = Identity(hello.id, hello.incarnation, hello.zone, hello.version)
     nonce = secrets.token_bytes(NONCE_BYTES)
-    proof = _prove(key, b"accept", hello.nonce, nonce, local)
+    proof = prove(key, b"accept", hello.nonce, nonce, local)
     send(
         encode_message(
             Challenge(
@@ -110,7 +118,7 @@
     )
     match decode_message(receive()):
         case Proof() as reply:
-            expected = _prove(key, b"connect", hello.nonce, nonce, peer)
+            expected = prove(key, b"connect", hello.nonce, nonce, peer)
             _check_proof(expected, reply.proof)
             return peer
         case message:
@@ -122,9 +130,10 @@
     send(encode_message(Refusal(int(exc.code), exc.message)))
 
 
-def _prove(
+def prove(
     key: str, role: bytes, connect_nonce: bytes, accept_nonce: bytes, prover: Identity
 ) -> bytes:
+    """Return the proof that a side of the handshake knows the mesh key."""
     parts = (
         role,
         connect_nonce,
--- a/waxwingpitch/mesh/messages.py
+++ b/waxwingpitch/mesh/messages.py
@@ -7,12 +7,15 @@
 
 from __future__ import annotations
 
+from typing import get_args
+
 import msgspec
 
 from .base import MeshMessage
 from .fleet_messages import FLEET_MESSAGES
 
-MESH_VERSION = 1
+# Newest version of the messages. A new message raises it, a new field does not.
+MESH_VERSION = 2
 OLDEST_MESH_VERSION = 1
 
 
@@ -271,3 +274,8 @@
     | PlanningHandover
     | FLEET_MESSAGES
 )
+
+
+def list_tags() -> frozenset[int]:
+    """Return the numbers of all kinds of messages."""
+    return frozenset(kind.__struct_config__.tag for kind in get_args(Message))
--- a/waxwingpitch/mesh/node.py
+++ b/waxwingpitch/mesh/node.py
@@ -18,7 +18,7 @@
 from gevent.server import StreamServer
 
 from ..errors import PeerError
-from .codec import decode_message, encode_message
+from .codec import UnknownMessageError, decode_message, encode_message
 from .handshake import Identity, accept_handshake, connect_handshake, refuse
 from .messages import Message
 from .websocket import WebSocket, WebSocketClosedError
@@ -31,6 +31,8 @@
 HANDSHAKE_TIMEOUT_S = 2.0
 MIN_RECONNECT_DELAY_S = 0.2
 MAX_RECONNECT_DELAY_S = 3.0
+# Kinds of unknown messages that are logged for each link.
+MAX_LOGGED_TAGS = 8
 # Interval at which a dialer checks whether the link that the peer opened still stands.
 LINKED_CHECK_INTERVAL_S = 0.2
 
@@ -79,6 +81,11 @@
         self.queue: Queue = Queue(MAX_QUEUED_MESSAGES)
         self.sent_bytes = 0
         self.sent_messages = 0
+        self.unknown_tags: set[int] = set()
+
+    def knows(self, message: Message) -> bool:
+        """Return whether the peer's version knows a message."""
+        return message.since_version <= self.peer.version
 
     def send_forever(self) -> None:
         while True:
@@ -105,6 +112,11 @@
         Largest size of a message.
     deliver
         Called with each event, in the receiver's greenlet.
+
+    Attributes
+    ----------
+    unknown_messages
+        Number of messages of kinds that only a later version knows.
     """
 
     def __init__(
@@ -125,6 +137,7 @@
         self._dialers: dict[str, gevent.Greenlet] = {}
         self._peer_dialers: dict[str, tuple[str, gevent.Greenlet]] = {}
         self._sent_on_closed_links = [0, 0]
+        self.unknown_messages = 0
         self._listener = socket.create_server((host, port), backlog=BACKLOG)
         self._server = StreamServer(self._listener, self._accept)
         self._host = host
@@ -150,6 +163,11 @@
             link.peer.id for link in self._links.values() if link.peer.zone == zone
         )
 
+    @property
+    def peer_versions(self) -> dict[str, int]:
+        """Newest version of the messages that each linked peer knows."""
+        return {link.peer.id: link.peer.version for link in self._links.values()}
+
     @property
     def sent(self) -> tuple[int, int]:
         """Messages and bytes sent so far."""
@@ -210,7 +228,7 @@
         """Send a message to all peers except ``skip``."""
         data = encode_message(message)
         for link in list(self._links.values()):
-            if link.peer.id != skip:
+            if link.peer.id != skip and link.knows(message):
                 self._enqueue(link, data)
 
     def multicast(self, message: Message, peer_ids: Iterable[str]) -> None:
@@ -218,14 +236,22 @@
         data = encode_message(message)
         for peer_id in peer_ids:
             link = self._links.get(peer_id)
-            if link is not None:
+            if link is not None and link.knows(message):
                 self._enqueue(link, data)
 
     def send(self, peer_id: str, message: Message) -> bool:
-        """Send a message to one peer; return False if no link to it is established."""
-        return peer_id in self._links and self.send_encoded(
-            peer_id, encode_message(message)
-        )
+        """Send a message to one peer.
+
+        Returns
+        -------
+        bool
+            False if no link to it is established, or if it does not know the message.
+        """
+        link = self._links.get(peer_id)
+        if link is None or not link.knows(message):
+            return False
+        self._enqueue(link, encode_message(message))
+        return True
 
     def send_encoded(self, peer_id: str, data: bytes) -> bool:
         """Send an encoded message to one peer; return False if it is not linked."""
@@ -350,7 +376,11 @@
         try:
             while True:
                 data = link.conn.recv(RECEIVE_TIMEOUT_S)
-                message = decode_message(data)
+                try:
+                    message = decode_message(data)
+                except UnknownMessageError as exc:
+                    self._drop_unknown(link, exc)
+                    continue
                 self._deliver(Received(link.peer, message, time.monotonic()))
         except PeerError as exc:
             logger.warning(
@@ -360,6 +390,23 @@
         except (WebSocketClosedError, OSError) as exc:
             logger.debug("mesh link ended: %s", exc, extra={"peer": link.peer.id})
 
+    def _drop_unknown(self, link: _Link, exc: UnknownMessageError) -> None:
+        """Count a message that is not known here, and log the first of its kind."""
+        self.unknown_messages += 1
+        if (
+            exc.tag not in link.unknown_tags
+            and len(link.unknown_tags) < MAX_LOGGED_TAGS
+        ):
+            link.unknown_tags.add(exc.tag)
+            logger.warning(
+                "message of a later version dropped",
+                extra={
+                    "peer": link.peer.id,
+                    "peer_version": link.peer.version,
+                    "tag": exc.tag,
+                },
+            )
+
     def _remove_link(self, link: _Link) -> None:
         self._sent_on_closed_links[0] += link.sent_messages
         self._sent_on_closed_links[1] += link.sent_bytes
--- a/waxwingpitch/tests/test_mesh.py
+++ b/waxwingpitch/tests/test_mesh.py
@@ -7,6 +7,7 @@
 import sys
 from pathlib import Path
 
+import cbor2
 import gevent
 import hypothesis.strategies as st
 import pytest
@@ -18,7 +19,8 @@
 from ..entry.evidence_wire import ClockOffsets
 from ..errors import PeerError, ResultCode
 from ..mesh import Identity, LinkUp, MeshNode, Received, decode_message, encode_message
-from ..mesh.handshake import accept_handshake, connect_handshake
+from ..mesh.fleet_messages import TargetRate
+from ..mesh.handshake import accept_handshake, connect_handshake, prove
 from ..mesh.messages import (
     MESH_VERSION,
     Digest,
@@ -28,9 +30,11 @@
     Heartbeat,
     Hello,
     Message,
+    Proof,
     SuspectItem,
     Suspects,
 )
+from ..mesh.websocket import WebSocket
 from ..ports import TargetReport
 from ..targets import EvidenceBook, Health
 from .cluster import wait_until
@@ -85,8 +89,6 @@
 
 
 def test_older_peer_is_understood():
-    import cbor2
-
     newer = cbor2.dumps([5, 1, 2, 3, False, 4, [], "a field of a later version"])
     older = cbor2.dumps([5, 1, 2, 3])
     assert decode_message(newer).revision == 3
@@ -247,3 +249,87 @@
         timeout=30.0,
     )
     assert (done.returncode, done.stdout) == (0, b"all links ended\n")
+
+
+# Two versions of the messages side by side.
+
+RATE = TargetRate(1, "z", "pool", "", "t", 5.0)
+
+
+class RawPeer:
+    """A peer of a given version, which sends and receives encoded messages."""
+
+    def __init__(self, address: str, version: int):
+        self._conn = WebSocket.connect(
+            address, frame_bytes=1 << 16, open_timeout_s=2.0, timeout_s=5.0
+        )
+        hello = Hello(version, 1, "raw", "i", "dar-a", b"n" * 16)
+        self._conn.send(encode_message(hello))
+        challenge = decode_message(self._conn.recv(2.0))
+        peer = Identity(challenge.id, challenge.incarnation, challenge.zone)
+        local = Identity("raw", "i", "dar-a")
+        proof = prove("k" * 16, b"connect", hello.nonce, challenge.nonce, local)
+        assert challenge.proof == prove(
+            "k" * 16, b"accept", hello.nonce, challenge.nonce, peer
+        )
+        self.send(Proof(proof))
+
+    def send(self, message: Message) -> None:
+        self._conn.send(encode_message(message))
+
+    def send_plain(self, plain) -> None:
+        self._conn.send(cbor2.dumps(plain))
+
+    def receive(self) -> Message:
+        return decode_message(self._conn.recv(2.0))
+
+    def close(self) -> None:
+        self._conn.close()
+
+
+@pytest.fixture
+def bob():
+    events = []
+    node = build_node(BOB, events)
+    node.events = events
+    yield node
+    node.stop()
+
+
+@pytest.mark.parametrize("how", ["send", "multicast", "broadcast"])
+def test_message_that_an_older_peer_does_not_know_is_not_sent_to_it(bob, how):
+    older, present = 1, MESH_VERSION
+    for version in (older, present):
+        peer = RawPeer(bob.address, version)
+        wait_until(lambda: bob.peer_versions == {"raw": version}, 5.0)
+        match how:
+            case "send":
+                assert bob.send("raw", RATE) == (version == present)
+            case "multicast":
+                bob.multicast(RATE, ["raw"])
+            case "broadcast":
+                bob.broadcast(RATE)
+        bob.send("raw", Digest({}))
+        expected = [RATE, Digest({})] if version == present else [Digest({})]
+        assert [peer.receive() for _ in expected] == expected
+        peer.close()
+        wait_until(lambda: not bob.peers, 5.0)
+
+
+def test_message_of_a_later_version_is_dropped_and_the_link_stays(bob):
+    peer = RawPeer(bob.address, MESH_VERSION + 1)
+    for number in range(20):
+        peer.send_plain([99, "a message of a later version", number])
+    peer.send(Digest({}))
+    wait_until(lambda: [e.message for e in bob.events if isinstance(e, Received)], 5.0)
+    assert bob.unknown_messages == 20
+    assert bob.peers == {"raw"}
+    peer.close()
+
+
+def test_malformed_message_ends_the_link(bob):
+    peer = RawPeer(bob.address, MESH_VERSION)
+    wait_until(lambda: bob.peers, 5.0)
+    peer.send_plain([RATE.__struct_config__.tag, "malformed"])
+    wait_until(lambda: not bob.peers, 5.0)
+    peer.close()
