Give each run of the process tests loopback addresses of its own

Cause: the port for metrics is fixed, and all runs bound it at 127.0.0.1. Shown: with a socket that holds 127.0.0.1:9464 the set-up fails each time, with addresses by the run's process id three of three tests pass beside it.

--- a/benchmarks/two_builds.py
+++ b/benchmarks/two_builds.py
@@ -65,7 +65,11 @@
         self.front = Address(ip, find_port())
         base = find_port()
         text = SETTINGS.format(
-            peers=base, front=self.front.port, ready=find_port(), store=self.store
+            ip=ip,
+            peers=base,
+            front=self.front.port,
+            ready=find_port(),
+            store=self.store,
         )
         text = text.replace("gw-1", f"gw-{self.number}").replace(
             f"[{base}, {base}]", f"[{base}, {base + 1}]"
--- a/waxwingpitch/tests/test_lost_links.py
+++ b/waxwingpitch/tests/test_lost_links.py
@@ -162,7 +162,7 @@
 ):
     path = tmp_path / "settings.toml"
     text = SETTINGS.replace("[{peers}, {peers}]", f"[7340, {last}]")
-    path.write_text(text.format(front=1, ready=2, store="127.0.0.1:3"))
+    path.write_text(text.format(ip="127.0.0.1", front=1, ready=2, store="127.0.0.1:3"))
     loaded = load_platform_settings(str(path)).relay
     assert (loaded and str(loaded)) == relay
 
--- a/waxwingpitch/tests/test_process_gateway.py
+++ b/waxwingpitch/tests/test_process_gateway.py
@@ -27,7 +27,7 @@
 SETTINGS = """
 node_name = "gw-1"
 zone = "z"
-bind_ip = "127.0.0.1"
+bind_ip = "{ip}"
 port_range = [{peers}, {peers}]
 [zones]
 z = "r"
@@ -55,6 +55,15 @@
 """
 
 
+def find_loopback_ip(number: int = 0) -> str:
+    """Return an address for a gateway of this run of the tests.
+
+    The port for metrics is fixed, so that runs side by side need their own addresses.
+    """
+    run = os.getpid()
+    return f"127.{number}.{run // 250 % 250 + 1}.{run % 250 + 1}"
+
+
 def start(path: Path, output) -> subprocess.Popen:
     """Start a gateway process on a settings file."""
     return subprocess.Popen(
@@ -89,6 +98,7 @@
     path = tmp_path / "settings.toml"
     path.write_text(
         SETTINGS.format(
+            ip=find_loopback_ip(),
             peers=find_port(),
             front=front,
             ready=find_port(),
@@ -164,7 +174,9 @@
 
 def test_wrong_setting_is_named(tmp_path):
     path = tmp_path / "settings.toml"
-    text = SETTINGS.format(peers=1, front=2, ready=3, store="here")
+    text = SETTINGS.format(
+        ip=find_loopback_ip(), peers=1, front=2, ready=3, store="here"
+    )
     path.write_text(text)
     process = start(path, subprocess.DEVNULL)
     _, errors = process.communicate(timeout=START_S)
@@ -250,6 +262,7 @@
         path = tmp_path / f"{number}.toml"
         path.write_text(
             SETTINGS.format(
+                ip=find_loopback_ip(),
                 peers=find_port(),
                 front=find_port(),
                 ready=find_port(),
--- a/waxwingpitch/tests/test_reported_failures.py
+++ b/waxwingpitch/tests/test_reported_failures.py
@@ -30,7 +30,7 @@
     wait_for,
 )
 from .platform_standin import PlatformFake, TargetFaults
-from .test_process_gateway import SETTINGS, start
+from .test_process_gateway import SETTINGS, find_loopback_ip, start
 
 SEAL = "Response-Seal: s\r\n"
 
@@ -209,10 +209,14 @@
     """A gateway as a process of its own, at its own loopback address."""
 
     def __init__(self, platform, tmp_path: Path, number: int):
-        host, store = f"127.0.0.{number + 1}", platform.store.address
+        host, store = find_loopback_ip(number), platform.store.address
         self.front = Address(host, find_port())
         text = SETTINGS.format(
-            peers=find_port(), front=self.front.port, ready=find_port(), store="STORE"
+            ip=host,
+            peers=find_port(),
+            front=self.front.port,
+            ready=find_port(),
+            store="STORE",
         )
         text = text.replace("127.0.0.1", host).replace("STORE", store)
         text = text.replace("gw-1", f"gw-{number}")
