Take no copy of a request's refusal for the answer to a report or an order

An answer that names a request is skipped now. A copy of an earlier order's answer names nothing and can't be told; by reading, the planner goes by the targets' entries and reports.

--- a/waxwingpitch/forwarding/exchange.py
+++ b/waxwingpitch/forwarding/exchange.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
-from .answers import Answer, Headers
+from .answers import Answer, AnswerHead, Headers
 from .targets import (
     ConnectionPool,
     TargetBrokenError,
@@ -84,9 +85,16 @@
     headers: Headers = (),
     body: bytes = b"",
     timeout_s: float,
+    is_foreign: Callable[[AnswerHead], bool] = lambda head: False,
 ) -> Answer:
     """Send one request and return the complete answer.
 
+    Parameters
+    ----------
+    is_foreign
+        Returns whether an answer belongs to an earlier request on the connection;
+        such answers are skipped.
+
     Raises
     ------
     UnreachableError
@@ -100,7 +108,8 @@
     data = format_request(method, target, address, headers, body)
     conn = send_request(pool, address, data, timeout_s=timeout_s)
     try:
-        head = conn.read_head(deadline)
+        while is_foreign(head := conn.read_head(deadline)):
+            conn.skip_answer(deadline)
         body = conn.read_whole_body(deadline, max_bytes=MAX_CONTROL_BYTES)
     except BaseException:
         conn.close()
--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -9,6 +9,7 @@
 from gevent.lock import BoundedSemaphore
 
 from ..forwarding import (
+    AnswerHead,
     ConnectionPool,
     TargetBrokenError,
     TargetTimeoutError,
@@ -63,6 +64,7 @@
             REPORT_PATH.encode(),
             headers=((HeaderNames.EXPECTED_TARGET.value, target.encode()),),
             timeout_s=REPORT_TIMEOUT_S,
+            is_foreign=_names_request,
         )
         return decode_report(answer.body)
 
@@ -382,6 +384,7 @@
                     ),
                     body=body,
                     timeout_s=ORDER_TIMEOUT_S,
+                    is_foreign=_names_request,
                 )
         except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
             gevent.spawn(self.probe, target, address)
@@ -394,5 +397,10 @@
         return status, f"expected {expected} orders"
 
 
+def _names_request(head: AnswerHead) -> bool:
+    """Return whether an answer is to a caller's request; reports have no id."""
+    return bool(head.find(HeaderNames.REQUEST_ID))
+
+
 def _get_group_key(membership: Membership | None) -> tuple[str, int] | None:
     return None if membership is None else (membership.group, membership.epoch)
--- a/waxwingpitch/tests/plain_target.py
+++ b/waxwingpitch/tests/plain_target.py
@@ -64,6 +64,7 @@
     slots: int = 6
     queue: int = 6
     work_s: float = 0.03
+    report_s: float = 0.0
     faults: PlainFaults = field(default_factory=PlainFaults)
 
     def __post_init__(self):
@@ -125,6 +126,7 @@
                 reader.read(int(headers.get("content-length", 0)))
                 request = headers.get("attempt-id", "")
                 if path.startswith("/waxwingpitch/"):
+                    gevent.sleep(self.report_s)
                     sock.sendall(_format(200, {}, b'{"seq": 0}'))
                 elif headers.get("expect-instance", self.id) != self.id:
                     sock.sendall(_format(421, {"Attempt-Id": request}))
--- a/waxwingpitch/tests/test_refusals.py
+++ b/waxwingpitch/tests/test_refusals.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import random
+import time
 from collections import Counter
 from dataclasses import fields
 
 import gevent
 import pytest
 
+from ..forwarding.exchange import format_request, send_request
+from ..gateway.probing import fetch_report
 from .gateway_client import call, start_gateway, wait_for
 from .plain_target import PlainFaults, PlainTarget
 from .platform_standin import PlatformFake
@@ -126,3 +129,25 @@
     assert runs["once"] == 1
     assert answer.status == 502
     assert "response-seal" not in answer.headers
+
+
+def test_late_copy_of_a_refusal_is_not_taken_for_the_answer_to_a_report(
+    gateway, targets
+):
+    target = targets[0]
+    target.faults = PlainFaults(refuse=1.0, late_copy=1.0)
+    target.report_s = 0.06
+    pool = gateway.pool
+    data = format_request(
+        b"POST",
+        b"/file/x",
+        target.address,
+        ((b"Attempt-Id", b"refused"), (b"Deadline-Ms", b"1000")),
+        b"",
+    )
+    for _ in range(10):
+        conn = send_request(pool, target.address, data, timeout_s=1.0)
+        head = conn.read_head(time.monotonic() + 1.0)
+        assert head.status == 503
+        pool.release(conn, head, time.monotonic())
+        assert fetch_report(pool, target.id, target.address).orders == 0
