--- a/waxwingpitch/tests/test_blame.py
+++ b/waxwingpitch/tests/test_blame.py
@@ -2,12 +2,7 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
-import math
-import random
-from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, strategies as st
@@ -20,11 +15,10 @@
     CrashItem,
     count_in_turn,
 )
+from .crash_load import Load, list_blocked
 
 # Time that operators allow for gateways to agree.
 CONTACT_S = 3.0
-PROBE_S = 0.05
-NEWS_S = 0.02
 
 
 def build_item(incarnation, keys, sent_at, broken_at=None):
@@ -32,143 +26,6 @@
     return CrashItem(incarnation, tuple(keys), sent_at, broken_at)
 
 
-def list_blocked(book: BlameBook) -> list[str]:
-    return [item.key for item in book.list_culprits()]
-
-
-@dataclass
-class Load:
-    """Requests to targets that some requests crash, before several gateways.
-
-    Parameters
-    ----------
-    bad_part
-        Part whose requests crash their targets; it is followed by one of several.
-    lost_at
-        Time at which most targets are lost at once, whatever they run.
-    """
-
-    seed: int
-    bad_part: str | None
-    rate_per_s: float = 60.0
-    bad_share: float = 0.12
-    targets: int = 20
-    gateways: int = 4
-    run_s: float = 8.0
-    lost_at: float | None = None
-    crashes: list[float] = field(default_factory=list)
-    bad_sends: list[float] = field(default_factory=list)
-    refused: Counter = field(default_factory=Counter)
-    served: Counter = field(default_factory=Counter)
-
-    def __post_init__(self):
-        self._random = random.Random(self.seed)
-        self._books = [BlameBook() for _ in range(self.gateways)]
-        self._events: list = []
-        self._order = itertools.count()
-        self._running = {number: {} for number in range(self.targets)}
-        self._down_until = dict.fromkeys(range(self.targets), 0.0)
-        self._lives = Counter()
-
-    def play(self) -> None:
-        at = 0.0
-        number = 0
-        while at < self.run_s:
-            at += self._random.expovariate(self.rate_per_s)
-            self._schedule(at, self._send, self._draw(number), 0)
-            number += 1
-        if self.lost_at is not None:
-            for target in range(0, self.targets - 4):
-                self._schedule(self.lost_at, self._lose, target)
-        while self._events:
-            now, _, call, args = heapq.heappop(self._events)
-            call(now, *args)
-
-    def _draw(self, number: int) -> tuple:
-        shared = f"shared-{self._random.randrange(6)}"
-        parts = ["first", shared, f"rare-{self._random.randrange(30)}"]
-        is_bad = self.bad_part and self._random.random() < self.bad_share
-        if is_bad:
-            parts[self._random.choice((1, 2))] = self.bad_part
-        return (*parts, f"request {number}"), is_bad
-
-    def _schedule(self, at, call, *args) -> None:
-        heapq.heappush(self._events, (at, next(self._order), call, args))
-
-    def _send(self, now, request, sends) -> None:
-        keys, is_bad = request
-        gateway = self._random.randrange(self.gateways)
-        if self._books[gateway].find_blocked(keys):
-            self.refused[is_bad, int(now)] += 1
-            return
-        up = [item for item, until in self._down_until.items() if until <= now]
-        free = [item for item in up if len(self._running[item]) < 9]
-        if not free:
-            self._schedule(now + 0.05, self._send, request, sends)
-            return
-        target = self._random.choice(free)
-        life = self._lives[target]
-        first_at = now + self._random.uniform(0.1, 0.25)
-        output_at = math.inf if is_bad else first_at
-        self._running[target][keys, sends] = (now, request, sends, output_at)
-        if is_bad:
-            self.bad_sends.append(now)
-        if is_bad:
-            self._schedule(first_at + 0.04, self._crash, target, life)
-        else:
-            args = target, life, (keys, sends), gateway
-            self._schedule(first_at + 0.3, self._survive, *args)
-            self._schedule(first_at + 1.5, self._end, *args)
-
-    def _survive(self, now, target, life, name, gateway) -> None:
-        if self._lives[target] != life:
-            return
-        sent_at, (keys, _), _, _ = self._running[target][name]
-        self._running[target][name] = (None, (keys, False), 0, now)
-        cleared = self._books[gateway].find_served(keys, sent_at)
-        if cleared:
-            for other, book in enumerate(self._books):
-                delay_s = 0.0 if other == gateway else NEWS_S
-                self._schedule(now + delay_s, self._clear, book, cleared)
-
-    def _clear(self, now, book, cleared) -> None:
-        book.clear(cleared, now)
-
-    def _end(self, now, target, life, name, gateway) -> None:
-        if self._lives[target] == life:
-            del self._running[target][name]
-            self.served[int(now)] += 1
-
-    def _crash(self, now, target, life) -> None:
-        if self._lives[target] == life:
-            self.crashes.append(now)
-            self._lose(now, target)
-
-    def _lose(self, now, target) -> None:
-        incarnation = f"{target}:{self._lives[target]}"
-        self._lives[target] += 1
-        self._down_until[target] = now + 3.0
-        items = []
-        for (keys, _), attempt in self._running[target].items():
-            sent_at, request, sends, output_at = attempt
-            if sent_at is None:
-                continue
-            had_output = output_at <= now
-            items.append(CrashItem(incarnation, keys, sent_at, now, had_output))
-            if sends < 2:
-                self._schedule(now + 0.01, self._send, request, sends + 1)
-        self._running[target] = {}
-        for book in self._books:
-            at = now + PROBE_S + self._random.uniform(0, NEWS_S)
-            self._schedule(at, self._merge, book, items)
-
-    def _merge(self, now, book, items) -> None:
-        book.merge(items)
-
-    def list_blocked(self) -> set[str]:
-        return {key for book in self._books for key in list_blocked(book)}
-
-
 SEEDS = st.integers(0, 10**6)
 
 
@@ -195,7 +52,9 @@
 
 @given(SEEDS)
 def test_targets_lost_at_the_same_time_block_no_request(seed):
-    load = Load(seed, None, lost_at=2.0)
+    load = Load(seed, None)
+    for target in range(16):
+        load.lose(target, at=2.0)
     load.play()
     assert load.refused == {}
 
@@ -204,7 +63,7 @@
 def test_crashes_without_a_common_cause_block_no_request_for_long(seed):
     load = Load(seed, None)
     for number in range(12):
-        load._schedule(0.5 + number * 0.5, load._lose, number)
+        load.lose(number, at=0.5 + number * 0.5)
     load.play()
     assert load.list_blocked() == set()
     assert sum(load.refused.values()) <= 3
