Send large values of the store compressed, as the design says

docs/CAPACITY.md and a comment say that a head sends its zone a configuration of half a megabyte compressed, as its link may have 10 Mbit/s; the function that does so was never called. 0.44 MB to 38 hosts of a zone take 13 s of such a link, and a confirmed configuration is not in force in time there.

test_large_value_is_sent_compressed_so_that_it_reaches_a_zone_in_time failed before (by its bytes: 438,828 for one host) and passes.

With it a correction of: hosts that are not next in a zone keep to a head by which they fall behind until the next head is fresh, and do not all read the store.

--- a/waxwingpitch/gateway/following.py
+++ b/waxwingpitch/gateway/following.py
@@ -29,7 +29,7 @@
 from ..platform import OPERATOR_PREFIX, TARGET_PREFIX
 from ..ports import KeyValueStore, StoredChange, StoredDeletion, StoredEntry
 from .beliefs import GATEWAY_PREFIX, GatewayView
-from .freshness import STALE_AFTER_S, TIMELY_PREFIXES, Freshness, to_age_ms
+from .freshness import STALE_AFTER_S, Freshness, to_age_ms
 from .store_tasks import PrefixWatcher, StoreHealth
 
 # Interval at which a subscription is repeated, and time after which it has ended.
@@ -95,10 +95,11 @@
 
     @property
     def data_age_s(self) -> float:
-        """Age of what is known here of the store."""
-        synced = self._view.mirror.get_synced
-        kept = [item for item in TIMELY_PREFIXES if synced(item) or item in PREFIXES]
-        return self._freshness.find_age_s(set(kept) & set(self._list_prefixes()))
+        """Age of what is known here of the store, for what must be known in time."""
+        prefixes = [OPERATOR_PREFIX]
+        if self._wants_targets and self._view.mirror.get_synced(TARGET_PREFIX):
+            prefixes.append(TARGET_PREFIX)
+        return self._freshness.find_age_s(prefixes)
 
     def list_failed_sources(self) -> frozenset[str | None]:
         """Return the sources lately followed by which what is known here got old."""
@@ -271,9 +272,7 @@
         prefix,
         after,
         synced,
-        tuple(
-            StoredItem(item.key, item.version, item.value) for item in change.entries
-        ),
+        tuple(map(_encode_item, change.entries)),
         (
             ()
             if is_complete
--- a/waxwingpitch/gateway/peer_statuses.py
+++ b/waxwingpitch/gateway/peer_statuses.py
@@ -83,7 +83,8 @@
         if name in deputies:
             return self._find_source_of_head(zones, present, failed)
         sound = (item for item in deputies if item not in failed)
-        return next(filter(self._is_in_touch, sound), None if head in failed else head)
+        # A whole zone must not read the store at once when its head fails.
+        return next(filter(self._is_in_touch, sound), head)
 
     def _find_source_of_head(
         self,
--- a/waxwingpitch/tests/test_following.py
+++ b/waxwingpitch/tests/test_following.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import json
 
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -17,7 +18,11 @@
 from ..agreed.mirror import StoreMirror
 from ..gateway.beliefs import GatewayView
 from ..gateway.following import apply_store_update, build_store_update
+from ..gateway.peer_statuses import PeerStatuses
 from ..gateway.roster import CONNECT_GRACE_S, SILENCE_S, Roster, order_zones
+from ..gateway.store_tasks import StoreHealth
+from ..mesh import decode_message, encode_message
+from ..mesh.fleet_messages import FleetStatus
 from ..ports import StoredChange, StoredDeletion, StoredEntry
 from ..slots import EntryHost, SlotKey, rank_hosts
 
@@ -168,6 +173,19 @@
     assert len(list(view.mirror.iter_prefix(PREFIX))) == 2
 
 
+def test_large_value_is_sent_compressed_so_that_it_reaches_a_zone_in_time():
+    """A configuration of half a megabyte goes to 38 hosts over a link of 10 Mbit/s."""
+    routes = [{"name": f"route-{n}", "path_prefix": f"/{n}/"} for n in range(9000)]
+    value = json.dumps(routes).encode()
+    mirror, view = StoreMirror(), build_view()
+    mirror.apply(StoredChange(5, (StoredEntry(f"{PREFIX}big", 5, value),)))
+    mirror.mark_synced(PREFIX, 5)
+    update = build_store_update(mirror, PREFIX, 0)
+    assert len(encode_message(update)) * 8 * 38 < 10e6 * 2.0
+    apply_store_update(view, decode_message(encode_message(update)))
+    assert view.mirror.get(f"{PREFIX}big").value == value
+
+
 # Ranking and liveness.
 
 ZONES = ("a", "b", "c")
@@ -267,6 +285,40 @@
     assert roster.find_owner(key) == ranked[1]
 
 
+def test_hosts_whose_head_fails_wait_for_the_next_head_and_do_not_read_the_store():
+    hosts, clock = build_hosts(4), Clock()
+    ranked = [item.name for item in rank_hosts("head a", "a", hosts.values())]
+    for name in ranked[2:4]:
+        roster = build_roster(name, hosts, clock)
+        hear(roster, ranked[:2], clock)
+        statuses = PeerStatuses(roster, StoreHealth(lambda: None))
+        for head in ranked[:2]:
+            statuses.record(head, build_status(age_ms=3000))
+        failed = frozenset(ranked[:1])
+        assert statuses.find_source(ZONES, ranked[0], failed=failed) == ranked[0]
+        statuses.record(ranked[1], build_status(age_ms=100))
+        assert statuses.find_source(ZONES, ranked[0], failed=failed) == ranked[1]
+
+
+def test_next_head_that_reads_in_vain_follows_the_head_of_another_zone():
+    hosts, clock = build_hosts(4), Clock()
+    head, name = [item.name for item in rank_hosts("head a", "a", hosts.values())][:2]
+    other = rank_hosts("head b", "b", hosts.values())[0].name
+    roster = build_roster(name, hosts, clock)
+    hear(roster, [head, other], clock)
+    statuses = PeerStatuses(roster, StoreHealth(lambda: None))
+    statuses.record(head, build_status(age_ms=3000))
+    statuses.record(other, build_status(age_ms=100))
+    zones = ("a", "b", "c")
+    assert statuses.find_source(zones, head, failed=frozenset([head])) is None
+    failed = frozenset([head, None])
+    assert statuses.find_source(zones, None, failed=failed) == other
+
+
+def build_status(*, age_ms: int) -> FleetStatus:
+    return FleetStatus(-1, age_ms, 0, {}, (), (), ())
+
+
 def test_lost_zone_is_served_by_one_zone():
     hosts, clock = build_hosts(3), Clock()
     served = {}
