Follow no gateway whose knowledge of the store comes from here

Cause, by the logs: the one next head that reads the store serves all others; by it follows another zone's head once its own zone's head has failed it, and that head has its knowledge from here by two others. The circle's knowledge gets old, all give up at once, and it begins again; in it no one reads the store. That a gateway follows one that follows it was ruled out for heads only, and one step far only. Likely, not shown: the same for the next head that follows its head before.

Statuses carry the path by which knowledge comes, and no gateway follows one on whose path it is, heads and others alike.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -133,6 +133,7 @@
         )
         self._peers.slots = self.slots
         self._peers.follower = self._follower
+        self._follower.on_news = self._peers.announce_status
         self.view.find_age_s = lambda: self._follower.data_age_s
         self._lease_keeper = LeaseKeeper(
             self._store, self._store_health, max(LEASE_S, settings.min_lease_s)
@@ -360,7 +361,7 @@
 
     def _on_leaving(self, target: str) -> None:
         self.view.mark_leaving(target)
-        self._peers.announce_leaving()
+        self._peers.announce_status()
 
     def _on_target_lost(self, target: str, started_ms: int | None) -> None:
         self.slots.client.pauses.forget(target)
--- a/waxwingpitch/gateway/following.py
+++ b/waxwingpitch/gateway/following.py
@@ -60,6 +60,12 @@
         Sends a message to several peers, encoding it once.
     find_pause_s
         Returns the time between two watch calls for targets, in seconds.
+
+    Attributes
+    ----------
+    on_news
+        Called when another source is followed, and when what is known here gets old or
+        is new again, as peers choose their sources by that.
     """
 
     def __init__(
@@ -82,6 +88,7 @@
         self._source: str | None = ""
         self._source_since = 0.0
         self._failed_until: dict[str | None, float] = {}
+        self.on_news: Callable[[], None] = lambda: None
         self._subscribed_at = 0.0
         self._wants_targets = False
         self._watchers: dict[str, PrefixWatcher] = {}
@@ -136,6 +143,7 @@
             self._source = source
             self._source_since = boot_time()
             self._subscribed_at = 0.0
+            self.on_news()
         self._log_age()
         self._wants_targets = wants_targets
         self._run_watchers(self._list_prefixes() if source is None else ())
@@ -206,6 +214,7 @@
         is_stale = age_s >= STALE_AFTER_S
         if is_stale != self._is_stale and self._source != "":
             self._is_stale = is_stale
+            self.on_news()
             logger.log(
                 logging.WARNING if is_stale else logging.INFO,
                 "knowledge of the store is old" if is_stale else "knowledge is new",
--- a/waxwingpitch/gateway/peer_statuses.py
+++ b/waxwingpitch/gateway/peer_statuses.py
@@ -12,8 +12,8 @@
 
 # Age after which a peer's status says nothing about the store or its weight loads.
 STATUS_TTL_S = 2.0
-# Age of the store's last answer to this process from which it is not read in vain.
-STORE_SILENT_AFTER_S = 2.0
+# Gateways by which knowledge of the store may come; four in sound operation.
+MAX_PATH = 8
 
 
 class PeerStatuses:
@@ -53,6 +53,17 @@
         """Time since the store last answered this process."""
         return boot_time() - self._store_health.answered_at
 
+    def find_path(self, source: str | None) -> tuple[str, ...]:
+        """Return the gateways by which what a source knows comes, itself first."""
+        if not source:
+            return ()
+        known = self._statuses.get(source)
+        if known is None:
+            return (source,)
+        status = known[1]
+        further = status.path or ((status.follows,) if status.follows else ())
+        return (source, *further)[:MAX_PATH]
+
     def find_source(
         self,
         zones: Iterable[str],
@@ -77,14 +88,14 @@
             return self._find_source_of_head(zones, present, failed)
         if head is None:
             return present
-        if head not in failed and self._is_in_touch(head):
+        if head not in failed and self._is_followable(head):
             return head
         deputies = [item for item in self._roster.list_heads(zone) if item != head]
         if name in deputies:
             return self._find_source_of_head(zones, present, failed)
         sound = (item for item in deputies if item not in failed)
         # A whole zone must not read the store at once when its head fails.
-        return next(filter(self._is_in_touch, sound), head)
+        return next(filter(self._is_followable, sound), head)
 
     def _find_source_of_head(
         self,
@@ -93,7 +104,7 @@
         failed: frozenset[str | None],
     ) -> str | None:
         is_answered = None not in failed and (
-            not self._store_health.failing or self.store_age_s < STORE_SILENT_AFTER_S
+            not self._store_health.failing or self.store_age_s < STALE_AFTER_S
         )
         for zone in zones:
             if zone == self._roster.local.zone:
@@ -112,10 +123,12 @@
         return next(filter(self._is_followable, sound), None)
 
     def _is_followable(self, peer: str) -> bool:
-        """Return whether a peer's knowledge is fresh and does not come from here."""
-        name = self._roster.local.name
-        known = self._statuses.get(peer)
-        if peer == name or (known is not None and known[1].follows == name):
+        """Return whether a peer's knowledge is fresh and does not come from here.
+
+        Gateways that follow each other in a circle would take it for fresh for a while.
+        """
+        path = self.find_path(peer)
+        if self._roster.local.name in path or len(path) == MAX_PATH:
             return False
         return self._is_in_touch(peer)
 
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -194,8 +194,8 @@
             self._node.send(peer, handover)
         return peer
 
-    def announce_leaving(self) -> None:
-        """Tell all peers at once which targets said that they leave."""
+    def announce_status(self) -> None:
+        """Send all peers a status at once, as something in it has changed."""
         self._is_status_urgent = True
 
     def announce_crashes(self, news: CrashNews) -> None:
@@ -276,6 +276,7 @@
             planned_groups=self.plans.list_own_groups(),
             is_cut=self.is_cut(),
             changes=self.follower.list_changes(),
+            path=self.statuses.find_path(self.follower.source),
         )
         data = encode_message(common)
         is_head = self._roster.find_head(self._local.zone) == self._local.name
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -260,6 +260,9 @@
     changes
         Versions of the last changes that the sender knows below the prefixes that it
         keeps; empty from a version that does not send them.
+    path
+        Gateways by which what the sender knows of the store comes, the one that it
+        follows first; empty if it reads the store.
     """
 
     store_age_ms: int
@@ -276,6 +279,7 @@
     sent: tuple[SentItem, ...] = ()
     is_cut: bool = False
     changes: dict[str, int] = {}
+    path: tuple[str, ...] = ()
 
 
 class Subscription(MeshMessage, tag=37):
