--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -73,7 +73,7 @@
     leaving
         Targets that said that they leave, whatever their entries say.
     find_age_s
-        Returns the age of what is known of the store, in seconds.
+        Returns the age of what is known of the operators' keys, in seconds.
     on_restored
         Called when the store is found to have been restored from an older copy.
     on_target_lost
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -134,7 +134,7 @@
         self._peers.slots = self.slots
         self._peers.follower = self._follower
         self._follower.on_news = self._peers.announce_status
-        self.view.find_age_s = lambda: self._follower.data_age_s
+        self.view.find_age_s = lambda: self._follower.configuration_age_s
         self._lease_keeper = LeaseKeeper(
             self._store, self._store_health, max(LEASE_S, settings.min_lease_s)
         )
--- a/waxwingpitch/gateway/following.py
+++ b/waxwingpitch/gateway/following.py
@@ -108,6 +108,11 @@
             prefixes.append(TARGET_PREFIX)
         return self._freshness.find_age_s(prefixes)
 
+    @property
+    def configuration_age_s(self) -> float:
+        """Age of what is known here of what the operators wrote."""
+        return self._freshness.find_age_s((OPERATOR_PREFIX,))
+
     def list_failed_sources(self) -> frozenset[str | None]:
         """Return the sources lately followed by which what is known here got old."""
         now = boot_time()
