--- a/waxwingpitch/tests/test_lost_links.py
+++ b/waxwingpitch/tests/test_lost_links.py
@@ -179,7 +179,9 @@
     try:
         for daemon in daemons[:3]:
             wait_for(lambda: count_replicas(daemon, PAIR.name) >= 3)
+            wait_for(lambda: len(daemon.view.find_replicas("plain", "")) == 2)
             wait_for(lambda: len(daemon.dump()["peers"]) == 3)
+            wait_for(lambda: daemon.find_unready_reason() is None)
             assert ask(daemon, f"before-{daemon.settings.name}")
             TargetLinks(daemon).cut(fault)
         callers = [
