--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -21,6 +21,8 @@
 ROOT = Path(__file__).parents[2]
 METRICS_PORT = 9464
 START_S = 30.0
+# Time after which a case gives up.
+MAX_S = 115
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -409,8 +411,15 @@
         )
 
 
+def _give_up(number: int, frame) -> None:
+    raise CannotRunError(f"ended by signal {number}")
+
+
 def run(main) -> None:
     """Run a case's main function, which returns an exit status."""
+    signal.signal(signal.SIGTERM, _give_up)
+    signal.signal(signal.SIGALRM, _give_up)
+    signal.alarm(MAX_S)
     try:
         status = main()
     except (CannotRunError, OSError, subprocess.SubprocessError) as exc:
