--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""One worker answers one stream with bytes without end; are the others' calls answered?"""
+"""One worker answers a stream with bytes without end; are other calls answered?"""
 
 from __future__ import annotations
 
@@ -92,7 +92,8 @@
             deployment.record.write(f"run of {request} on {target}", at)
         for began, ended, target, request, size in deployment.platform.ask("flooded"):
             deployment.record.write(
-                f"answer to {request} of {target}: {size} bytes in {ended - began:.2f} s",
+                f"answer to {request} of {target}: {size} bytes "
+                f"in {ended - began:.2f} s",
                 began,
             )
         return judge(deployment, traffic)
--- a/review/1/platform.py
+++ b/review/1/platform.py
@@ -34,8 +34,9 @@
         self.faulty -= 1
         self._record_run(request, headers)
         began_at, size = time.monotonic(), 0
-        head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {request}\r\nResponse-Seal: seal.{target}\r\n"
-        sock.sendall(head.encode() + b"Content-Type: text/event-stream\r\n\r\n")
+        head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {request}\r\n"
+        head += f"Response-Seal: seal.{target}\r\nContent-Type: text/event-stream\r\n"
+        sock.sendall(head.encode() + b"\r\n")
         try:
             while True:
                 sock.sendall(BLANK_LINES)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -41,9 +41,7 @@
         self.count = 0
 
     def _ask(self, gateway, request):
-        answer = stream(
-            gateway, request, model="pair", events=10, deadline_ms=6000
-        )
+        answer = stream(gateway, request, model="pair", events=10, deadline_ms=6000)
         self.answers.append(answer)
         self.deployment.note(answer)
 
--- a/review/4/platform.py
+++ b/review/4/platform.py
@@ -36,6 +36,8 @@
     def _transact_late(self, body):
         """Carry out a write; while answers are lost, later and without an answer."""
         is_planner = any("/planners/" in put["key"] for put in body["puts"])
+        if self.late_s and is_planner and not self.losing_until:
+            self.losing_until = time.monotonic() + LOSING_S
         is_lost = is_planner and self.lost < MAX_LOST
         if not is_lost or time.monotonic() >= self.losing_until:
             status, answer = self._transact(body)
@@ -52,9 +54,11 @@
         self._note(body, f"is carried out late, with {status}")
 
     def do_lose_answer(self, late_s: float):
-        """Lose the answers of writes of a planner's key for a while; they are done later."""
+        """Lose answers of writes of a planner's key for a while, from the next one on.
+
+        They are done later.
+        """
         self.late_s = late_s
-        self.losing_until = time.monotonic() + LOSING_S
 
     def do_writes(self):
         return self.writes
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -73,7 +73,9 @@
     with Deployment(__file__, zones=("z", "z"), size=16) as deployment:
         deployment.wait_until_ready()
         wait_until(
-            lambda: len(deployment.platform.ask("heads")) == 8, 30.0, "eight open groups"
+            lambda: len(deployment.platform.ask("heads")) == 8,
+            30.0,
+            "eight open groups",
         )
         time.sleep(4.0)
         clients = Clients(deployment)
@@ -110,19 +112,22 @@
     before = [item for item in sound if item.sent_at < trouble_at - 1.0]
     after = [item for item in sound if item.sent_at > fifth_at + 2 * CONTACT_S]
     shares = [
-        sum(item.status == 200 and item.is_complete for item in part) / max(1, len(part))
+        sum(item.status == 200 and item.is_complete for item in part)
+        / max(1, len(part))
         for part in (before, after)
     ]
     text = (
-        f"{len(crashes)} crashes; requests with the part that reached workers later than "
-        f"{CONTACT_S} s after the fifth: {len(late)}; sound requests served: "
-        f"{shares[0]:.2f} of {len(before)} before, {shares[1]:.2f} of {len(after)} later "
-        f"than {2 * CONTACT_S} s after the fifth"
+        f"{len(crashes)} crashes; requests with the part that reached workers later "
+        f"than {CONTACT_S} s after the fifth: {len(late)}; sound requests served: "
+        f"{shares[0]:.2f} of {len(before)} before, {shares[1]:.2f} of {len(after)} "
+        f"later than {2 * CONTACT_S} s after the fifth"
     )
     deployment.record.write(text)
     print(text)
     if shares[0] < 0.9 or (HAS_TROUBLE and not crashes):
-        raise CannotRunError("the sound requests were not served before, or none crashed")
+        raise CannotRunError(
+            "the sound requests were not served before, or none crashed"
+        )
     return BROKEN if len(late) > ALLOWED else HELD
 
 
--- a/review/5/platform.py
+++ b/review/5/platform.py
@@ -1,4 +1,4 @@
-"""Platform on which one part of prompts crashes each worker that begins to answer it."""
+"""Platform on which one part of prompts crashes workers that begin to answer it."""
 
 from __future__ import annotations
 
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -1,4 +1,4 @@
-"""Starts gateways and a stand-in of the platform as processes, and records what is seen.
+"""Starts gateways and a stand-in of the platform, and records what is seen.
 
 Used by the scripts of the cases. Needs the standard library only.
 """
@@ -87,7 +87,8 @@
     start = os.getpid()
     for step in range(500):
         number = start * 7 + step
-        ip = f"127.{100 + number // 62500 % 100}.{number // 250 % 250 + 1}.{number % 250 + 1}"
+        high, low = divmod(number, 250)
+        ip = f"127.{100 + high // 250 % 100}.{high % 250 + 1}.{low + 1}"
         if ip in _taken:
             continue
         try:
@@ -110,7 +111,9 @@
 
 
 def build_environment(**more: str) -> dict[str, str]:
-    kept = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+    kept = {
+        key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+    }
     return {**kept, "PYTHONPATH": f"{ROOT / 'target' / 'deps'}:{ROOT}", **more}
 
 
@@ -254,7 +257,7 @@
     connect_s: float = 1.0,
     **headers: str,
 ) -> Answer:
-    """Send one request over a new connection; wait for the answer until its deadline."""
+    """Send one request over a new connection, and wait for its answer."""
     answer = Answer(request, gateway.name, time.monotonic())
     until = answer.sent_at + deadline_ms / 1000
     lines = [
@@ -278,7 +281,9 @@
     return answer
 
 
-def stream(gateway: Gateway, request: str, *, model: str, events: int, **options) -> Answer:
+def stream(
+    gateway: Gateway, request: str, *, model: str, events: int, **options
+) -> Answer:
     """Request a stream of a number of events."""
     options.setdefault("Prompt_Prefix", f"aa:40,{request}:60")
     return call(
@@ -394,7 +399,9 @@
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             for gateway in self.gateways:
-                Path(keep, gateway.log_path.name).write_bytes(gateway.log_path.read_bytes())
+                Path(keep, gateway.log_path.name).write_bytes(
+                    gateway.log_path.read_bytes()
+                )
         self._temporary.cleanup()
         self.record.close()
 
