--- a/review/5/platform.py
+++ b/review/5/platform.py
@@ -7,8 +7,12 @@
 
 from review.lib.platform_base import Standin, serve
 from waxwingpitch.targets.records import MemberState
+from waxwingpitch.tests import platform_standin
 from waxwingpitch.tests.fleet_fake import PAIR
 
+# Time after which a crashed worker is back: "some seconds".
+platform_standin.RESTART_S = 3.0
+
 
 class Platform(Standin):
     def __init__(self, **options):
