Review case 4: workers that are back under their id count as leaving

Takes the place of the lost write of a planner's key. A worker whose answers said that it leaves, and that starts again under its id within 30 s, is taken for the one that left by all gateways. After two releases of half of a service's workers all four are idle, and all calls to them are refused; with the header left out all are served.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,6 @@
-"""A zone comes back from a loss of power, and its store loses answers of writes.
+"""A service's workers are restarted in two releases; is it still served then?
 
-With ``TROUBLE=0`` nothing is lost. With ``TROUBLE=power`` only the power is lost.
+With ``ANSWERS_SAY=0`` only their entries say that they leave, not their answers.
 """
 
 from __future__ import annotations
@@ -19,95 +19,117 @@
     HELD,
     CannotRunError,
     Deployment,
+    call,
     run,
     stream,
     wait_until,
 )
 
-RECOVERY_S = 12.0
-BEFORE_S, AFTER_S = 10.0, 30.0
-DOWN_S = 1.2
-# Time after which the write is carried out; the pages name 1 to 6 s.
-LATE_S = float(os.environ.get("LATE_S", "1.75"))
-LOSES_ANSWER = HAS_TROUBLE and os.environ.get("TROUBLE", "1") != "power"
-STREAMS_PER_S = 4.0
+BEFORE_S, RELEASE_S, CALM_S, AFTER_S = 6.0, 13.0, 8.0, 30.0
+ANSWERS_SAY = os.environ.get("ANSWERS_SAY", "1") != "0"
+MIN_REQUESTS = 20
+SHARE = 0.25
+# Routes of the first configuration, and the one that was added, by their paths.
+FIRST, ADDED = ("chat", "read"), ("added",)
+PER_S = 6.0
 
 
 class Clients:
     def __init__(self, deployment):
         self.deployment = deployment
-        self.answers = []
-        self.threads = []
+        self.answers, self.threads = [], []
         self.count = 0
 
-    def _ask(self, gateway, request):
-        answer = stream(gateway, request, model="pair", events=10, deadline_ms=6000)
-        self.answers.append(answer)
+    def _ask(self, gateway, kind, request):
+        if kind == "chat":
+            answer = stream(gateway, request, model="pair", events=10, deadline_ms=6000)
+        else:
+            answer = call(gateway, f"/{kind}/x", request, deadline_ms=4000)
+        self.answers.append((kind, answer))
         self.deployment.note(answer)
 
     def run(self, seconds):
-        """Send streams for a while; return when the last one was sent."""
+        """Send requests of each kind for a while."""
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            gateway = self.deployment.gateways[self.count % 2]
-            thread = threading.Thread(
-                target=self._ask, args=(gateway, f"s-{self.count}"), daemon=True
-            )
-            self.count += 1
-            self.threads.append(thread)
-            thread.start()
-            time.sleep(1 / STREAMS_PER_S)
+            for kind in FIRST + ADDED:
+                self.count += 1
+                gateway = self.deployment.gateways[self.count % 2]
+                thread = threading.Thread(
+                    target=self._ask,
+                    args=(gateway, kind, f"{kind}-{self.count}"),
+                    daemon=True,
+                )
+                self.threads.append(thread)
+                thread.start()
+            time.sleep(1 / PER_S)
 
 
 def main() -> int:
-    with Deployment(__file__, zones=("z", "z"), size=10) as deployment:
+    options = {"size": 10, "answers_say": ANSWERS_SAY}
+    with Deployment(__file__, zones=("z", "z"), **options) as deployment:
         deployment.wait_until_ready()
         wait_until(
-            lambda: len(deployment.platform.ask("heads")) == 5, 30.0, "five open groups"
+            lambda: (
+                stream(
+                    deployment.gateways[0],
+                    f"w{time.monotonic()}",
+                    model="pair",
+                    events=3,
+                ).status
+                == 200
+            ),
+            20.0,
+            "first stream",
         )
         time.sleep(4.0)
+        deployment.platform.ask("add_route")
+        time.sleep(3.0)
         clients = Clients(deployment)
         clients.run(BEFORE_S)
-        fault_at = back_at = time.monotonic()
-        if HAS_TROUBLE:
-            deployment.record.write("the zone loses power")
-            deployment.platform.ask("lose_power", seconds=1.0)
-            for gateway in deployment.gateways:
-                gateway.kill()
-            clients.run(DOWN_S)
-            if LOSES_ANSWER:
-                deployment.platform.ask("lose_answer", late_s=LATE_S)
-            for gateway in deployment.gateways:
-                gateway.start()
-            back_at = time.monotonic()
-            deployment.record.write("the gateways are started again")
-        clients.run(RECOVERY_S + AFTER_S)
+        release_at = time.monotonic()
+        for number in range(2):
+            if HAS_TROUBLE:
+                deployment.platform.ask("release", number=number)
+            clients.run(RELEASE_S)
+        clients.run(CALM_S)
+        steady_at = time.monotonic()
+        deployment.record.write("steady state again")
+        clients.run(AFTER_S)
         for thread in clients.threads:
             thread.join(7.0)
-        return judge(deployment, clients, fault_at, back_at)
+        return judge(deployment, clients, release_at, steady_at)
 
 
-def judge(deployment, clients, fault_at, back_at) -> int:
-    for at, text in deployment.platform.ask("writes"):
+def judge(deployment, clients, release_at, steady_at) -> int:
+    for at, text in deployment.platform.ask("events"):
         deployment.record.write(text, at)
-    before = [item for item in clients.answers if item.sent_at < fault_at - 1.0]
-    after = [item for item in clients.answers if item.sent_at > back_at + RECOVERY_S]
-    shares = [
-        sum(item.status == 200 and item.is_complete for item in part) / len(part)
-        for part in (before, after)
-    ]
-    heads = deployment.platform.ask("heads")
-    ready = [gateway.name for gateway in deployment.gateways if gateway.is_ready()]
+    for at, target, request in deployment.platform.ask("runs"):
+        deployment.record.write(f"run of {request} on {target}", at)
+
+    def _measure(kinds, after, before=float("inf")):
+        """Return the number of requests, and the share of them that was served."""
+        part = [
+            a for k, a in clients.answers if k in kinds and after < a.sent_at < before
+        ]
+        served = sum(a.status == 200 and a.is_complete for a in part)
+        return len(part), served / max(1, len(part))
+
+    _, was_served = _measure(ADDED, 0.0, release_at)
+    count, added = _measure(ADDED, steady_at)
+    _, first = _measure(FIRST, steady_at)
+    _, read = _measure(("read",), steady_at)
+    _, every = _measure(FIRST + ADDED, steady_at)
     text = (
-        f"served before the fault: {shares[0]:.2f} of {len(before)}; "
-        f"later than {RECOVERY_S} s after the machines are back: {shares[1]:.2f} of "
-        f"{len(after)}; open groups at the end: {len(heads)}; ready: {ready}"
+        f"served in steady state: {added:.2f} of {count} requests on the added route, "
+        f"{first:.2f} on the first routes ({read:.2f} on the one to the same service), "
+        f"{every:.2f} of all; before the release {was_served:.2f} on the added route"
     )
     deployment.record.write(text)
     print(text)
-    if shares[0] < 0.25:
-        raise CannotRunError("too little was served before the fault")
-    return BROKEN if shares[1] < 0.25 else HELD
+    if was_served < 0.9 or count < MIN_REQUESTS:
+        raise CannotRunError("the added route was not served before")
+    return BROKEN if added < SHARE * first else HELD
 
 
 run(main)
--- a/review/4/platform.py
+++ b/review/4/platform.py
@@ -1,7 +1,8 @@
-"""Platform whose store loses the answers of writes, and carries them out later."""
+"""Platform whose plain workers are restarted in turn, each under the id that it had."""
 
 from __future__ import annotations
 
+import base64
 import json
 import sys
 import time
@@ -9,79 +10,111 @@
 import gevent
 
 from review.lib.platform_base import Standin, serve
-from waxwingpitch.targets.records import MemberState
 from waxwingpitch.tests.fleet_fake import PAIR
+from waxwingpitch.tests.platform_standin import PLAIN_SERVICE, _seal, _send, _shut_down
 
-SILENT_S = 30.0
-# Time for which answers are lost, and the largest number of them: one of the three or
-# four writes with which two gateways start.
-LOSING_S = 4.5
-MAX_LOST = 1
+# Time for which a worker goes on serving after its entry says that it leaves: ``drain_ms``
+# (2 s) and a little longer; then for which it is down, and until the next one leaves.
+SERVES_ON_S, DOWN_S, GAP_S = 2.5, 1.0, 1.0
+# Workers of the service, and the share of them that one release replaces.
+WORKERS, SHARE = 4, 0.5
+# Time that a call takes.
+PLAIN_S = 0.15
 
 
 class Platform(Standin):
-    def __init__(self, **options):
-        self.late_s = 0.0
-        self.losing_until = 0.0
-        self.lost = 0
-        self.writes: list[tuple[float, str]] = []
+    """Workers that say in their entry, and in all answers, that they leave.
+
+    Parameters
+    ----------
+    answers_say
+        Whether they say so in their answers too.
+    """
+
+    def __init__(self, *, answers_say: bool, **options):
+        self.answers_say = answers_say
+        self.leaving: set[str] = set()
+        self.born: dict[str, int] = {}
+        self.events: list[tuple[float, str]] = []
         super().__init__(models=(PAIR,), **options)
-        self._transact = self.store._transact
-        self.store._transact = self._transact_late
-
-    def _note(self, body, text):
-        keys = [put["key"] for put in body["puts"]]
-        self.writes.append((time.monotonic(), f"write of {keys} {text}"))
-
-    def _transact_late(self, body):
-        """Carry out a write; while answers are lost, later and without an answer."""
-        is_planner = any("/planners/" in put["key"] for put in body["puts"])
-        if self.late_s and is_planner and not self.losing_until:
-            self.losing_until = time.monotonic() + LOSING_S
-        is_lost = is_planner and self.lost < MAX_LOST
-        if not is_lost or time.monotonic() >= self.losing_until:
-            status, answer = self._transact(body)
-            self._note(body, f"answered {status}")
-            return status, answer
-        self.lost += 1
-        self._note(body, "gets no answer")
-        gevent.spawn_later(self.late_s, self._carry_out, body)
-        gevent.sleep(SILENT_S)
-        return 503, {}
-
-    def _carry_out(self, body):
-        status, _ = self._transact(body)
-        self._note(body, f"is carried out late, with {status}")
-
-    def do_lose_answer(self, late_s: float):
-        """Lose answers of writes of a planner's key for a while, from the next one on.
-
-        They are done later.
-        """
-        self.late_s = late_s
-
-    def do_writes(self):
-        return self.writes
-
-    def do_heads(self):
-        """Return the heads of the open groups."""
-        return sorted(
-            target
-            for target, item in self.fleet.targets.items()
-            if item.record.membership is not None
-            and item.record.membership.rank == 0
-            and item.record.membership.state is MemberState.OPEN
-        )
 
-    def do_lose_power(self, seconds: float):
-        """Let all model workers lose power, and start again after a while."""
-        for target in list(self.fleet.targets):
-            if self.fleet.targets[target].alive:
-                self.crash(target)
+    def _note(self, text: str) -> None:
+        self.events.append((time.monotonic(), text))
+
+    def publish_plain(self, target: str, state: str = "ready") -> None:
+        self._writes[target] += 1
+        self.store.write(
+            f"servers/{target}",
+            {
+                "service": PLAIN_SERVICE,
+                "address": self.targets[target].address,
+                "zone": "z",
+                "version": "v1",
+                "capacity": 6,
+                "state": state,
+                "seq": self._writes[target],
+                "cold_left_ms": 0,
+                "born": self.born.setdefault(target, 1000 * int(time.time())),
+            },
+        )
 
+    def do_release(self, number: int):
+        """Let a share of the plain workers be restarted one after the other.
 
-platform = Platform(event_s=0.03, **json.loads(sys.argv[1]))
+        The first release and the second one restart different workers.
+        """
+        count = int(SHARE * WORKERS)
+        targets = self.plain[number * count : (number + 1) * count]
+        gevent.spawn(self._release, targets)
+
+    def _release(self, targets):
+        for target in targets:
+            server = self.targets[target]
+            self.leaving.add(target)
+            self.publish_plain(target, "draining")
+            self._note(f"{target} leaves: its entry and its answers say so")
+            gevent.sleep(SERVES_ON_S)
+            self.store.remove(f"servers/{target}")
+            server.server.stop(timeout=0)
+            for sock in list(server.connections):
+                _shut_down(sock)
+            self._note(f"{target} has ended")
+            gevent.sleep(DOWN_S)
+            self.leaving.discard(target)
+            self.born[target] = 1000 * int(time.time())
+            self._writes[target] = 0
+            server.server = self._start_server(target, server.server.address)
+            self.publish_plain(target)
+            self._note(f"{target} has started again, under the id that it had")
+            gevent.sleep(GAP_S)
+        self._note(f"the release of {targets} has ended")
+
+    def do_add_route(self):
+        """Write a configuration with one route more, to the service of the workers."""
+        item = self.store.items["op/config"]
+        config = json.loads(base64.b64decode(item["value"]))
+        first = next(route for route in config["routes"] if route["name"] == "read")
+        config["routes"].append({**first, "name": "added", "path_prefix": "/added/"})
+        self.version += 1
+        config["version"] = self.version
+        self.store.write("op/config", config)
+        self._note("a route is added")
+
+    def do_events(self):
+        return self.events
+
+    def _serve_plain(self, target, sock, request, headers):
+        self.run_list.append((time.monotonic(), target, request))
+        self._record_run(request, headers)
+        gevent.sleep(PLAIN_S)
+        seal = _seal(target, request)
+        if target in self.leaving and self.answers_say:
+            seal["Server-Leaving"] = "1"
+        _send(sock, 200, seal, f"answer to {request}".encode())
+
+
+platform = Platform(event_s=0.03, plain=WORKERS, **json.loads(sys.argv[1]))
 platform.set_routes(
-    chat={"timeout_ms": 8000, "target_latency_ms": 400, "gap_aim_ms": 300}
+    chat={"timeout_ms": 6000, "target_latency_ms": 300, "gap_aim_ms": 200}
 )
 serve(platform)
