--- a/review/4/platform.py
+++ b/review/4/platform.py
@@ -13,8 +13,10 @@
 from waxwingpitch.tests.fleet_fake import PAIR
 from waxwingpitch.tests.platform_standin import PLAIN_SERVICE, _seal, _send, _shut_down
 
-# Time for which a worker goes on serving after its entry says that it leaves: ``drain_ms``
-# (2 s) and a little longer; then for which it is down, and until the next one leaves.
+# Time until a worker that leaves writes its entry again, half a heartbeat (1.2 s).
+WRITES_AFTER_S = 0.6
+# Time for which it goes on serving after that: ``drain_ms`` (2 s) and a little longer;
+# then for which it is down, and until the next one leaves.
 SERVES_ON_S, DOWN_S, GAP_S = 2.5, 1.0, 1.0
 # Workers of the service, and the share of them that one release replaces.
 WORKERS, SHARE = 4, 0.5
@@ -71,8 +73,10 @@
         for target in targets:
             server = self.targets[target]
             self.leaving.add(target)
+            self._note(f"{target} leaves")
+            gevent.sleep(WRITES_AFTER_S)
             self.publish_plain(target, "draining")
-            self._note(f"{target} leaves: its entry and its answers say so")
+            self._note(f"the entry of {target} says that it leaves")
             gevent.sleep(SERVES_ON_S)
             self.store.remove(f"servers/{target}")
             server.server.stop(timeout=0)
@@ -110,6 +114,7 @@
         seal = _seal(target, request)
         if target in self.leaving and self.answers_say:
             seal["Server-Leaving"] = "1"
+            self._note(f"{target} says in the answer to {request} that it leaves")
         _send(sock, 200, seal, f"answer to {request}".encode())
 
 
