--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,6 @@
-"""One part of long prompts crashes workers; how many requests with it reach them?
+"""One part of prompts crashes workers; how many requests with it reach them?
 
-``POSITION`` is the place of the part among the parts that requests share, from 1.
+With ``FIRST_EVENT=0`` workers crash before the first event of the answer is sent.
 """
 
 from __future__ import annotations
@@ -27,12 +27,12 @@
 
 CONTACT_S = 3.0
 CRASHES, ALLOWED = 5, 3
-SHARED_PARTS = 20
-POSITION = int(os.environ.get("POSITION", "18"))
+SHARED_PARTS = 3
 CRASHING_PART = "badc0de5"
-SOUND_PER_S, CRASHING_PER_S = 6.0, 0.5
+SOUND_PER_S, CRASHING_PER_S = 50.0, 0.4
 BEFORE_S, TROUBLE_S = 8.0, 40.0
 EVENTS = 10
+HAS_FIRST_EVENT = os.environ.get("FIRST_EVENT", "1") != "0"
 
 
 class Clients:
@@ -46,7 +46,7 @@
         number = next(self.numbers)
         shared = [f"5{place:07x}" for place in range(SHARED_PARTS)]
         if kind == "crash":
-            shared[POSITION - 1] = CRASHING_PART
+            shared[-1] = CRASHING_PART
         parts = [*shared, f"{number:08x}"]
         gateway = self.deployment.gateways[number % len(self.deployment.gateways)]
         thread = threading.Thread(
@@ -70,7 +70,8 @@
 
 
 def main() -> int:
-    with Deployment(__file__, zones=("z", "z"), size=16) as deployment:
+    options = {"size": 16, "has_output": HAS_FIRST_EVENT}
+    with Deployment(__file__, zones=("z", "z"), **options) as deployment:
         deployment.wait_until_ready()
         wait_until(
             lambda: len(deployment.platform.ask("heads")) == 8,
@@ -99,7 +100,7 @@
     crashes = deployment.platform.ask("crashes")
     sends = [
         (at, request)
-        for at, request in deployment.platform.ask("sends")
+        for at, request in deployment.platform.ask("arrivals")
         if request.startswith("crash")
     ]
     for at in crashes:
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -429,7 +429,7 @@
     signal.alarm(MAX_S)
     try:
         status = main()
-    except (CannotRunError, OSError, subprocess.SubprocessError) as exc:
-        print(f"could not run: {exc}")
+    except Exception as exc:  # only a verdict of the case may end it with BROKEN
+        print(f"could not run: {exc!r}")
         status = NOT_RUN
     sys.exit(status)
