--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -115,6 +115,7 @@
         self._service_s: dict[tuple[str, str], float] = {}
         self._new_suspicions: list[tuple[str, int]] = []
         self._served_zones = (self._zone,)
+        self._owned: set[tuple[str, str]] = set()
         self._generation = -1
         self.on_used: Callable[[SlotRelease, float], None] = lambda release, at: None
 
@@ -304,6 +305,7 @@
                 self._carry_out(owner, owner.drop_client(client, now))
         share = self._roster.measure_heard_share()
         for owner in self:
+            self._note_ownership(owner, now)
             owner.rates.share = share
             self._carry_out(owner, owner.assign(now))
 
@@ -328,6 +330,23 @@
             owners=self._zones,
         )
 
+    def _note_ownership(self, owner: SlotOwner, now: float) -> None:
+        """Log that this process begins or ends to own a key's slots."""
+        key = (owner.key.service, owner.key.model)
+        is_owned = self._roster.find_owner(owner.key) == self._name
+        if is_owned == (key in self._owned):
+            return
+        (self._owned.add if is_owned else self._owned.discard)(key)
+        counts = owner.count_retries(now)
+        logger.info(
+            "slots owned" if is_owned else "slots owned no more",
+            extra={
+                "key": str(owner.key),
+                "requests": counts.requests,
+                "retries": counts.retries,
+            },
+        )
+
     def _accepts(self, target: str, epoch: int, now: float) -> bool:
         return not self._progress.is_suspected(target, epoch, now)
 
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -16,7 +16,7 @@
 from ..admission import OnTimeFirstQueue, Ticket
 from ..admission.forecast import Pressure, Refuse, decide_admission
 from ..routing.placement import ZONE_PREFERENCE, ReplicaLoad, choose_replica
-from .budget import SharedRetryBudget
+from .budget import RetryCounts, SharedRetryBudget
 from .cold import ColdRateLimit
 from .common import (
     Decision,
@@ -160,6 +160,10 @@
         """Take one retry from the budget; return False if it is spent."""
         return self._budget.spend(now)
 
+    def count_retries(self, now: float) -> RetryCounts:
+        """Return the first attempts and retries that this owner counts."""
+        return self._budget.count(now)
+
     def take_back(
         self, client: str, number: int, req: SlotRequest, zone: str, now: float
     ) -> list[Decision]:
