Retry budget: hand over what is left, lend what was earned, wait for a loan

Cause: two of three owners of the model had taken over 2 and 3 s before from processes that were alive, and spent no slack as if these had been lost; others had earned retries that they could not lend; and a burst was decided within the 3 ms that a loan takes.

Change: an owner that stops, or finds another one in its place, hands over what is left, what it has used and when, in one message; if it is lost the next one waits as before. Half of what was earned can be lent too and is kept out of the part until the loan ends. A retry waits 10 ms if others were just asked and nothing is left.

Why it stays exact: what is handed over or lent leaves the giver at once and counts at one place only; permits that wait at an owner that stops are counted by its successor and end with the life of a loan. The play of owners that change has hand-overs now, in both orders of message and take-over.

--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -15,6 +15,7 @@
     CrashNews,
     FleetNews,
     FleetStatus,
+    RetryHandover,
     RetryLoan,
     RetryLoanRequest,
     SlotGrant,
@@ -361,6 +362,7 @@
                 | StallReply()
                 | RetryLoanRequest()
                 | RetryLoan()
+                | RetryHandover()
             ):
                 self.slots.handle(peer, message)
             case Subscription():
--- a/waxwingpitch/gateway/retry_loans.py
+++ b/waxwingpitch/gateway/retry_loans.py
@@ -65,6 +65,13 @@
                 RetryLoanRequest(number, key.zone, key.service, key.model, wanted),
             )
 
+    def is_awaited(self, owner: SlotOwner, now: float) -> bool:
+        """Return whether another owner was just asked and has not answered."""
+        return any(
+            asking is owner and now - asked_at < ASK_INTERVAL_S
+            for asking, asked_at in self._asked.values()
+        )
+
     def handle(self, message: RetryLoan, now: float) -> None:
         """Give what was lent to the owner that asked for it."""
         owner, asked_at = self._asked.pop(message.number, (None, 0.0))
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -13,6 +13,7 @@
 
 from ..mesh.fleet_messages import (
     HeldSlotItem,
+    RetryHandover,
     RetryLoan,
     RetryLoanRequest,
     SlotGrant,
@@ -36,7 +37,7 @@
     SlotOffer,
     SlotOwner,
 )
-from ..slots.budget import SharedRetryBudget
+from ..slots.budget import RetryState, SharedRetryBudget
 from ..slots.ledger import REPORT_DELAY_S
 from ..slots.rates import RecentSends, ReportedSends
 from ..targets.progress import ProgressBook
@@ -59,6 +60,8 @@
 FORWARD_TIMEOUT_S = 0.1
 # Time after the first start of the whole system in which owners have no predecessor.
 FIRST_START_S = 10.0
+# Time for which a retry waits for what other owners lend.
+LOAN_WAIT_S = 0.01
 # Share of the fleet's retry slack and ratio that its owners use.
 OWNER_BUDGET_SHARE = 0.9
 # Share of a cold target's limit that one owner uses, as two may own its key.
@@ -165,6 +168,15 @@
     ) -> None:
         """Decide on a request for a slot."""
         owner = self.find(SlotKey(self._zone, message.service, message.model))
+        if message.is_retry and not message.for_other_zone:
+            self._loans.ask(owner, now)
+            if not owner.budget.has_left(now) and self._loans.is_awaited(owner, now):
+                gevent.spawn_later(LOAN_WAIT_S, self._decide, owner, peer, message)
+                return
+        self._decide(owner, peer, message)
+
+    def _decide(self, owner: SlotOwner, peer: str, message: SlotRequestMessage) -> None:
+        now = time.monotonic()
         req = decode_request(message, now)
         decide = owner.request
         if message.for_other_zone and message.may_wait:
@@ -172,8 +184,6 @@
         elif message.for_other_zone:
             decide = owner.request_for_zone
         self._carry_out(owner, decide(peer, message.number, req, now))
-        if req.is_retry:
-            self._loans.ask(owner, now)
 
     def handle_loan_request(
         self, peer: str, message: RetryLoanRequest, now: float
@@ -183,6 +193,12 @@
         lent = owner.budget.lend(message.wanted, now)
         self._deliver(peer, RetryLoan(message.number, lent))
 
+    def handle_handover(self, message: RetryHandover, now: float) -> None:
+        """Go on with the retry budget of a key's last owner."""
+        owner = self.find(SlotKey(self._zone, message.service, message.model))
+        state = RetryState(message.earned, message.used_ages_s, message.slack_after_s)
+        owner.budget.adopt(state, now)
+
     def handle_loan(self, message: RetryLoan, now: float) -> None:
         """Use retries that another owner lent."""
         self._loans.handle(message, now)
@@ -365,7 +381,7 @@
             window_s=self._bounds.retry_window_s,
             owners=1,
         )
-        budget.hand_over()
+        budget.hand_over(time.monotonic())
         return budget
 
     def _has_retry_left(self, service: str, model: str, now: float) -> bool:
@@ -386,7 +402,7 @@
             owner.budget.take_over(now, has_predecessor=has_predecessor)
         else:
             self._owned.discard(key)
-            owner.budget.hand_over()
+            self._hand_over(owner, now)
         logger.info(
             "slots owned" if is_owned else "slots owned no more",
             extra={
@@ -396,6 +412,23 @@
             },
         )
 
+    def _hand_over(self, owner: SlotOwner, now: float) -> None:
+        """Give the retry budget of a key to its next owner."""
+        state = owner.budget.hand_over(now)
+        successor = self._roster.find_owner(owner.key)
+        if successor is None or math.isinf(state.slack_after_s):
+            return
+        key = owner.key
+        handover = RetryHandover(
+            key.zone,
+            key.service,
+            key.model,
+            state.earned,
+            state.used_ages_s,
+            state.slack_after_s,
+        )
+        self._deliver(successor, handover)
+
     def _accepts(self, target: str, epoch: int, now: float) -> bool:
         return not self._progress.is_suspected(target, epoch, now)
 
--- a/waxwingpitch/gateway/slots.py
+++ b/waxwingpitch/gateway/slots.py
@@ -9,6 +9,7 @@
 from ..mesh.fleet_messages import (
     HeldSlotItem,
     KeySummaryItem,
+    RetryHandover,
     RetryLoan,
     RetryLoanRequest,
     SentItem,
@@ -114,6 +115,8 @@
                 self.owners.handle_stall_check(peer, message, now)
             case RetryLoanRequest():
                 self.owners.handle_loan_request(peer, message, now)
+            case RetryHandover():
+                self.owners.handle_handover(message, now)
             case RetryLoan():
                 self.owners.handle_loan(message, now)
             case StallReply():
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -217,6 +217,29 @@
     lent: int
 
 
+class RetryHandover(MeshMessage, tag=44):
+    """Hands the retry budget of a key over to its next owner.
+
+    Attributes
+    ----------
+    earned
+        Retries earned and not used.
+    used_ages_s
+        Ages of the retries paid from the slack, in seconds; negative for times to come.
+    slack_after_s
+        Time after which slack may be spent, in seconds.
+    """
+
+    since_version: ClassVar[int] = 3
+
+    zone: str
+    service: str
+    model: str
+    earned: float
+    used_ages_s: tuple[float, ...]
+    slack_after_s: float
+
+
 class HeldSlotItem(MeshItem):
     """A slot that the sender holds.
 
@@ -434,6 +457,7 @@
     | StallReply
     | RetryLoanRequest
     | RetryLoan
+    | RetryHandover
     | FleetStatus
     | Subscription
     | StoreUpdate
--- a/waxwingpitch/slots/budget.py
+++ b/waxwingpitch/slots/budget.py
@@ -2,9 +2,9 @@
 
 A service has one owner of slots for each zone and model. Each holds a part of the slack
 and lends of it to the others, so that what all of them spend never adds up to more than
-the whole, however late or rarely they hear of each other. An owner that takes over
-spends no slack until all that its predecessors may have spent or lent is out of the
-window, as nobody knows how much that was.
+the whole, however late or rarely they hear of each other. An owner that stops hands
+over what it has spent. One that takes over without that, as its predecessor is lost,
+spends no slack until all that may have been spent or lent is out of the window.
 
 For each window: retries <= ratio x first attempts + slack, over all owners.
 """
@@ -59,6 +59,26 @@
     expires_at: float = math.inf
 
 
+@dataclass(frozen=True, slots=True)
+class RetryState:
+    """What an owner hands over to the next one, which then decides in its place.
+
+    Attributes
+    ----------
+    earned
+        Retries earned and not used.
+    used_ages_s
+        Ages of the retries that were paid from the slack, in seconds; negative for
+        those that were lent or reserved and are used at the latest then.
+    slack_after_s
+        Time after which slack may be spent, in seconds.
+    """
+
+    earned: float
+    used_ages_s: tuple[float, ...]
+    slack_after_s: float
+
+
 class _Bucket:
     """Counts of a part of the window."""
 
@@ -108,6 +128,10 @@
         # Times at which slack was used, or a loan of it is used at the latest.
         self._slack_used: dict[int, float] = {}
         self._loans: list[float] = []
+        self._lent_earned: list[float] = []
+        # Permits given before the key was handed over, and until when they hold.
+        self._old_permits: dict[int, float] = {}
+        self._inherited: tuple[float, RetryState] | None = None
         self.share = 1.0
         self.set_part(slack / max(1, owners))
 
@@ -125,22 +149,56 @@
         has_predecessor
             Whether another process may have decided within the window.
         """
-        self.hand_over()
+        self.hand_over(now)
         self._slack_from = now
         if has_predecessor:
             self._slack_from += self._window_s + LOAN_TTL_S
+        if self._inherited is not None:
+            at, state = self._inherited
+            self._inherited = None
+            if now - at < LOAN_TTL_S:
+                self.adopt(state, now)
 
-    def hand_over(self) -> None:
-        """Decide from now on for requests only that reach this owner by mistake."""
+    def hand_over(self, now: float) -> RetryState:
+        """Decide from now on for requests only that reach this owner by mistake.
+
+        Returns what the next owner needs to go on, which has to be given to one only.
+        """
+        until = now + LOAN_TTL_S
+        self._measure_slack(now)
+        state = RetryState(
+            self._earned,
+            (
+                *(now - at for at in self._slack_used.values()),
+                *(-LOAN_TTL_S for _ in (*self._reserved, *self._lent_earned)),
+            ),
+            max(0.0, self._slack_from - now),
+        )
+        self._old_permits = dict.fromkeys(self._reserved, until)
         self._era += 1
         self._earned = 0.0
         self._reserved.clear()
         self._loans.clear()
+        self._lent_earned.clear()
         self._slack_from = math.inf
+        return state
+
+    def adopt(self, state: RetryState, now: float) -> None:
+        """Go on from what the last owner handed over."""
+        if self._slack_from == math.inf:
+            self._inherited = now, state
+            return
+        for age_s in state.used_ages_s:
+            self._numbers += 1
+            self._slack_used[self._numbers] = now - age_s
+        self._add_earned(state.earned)
+        self._slack_from = min(self._slack_from, now + state.slack_after_s)
 
     def earn(self, now: float) -> None:
         """Count a first attempt."""
         self._find_bucket(now).requests += 1
+        if self._lent_earned:
+            self._lent_earned = [until for until in self._lent_earned if until > now]
         self._add_earned(self._ratio)
 
     def reserve(self, now: float) -> RetryPermit | None:
@@ -163,7 +221,7 @@
     def use(self, permit: RetryPermit, now: float) -> bool:
         """Count a reserved retry, whose slot is granted; return False if it is void."""
         if permit.era != self._era:
-            return False
+            return now < self._old_permits.pop(permit.number, -math.inf)
         if self._reserved.pop(permit.number, None) is None:
             return True
         if permit.expires_at <= now:
@@ -212,7 +270,11 @@
         for _ in range(lent):
             self._numbers += 1
             self._slack_used[self._numbers] = now + LOAN_TTL_S
-        return lent
+        lent_earned = min(wanted - lent, math.floor(self._earned / 2))
+        self._earned -= lent_earned
+        self._lent_earned = [until for until in self._lent_earned if until > now]
+        self._lent_earned += [now + LOAN_TTL_S] * lent_earned
+        return lent + lent_earned
 
     def borrow(self, lent: int, asked_at: float) -> None:
         """Take retries that another owner lent since a monotonic time."""
@@ -227,7 +289,8 @@
         )
 
     def _add_earned(self, retries: float) -> None:
-        limit = self._max_earned * self.share - self._count_reserved(RetrySource.EARNED)
+        taken = self._count_reserved(RetrySource.EARNED) + len(self._lent_earned)
+        limit = self._max_earned * self.share - taken
         self._earned = max(0.0, min(self._earned + retries, limit))
 
     def _count_reserved(self, source: RetrySource) -> int:
--- a/waxwingpitch/tests/test_retry_budget.py
+++ b/waxwingpitch/tests/test_retry_budget.py
@@ -52,6 +52,17 @@
         self.budgets[owner] = build_budget(ratio=self.ratio)
         self.budgets[owner].take_over(self.now)
 
+    def hand_over(self, owner: int) -> None:
+        """Replace an owner that stops, by one that decides before it is told more."""
+        old, new = self.budgets[owner], build_budget(ratio=self.ratio)
+        new.hand_over(self.now)
+        if owner % 2:
+            new.take_over(self.now)
+        new.adopt(old.hand_over(self.now), self.now)
+        if not owner % 2:
+            new.take_over(self.now)
+        self.budgets[owner] = new
+
     def ask(self, owner: int) -> None:
         self.asked.append(self.now)
         self.budgets[owner].earn(self.now)
@@ -79,7 +90,7 @@
 
 STEPS = st.lists(
     st.tuples(
-        st.sampled_from(["ask", "retry", "retry", "retry", "replace"]),
+        st.sampled_from(["ask", "retry", "retry", "retry", "replace", "hand_over"]),
         st.integers(0, OWNERS - 1),
         st.integers(1, 40),
         st.sampled_from([0.0, 0.05, 0.3, 2.0, 6.0, 11.0]),
@@ -94,7 +105,7 @@
 def test_owners_that_change_never_exceed_the_budget_together(ratio, steps):
     owners = Owners(ratio)
     for act, owner, count, pause_s in steps:
-        for _ in range(1 if act == "replace" else count):
+        for _ in range(count if act in ("ask", "retry") else 1):
             getattr(owners, act)(owner)
         owners.advance(pause_s)
     owners.check()
@@ -139,9 +150,29 @@
     assert budget.spend(WINDOW_S + LOAN_TTL_S)
 
 
+def test_slack_that_is_left_is_handed_over_by_an_owner_that_stops():
+    owners = Owners(0.2)
+    for _ in range(100):
+        owners.ask(0)
+    used = sum(owners.budgets[0].spend(owners.now) for _ in range(3))
+    owners.hand_over(0)
+    used += sum(owners.budgets[0].spend(owners.now) for _ in range(20))
+    assert used == SLACK / OWNERS
+
+
+def test_retry_that_waits_at_an_owner_that_stops_is_granted_and_counted_once():
+    first, second = build_budget(), build_budget()
+    second.take_over(0.0)
+    waiting = first.reserve(0.0)
+    second.adopt(first.hand_over(0.0), 0.0)
+    assert first.use(waiting, LOAN_TTL_S / 2)
+    assert not first.use(waiting, LOAN_TTL_S / 2)
+    assert sum(second.spend(1.0) for _ in range(20)) == SLACK / OWNERS - 1
+
+
 def test_owner_that_is_asked_by_mistake_spends_no_slack():
     budget = build_budget()
-    budget.hand_over()
+    budget.hand_over(0.0)
     assert not budget.spend(1000.0)
 
 
