Attempts: a silent group may have read a request, so it counts as a run

What callers saw: while all targets were silent for 1.3 s, one request reached four targets though its route allows two (rule BUDGET, max_attempts).

Cause: a group that stood still counted as no run, as one that has lost a member runs nothing. A group that is only silent reads the request a second later. There is no proof of 'not run' in a silence. Besides, the check whether a silent stream may go on elsewhere did not count the target that it was about to leave.

Why it works: a silence ends as a run, for all kinds of targets; a stream that may run nowhere else is read on at its target. A group that is known to be broken answers 'not executed' itself, which is no run.

--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -127,6 +127,10 @@
         self.may_have_run = True
         self._run_addresses[target] = address
 
+    def count_possible_runs(self) -> int:
+        """Return the targets that it ran on, the current one included if it may."""
+        return self.runs + (self.is_in_flight and not self.ran_on_current)
+
     def record_forwarded(self, last_event: int | None, now: float) -> None:
         """Record that events were forwarded to the caller."""
         if self.has_forwarded_events:
@@ -226,4 +230,5 @@
         case Failed(answer=answer) if answer.head.status < 500:
             return False
         case _:
-            return route.is_repeatable and attempts.runs < route.max_attempts
+            runs = attempts.count_possible_runs()
+            return route.is_repeatable and runs < route.max_attempts
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -193,8 +193,8 @@
                 if not attempts.ran_on_current:
                     attempts.record_run(replica.id, replica.address)
             case Stalled():
-                attempts.may_have_run = True
-                if not replica.epoch:
+                # A silent target may read the request later and run it.
+                if not attempts.ran_on_current:
                     attempts.record_run(replica.id, replica.address)
         return outcome
 
--- a/waxwingpitch/tests/test_attempts.py
+++ b/waxwingpitch/tests/test_attempts.py
@@ -82,3 +82,12 @@
     attempts.discard_ended_runs(lambda target, address: target == "b")
     assert attempts.runs == 1
     assert attempts.may_have_run
+
+
+def test_silent_target_that_may_have_read_a_request_counts_as_a_run():
+    attempts = Attempts()
+    attempts.begin("a", 1.0)
+    assert is_retry_allowed(RESUMABLE, attempts, Stalled("x"))
+    attempts.record_run("a", "10.0.0.1:1")
+    attempts.begin("b", 2.0)
+    assert not is_retry_allowed(RESUMABLE, attempts, Stalled("x"))
--- a/waxwingpitch/tests/test_silent_targets.py
+++ b/waxwingpitch/tests/test_silent_targets.py
@@ -19,6 +19,8 @@
 EVENTS = list(range(1, 31))
 EVENT_S = 1 / 30
 RUN_S = 6.0
+# Targets that the route of the stand-in's configuration allows for a request.
+MAX_ATTEMPTS = 2
 
 
 @pytest.fixture(scope="module")
@@ -92,6 +94,20 @@
     assert len(begun) + len(refused) == len(answers)
 
 
+# Guards against a third target for a request whose first two were silent and read it.
+def test_request_at_silent_targets_reaches_no_more_targets_than_its_route_allows(
+    platform, gateways
+):
+    for number in range(4):
+        request = f"limit-{number}"
+        pause(platform, 1.3)
+        answer = ask(gateways[number % 3], request)
+        reached = [item for _, item in platform.sends].count(request)
+        assert 1 <= reached <= MAX_ATTEMPTS
+        assert answer.events == EVENTS and answer.is_complete
+        gevent.sleep(3.0)
+
+
 @pytest.fixture
 def lone_target():
     """The platform with one group of the model, and its gateway."""
