Answers: a limit on the memory that all targets' answers hold together

What callers saw (reported by operators of similar systems): a faulty target sent bytes without end, the process that had called it kept them and ran out of memory, and the requests of its other callers ended with it.

Cause: each answer had a limit and all together had none; a head's limit counted bytes, though small fields use twenty times as much memory.

Why it works: what an answer holds beyond 64 KiB is taken from a sum of a fifth of the process's memory, and given back once the caller has the answer; an answer that finds nothing left is given up at once. Small answers ask for nothing, so they go on.

--- a/waxwingpitch/forwarding/events.py
+++ b/waxwingpitch/forwarding/events.py
@@ -52,6 +52,11 @@
         """Whether the buffer holds an incomplete event."""
         return self._content_at >= 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that complete no event yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[StreamEvent]:
         """Add bytes to the buffer and yield the events that they complete.
 
--- a/waxwingpitch/forwarding/exchange.py
+++ b/waxwingpitch/forwarding/exchange.py
@@ -110,7 +110,10 @@
     try:
         while is_foreign(head := conn.read_head(deadline)):
             conn.skip_answer(deadline)
-        body = conn.read_whole_body(deadline, max_bytes=MAX_CONTROL_BYTES)
+        with pool.memory.open() as hold:
+            body = conn.read_whole_body(
+                deadline, max_bytes=MAX_CONTROL_BYTES, hold=hold
+            )
     except BaseException:
         conn.close()
         raise
--- a/waxwingpitch/forwarding/parsing.py
+++ b/waxwingpitch/forwarding/parsing.py
@@ -11,6 +11,9 @@
 
 # Bytes of a target that carry no body, such as a head, a chunk's size or trailers.
 MAX_FRAMING_BYTES = 65536
+# Header fields of an answer, its trailers included. Small ones use far more memory than
+# bytes.
+MAX_ANSWER_FIELDS = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,7 +244,7 @@
         ValueError
             HTTP was violated before the answer was complete.
         OversizedAnswerError
-            Too many bytes arrived that belong to no body.
+            Too many bytes arrived that belong to no body, or too many header fields.
         """
         self._framing_bytes += len(data)
         try:
@@ -259,6 +262,10 @@
                 f"{self._framing_bytes} bytes without a body; "
                 f"valid: {MAX_FRAMING_BYTES}"
             )
+        if self._answers and len(self._answers[0].headers) > MAX_ANSWER_FIELDS:
+            raise OversizedAnswerError(
+                f"over {MAX_ANSWER_FIELDS} header fields; valid: {MAX_ANSWER_FIELDS}"
+            )
 
     def feed_eof(self) -> None:
         """Record that the target closed the connection cleanly.
--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -12,6 +12,7 @@
 from ..decoding import parse_address
 from ..targets.links import LinkBook
 from .answers import AnswerHead
+from .memory import AnswerHold, AnswerMemory
 from .parsing import AnswerReader, OversizedAnswerError
 from .relay import RelayedSocket, TargetNotReachedError
 from .turns import TurnReader
@@ -36,6 +37,8 @@
 MAX_REFUSED = 64
 # Body of an answer to an earlier request, which is skipped.
 MAX_FOREIGN_BYTES = 1024 * 1024
+# Memory for answers where the settings state no limit of the process.
+DEFAULT_MEMORY_BYTES = 64 * 1024 * 1024
 
 
 logger = logging.getLogger(__name__)
@@ -151,20 +154,32 @@
                 return data
             self._receive(deadline)
 
-    def read_whole_body(self, deadline: float, *, max_bytes: int) -> bytes:
+    def read_whole_body(
+        self, deadline: float, *, max_bytes: int, hold: AnswerHold
+    ) -> bytes:
         """Return the rest of the body.
 
+        Parameters
+        ----------
+        hold
+            Memory of the request's answers.
+
         Raises
         ------
         TargetOversizedError
-            It is longer than ``max_bytes``.
+            It is longer than ``max_bytes``, or than all answers may be together.
         """
-        parts, size = [], 0
+        body = bytearray()
         while data := self.read_body(deadline):
-            parts.append(data)
-            size += len(data)
-            self._check_size(size, max_bytes)
-        return b"".join(parts)
+            body += data
+            self._check_size(len(body), max_bytes)
+            # The copy that is returned needs as much again.
+            if not hold.grow(2 * len(body)):
+                raise TargetOversizedError(
+                    f"{self.address}: no memory left for answers after {len(body)} "
+                    "bytes of a body"
+                )
+        return bytes(body)
 
     @property
     def is_complete(self) -> bool:
@@ -247,13 +262,16 @@
         None if none can tell, and raises TargetNotReachedError if it is not reached.
     links
         Links to targets that are lost.
+    memory
+        Memory that the answers of all targets share.
     """
 
-    def __init__(self):
+    def __init__(self, *, memory_bytes: int = DEFAULT_MEMORY_BYTES):
         self.open_relayed: Callable[[str, float], RelayedSocket | None] = (
             lambda address, timeout_s: None
         )
         self.links = LinkBook()
+        self.memory = AnswerMemory(memory_bytes)
         self.open_socket = open_socket
         self._idle: dict[str, list[TargetConnection]] = defaultdict(list)
         self.opened = 0
--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -8,6 +8,7 @@
 
 from ..configuration.routes import Route
 from ..forwarding import Answer
+from ..forwarding.memory import AnswerHold, AnswerMemory
 from .slot_client import Slot
 
 # Limit on attempts per request, including those refused by the target as not run.
@@ -36,6 +37,9 @@
         Called when a target goes on to serve the request, and again when it has, with
         the monotonic time at which the request was sent there.
 
+    hold
+        Memory of the answers to the request; by default the least that each has.
+
     Attributes
     ----------
     is_in_flight
@@ -74,8 +78,10 @@
         last_event: int | None = None,
         last_forwarded_at: float = 0.0,
         on_survived: Callable[[float], None] = lambda sent_at: None,
+        hold: AnswerHold | None = None,
     ):
         self._on_survived = on_survived
+        self.hold = hold or AnswerMemory(limit_bytes=0).open()
         self._first_event_here_at = math.inf
         self.sent_at = 0.0
         self.has_survived = False
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -58,6 +58,8 @@
 # Interval at which lost links to targets are tried again, and how many of them.
 LINK_RETRY_S = 0.5
 RETRIED_LINKS = 4
+# Share of the process's memory that answers of targets may hold together.
+ANSWERS_MEMORY_SHARE = 0.2
 # Link of an entry host below which it leads and owns less than its processor allows.
 FAST_LINK_MBPS = 100.0
 # Time for which a process must be the head or the next host before it plans, so that
@@ -84,7 +86,9 @@
         self._stopping = False
         self.metrics = GatewayMetrics()
         self._store = store or self._build_store()
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(
+            memory_bytes=int(settings.memory_bytes * ANSWERS_MEMORY_SHARE)
+        )
         self.progress = ProgressBook()
         self.view = GatewayView(time.monotonic, self._on_view_change)
         self._store_health = StoreHealth(self._on_store_recovery)
@@ -179,6 +183,7 @@
             ),
             self.metrics,
             self._suspects,
+            self.pool.memory,
         )
         self._planners = [
             ZonePlanner(
@@ -319,6 +324,7 @@
             "plans": self._roles.planned_zones,
             "replicas": list(self.view.iter_replicas()),
             "slots": self.slots.describe(),
+            "answers_held_bytes": self.pool.memory.held_bytes,
             "store_source": self._follower.source,
             "store_knowledge_age_s": self._follower.data_age_s,
             "head": self.roster.find_head(self.settings.zone),
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -223,7 +223,9 @@
             until = time.monotonic() + left_s * CALL_TIMEOUT_SHARE
         attempts.may_have_run = True
         head = self._read_matching_head(ctx, conn, slot, until)
-        body = conn.read_whole_body(until, max_bytes=MAX_CALL_BODY_BYTES)
+        body = conn.read_whole_body(
+            until, max_bytes=MAX_CALL_BODY_BYTES, hold=attempts.hold
+        )
         answer = Answer(head, body)
         outcome = self._check_answer(ctx, answer)
         if isinstance(outcome, NotRun):
@@ -279,7 +281,9 @@
             or head.find(b"content-encoding") is not None
         ):
             until = min(ctx.deadline, time.monotonic() + REFUSAL_BODY_TIMEOUT_S)
-            body = conn.read_whole_body(until, max_bytes=MAX_CALL_BODY_BYTES)
+            body = conn.read_whole_body(
+                until, max_bytes=MAX_CALL_BODY_BYTES, hold=attempts.hold
+            )
             return self._check_answer(ctx, Answer(head, body)) or Broken("no seal")
         splitter = EventSplitter()
         last_event_at = last_data_at = time.monotonic()
@@ -300,6 +304,11 @@
                 break
             last_data_at = time.monotonic()
             complete = list(self._split_events(splitter, data))
+            if not attempts.hold.grow(splitter.buffered_bytes):
+                raise TargetOversizedError(
+                    f"{replica.id}: no memory left for answers after "
+                    f"{splitter.buffered_bytes} bytes of an event"
+                )
             if complete:
                 last_event_at = last_data_at
                 self._progress.record_progress(replica.id, replica.epoch, last_event_at)
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -9,6 +9,7 @@
 from ..forwarding import Answer, AnswerHead, CallerRequest, Responder
 from ..forwarding.answers import Headers
 from ..forwarding.listener import CallerDisconnectedError
+from ..forwarding.memory import AnswerHold, AnswerMemory
 from ..platform import HeaderNames
 from ..requests.culprits import Culprit
 from ..slots import Refused
@@ -45,6 +46,8 @@
     ----------
     slots
         Gives requests slots of replicas.
+    memory
+        Memory that the answers of all targets share.
 
     Attributes
     ----------
@@ -59,12 +62,14 @@
         exchange: TargetExchange,
         metrics: GatewayMetrics,
         suspects: SuspectTracker,
+        memory: AnswerMemory,
     ):
         self._view = view
         self._slots = slots
         self._exchange = exchange
         self._metrics = metrics
         self._suspects = suspects
+        self._memory = memory
         self.in_progress = 0
         self.stop_times: StopTimes | None = None
 
@@ -96,7 +101,19 @@
 
     def _serve(self, ctx: RequestContext, resp: Responder) -> None:
         keys = ctx.crash_keys
+        with self._memory.open() as hold:
+            self._serve_within(ctx, resp, keys, hold)
+
+    def _serve_within(
+        self,
+        ctx: RequestContext,
+        resp: Responder,
+        keys: tuple[str, ...],
+        hold: AnswerHold,
+    ) -> None:
+        """Serve a request, whose answers hold memory until the caller has one."""
         attempts = Attempts(
+            hold=hold,
             last_event=read_last_event(ctx.req),
             last_forwarded_at=ctx.arrived_at,
             on_survived=lambda sent_at: self._suspects.record_served(keys, sent_at),
--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+# Memory of a process where the settings state none.
+DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -83,6 +86,8 @@
         Processor share of the process, in cores.
     link_mbps
         Bandwidth of the host's link, in megabits a second.
+    memory_bytes
+        Memory at which the platform ends the process.
     is_first_start
         Whether the whole system starts for the first time.
     """
@@ -100,4 +105,5 @@
     min_lease_s: float
     processor_share: float
     link_mbps: float
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     is_first_start: bool = False
--- a/waxwingpitch/tests/gateway_processes.py
+++ b/waxwingpitch/tests/gateway_processes.py
@@ -112,6 +112,10 @@
             gevent.sleep(0.05)
         raise AssertionError(f"{self.name} does not serve: {self.log.read_text()}")
 
+    @property
+    def pid(self) -> int:
+        return self._process.pid
+
     def kill(self) -> None:
         """End the process at once, if it runs."""
         self._process.kill()
--- a/waxwingpitch/tests/test_links.py
+++ b/waxwingpitch/tests/test_links.py
@@ -14,6 +14,7 @@
 
 from ..forwarding import ConnectionPool, TargetBrokenError, UnreachableError
 from ..forwarding.exchange import send_request
+from ..forwarding.memory import AnswerMemory
 from ..forwarding.relay import (
     RelayAnswer,
     RelayedSocket,
@@ -129,7 +130,8 @@
 def read_answer(pool: ConnectionPool, address: str) -> bytes:
     conn = send_request(pool, address, REQUEST, timeout_s=1.0)
     conn.read_head(float("inf"))
-    return conn.read_whole_body(float("inf"), max_bytes=10**6)
+    hold = AnswerMemory(limit_bytes=0).open()
+    return conn.read_whole_body(float("inf"), max_bytes=10**6, hold=hold)
 
 
 def test_whole_answer_comes_through_a_peer(relays):
