Streams: a begun one waits while the retry budget is spent, as long as its caller does

What callers saw: a stream whose target was lost was closed at once in the middle when no retry was left at that moment (rule LOST), though its caller waits two seconds and more for the next part, and a retry is earned or lent meanwhile.

Cause: 'retry budget is spent' ended a begun stream as it ends a request that has not begun, which comes back later; a begun stream can't.

That the users' 6 cases were this is suspected, not shown.

Why it works: the gateway asks again every 0.1 s until the caller's time-out for the next part or the deadline. Requests that have not begun are refused at once as before.

--- a/waxwingpitch/forwarding/memory.py
+++ b/waxwingpitch/forwarding/memory.py
@@ -1,7 +1,7 @@
 """Limit on the bytes of targets' answers that a process holds at the same time.
 
 The load it is for: many faulty targets that send at once and without end, beside usual
-of usual size, which are kept also when the limit is reached.
+answers, which are kept also when the limit is reached.
 """
 
 from __future__ import annotations
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -5,6 +5,8 @@
 import logging
 import time
 
+import gevent
+
 from ..errors import RESULTS, RequestError, ResultCode
 from ..forwarding import Answer, AnswerHead, CallerRequest, Responder
 from ..forwarding.answers import Headers
@@ -12,7 +14,7 @@
 from ..forwarding.memory import AnswerHold, AnswerMemory
 from ..platform import HeaderNames
 from ..requests.culprits import Culprit
-from ..slots import Refused
+from ..slots import BUDGET_SPENT, Refused
 from ..telemetry import GatewayMetrics
 from .attempts import (
     Attempts,
@@ -33,6 +35,8 @@
 
 # Requests with less time than this left until their deadline are not retried.
 MIN_RETRY_TIME_LEFT_S = 0.02
+# Interval at which a begun stream asks whether a retry is left again.
+BUDGET_RECHECK_INTERVAL_S = 0.1
 # Retry-After of requests that are blocked because identical ones crashed targets.
 BLOCKED_RETRY_AFTER_S = 2.0
 
@@ -150,6 +154,9 @@
             self._metrics.record_slot_wait(ctx.service, waited_s)
             self._log_placement(ctx, attempts, placement, waited_s)
             if isinstance(placement, Refused):
+                if self._may_ask_again(ctx, resp, attempts, placement):
+                    gevent.sleep(BUDGET_RECHECK_INTERVAL_S)
+                    continue
                 reason, retry_after_s = placement.reason, placement.retry_after_s
                 self._finish_unplaced(ctx, resp, attempts, reason, retry_after_s)
                 return
@@ -167,6 +174,15 @@
                 self._finish_attempts(ctx, resp, attempts, outcome)
                 return
 
+    def _may_ask_again(
+        self, ctx: RequestContext, resp: Responder, attempts: Attempts, refused: Refused
+    ) -> bool:
+        """Return whether a begun stream waits until a retry is left again."""
+        if not resp.started or refused.reason != BUDGET_SPENT:
+            return False
+        until = min(ctx.deadline, ctx.find_idle_deadline(attempts.last_forwarded_at))
+        return time.monotonic() + BUDGET_RECHECK_INTERVAL_S < until
+
     def _attempt(
         self,
         ctx: RequestContext,
--- a/waxwingpitch/slots/__init__.py
+++ b/waxwingpitch/slots/__init__.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from .common import (
+    BUDGET_SPENT,
     Declined,
     Forwarded,
     Granted,
@@ -23,6 +24,7 @@
 from .ranking import EntryHost, rank_hosts
 
 __all__ = [
+    "BUDGET_SPENT",
     "Declined",
     "EntryHost",
     "Forwarded",
--- a/waxwingpitch/slots/common.py
+++ b/waxwingpitch/slots/common.py
@@ -9,6 +9,9 @@
 from ..admission.forecast import Pressure
 from .budget import RetryCounts
 
+# Reason of a refusal that ends once a retry is left again.
+BUDGET_SPENT = "retry budget is spent"
+
 
 class Outcome(enum.IntEnum):
     """How a request that held a slot ended at its replica."""
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -19,6 +19,7 @@
 from .budget import RetryPermit, SharedRetryBudget
 from .cold import ColdRateLimit
 from .common import (
+    BUDGET_SPENT,
     Decision,
     Declined,
     Forwarded,
@@ -451,7 +452,7 @@
             self.budget.cancel(permit)
 
     def _refuse_retry(self, client: str, number: int, now: float) -> Refused:
-        return self._refuse(client, number, NEXT_RETRY_S, "retry budget is spent", now)
+        return self._refuse(client, number, NEXT_RETRY_S, BUDGET_SPENT, now)
 
     def _refuse(self, client, number, retry_after_s, reason, now: float) -> Refused:
         self._cancel_permit(client, number)
