Retry budgets: what owners exchange in a module of its own

A slot whose client is gone gives its retry back. The memory of the process is a required setting, as the platform always states it. No other change of behaviour.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -58,6 +58,7 @@
 # Interval at which lost links to targets are tried again, and how many of them.
 LINK_RETRY_S = 0.5
 RETRIED_LINKS = 4
+BYTES_PER_MIB = 1024 * 1024
 # Share of the process's memory that answers of targets may hold together.
 ANSWERS_MEMORY_SHARE = 0.2
 # Link of an entry host below which it leads and owns less than its processor allows.
@@ -87,7 +88,7 @@
         self.metrics = GatewayMetrics()
         self._store = store or self._build_store()
         self.pool = ConnectionPool(
-            memory_bytes=int(settings.memory_bytes * ANSWERS_MEMORY_SHARE)
+            memory_bytes=int(settings.memory_mb * BYTES_PER_MIB * ANSWERS_MEMORY_SHARE)
         )
         self.progress = ProgressBook()
         self.view = GatewayView(time.monotonic, self._on_view_change)
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import math
 import time
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
@@ -37,13 +36,12 @@
     SlotOffer,
     SlotOwner,
 )
-from ..slots.budget import RetryState, SharedRetryBudget
 from ..slots.ledger import REPORT_DELAY_S
 from ..slots.rates import RecentSends, ReportedSends
 from ..targets.progress import ProgressBook
 from .beliefs import GatewayView
 from .passed_on import PassedOn, PassedOnTable, build_unused
-from .retry_loans import RetryLoans
+from .retry_budgets import RetryBudgets
 from .roster import Roster
 from .slot_client import UNUSED, SlotClient
 from .slot_wire import (
@@ -58,12 +56,8 @@
 
 # Time in which the owner of another zone's slots answers a request passed on to it.
 FORWARD_TIMEOUT_S = 0.1
-# Time after the first start of the whole system in which owners have no predecessor.
-FIRST_START_S = 10.0
 # Time for which a retry waits for what other owners lend.
 LOAN_WAIT_S = 0.01
-# Share of the fleet's retry slack and ratio that its owners use.
-OWNER_BUDGET_SHARE = 0.9
 # Share of a cold target's limit that one owner uses, as two may own its key.
 COLD_SHARE = 0.5
 # Time after its link is lost for which a client's slots are still counted.
@@ -111,10 +105,6 @@
         self._view = view
         self._progress = progress
         self._bounds = bounds
-        self._first_owners_until = -math.inf
-        if is_first_start:
-            self._first_owners_until = time.monotonic() + FIRST_START_S
-        self._zones = zones
         self._numbers = numbers
         self._client = client
         self._deliver = deliver
@@ -132,8 +122,15 @@
         self._service_s: dict[tuple[str, str], float] = {}
         self._new_suspicions: list[tuple[str, int]] = []
         self._served_zones = (self._zone,)
-        self._owned: set[tuple[str, str]] = set()
-        self._loans = RetryLoans(roster, view, zones, numbers, deliver)
+        self._budgets = RetryBudgets(
+            roster,
+            view,
+            bounds,
+            zones,
+            numbers,
+            deliver,
+            is_first_start=is_first_start,
+        )
         self._generation = -1
         self.on_used: Callable[[SlotRelease, float], None] = lambda release, at: None
 
@@ -142,7 +139,7 @@
         owner = self._owners.get((key.service, key.model))
         if owner is None:
             key = replace(key, zone=self._zone)
-            owner = SlotOwner(key, self._build_budget(), self._accepts)
+            owner = SlotOwner(key, self._budgets.build(), self._accepts)
             self._owners[key.service, key.model] = owner
             if (key.service, key.model) in self._service_s:
                 owner.adopt_service_s(self._service_s[key.service, key.model])
@@ -168,9 +165,9 @@
     ) -> None:
         """Decide on a request for a slot."""
         owner = self.find(SlotKey(self._zone, message.service, message.model))
-        if message.is_retry and not message.for_other_zone:
-            self._loans.ask(owner, now)
-            if not owner.budget.has_left(now) and self._loans.is_awaited(owner, now):
+        is_retry = message.is_retry and not message.for_other_zone
+        if is_retry and not self._budgets.has_left(owner, now):
+            if self._budgets.is_loan_awaited(owner, now):
                 gevent.spawn_later(LOAN_WAIT_S, self._decide, owner, peer, message)
                 return
         self._decide(owner, peer, message)
@@ -185,23 +182,22 @@
             decide = owner.request_for_zone
         self._carry_out(owner, decide(peer, message.number, req, now))
 
-    def handle_loan_request(
-        self, peer: str, message: RetryLoanRequest, now: float
+    def handle_retry_message(
+        self,
+        peer: str,
+        message: RetryLoanRequest | RetryLoan | RetryHandover,
+        now: float,
     ) -> None:
-        """Lend retries to another owner of the service."""
-        owner = self.find(SlotKey(self._zone, message.service, message.model))
-        lent = owner.budget.lend(message.wanted, now)
-        self._deliver(peer, RetryLoan(message.number, lent))
-
-    def handle_handover(self, message: RetryHandover, now: float) -> None:
-        """Go on with the retry budget of a key's last owner."""
-        owner = self.find(SlotKey(self._zone, message.service, message.model))
-        state = RetryState(message.earned, message.used_ages_s, message.slack_after_s)
-        owner.budget.adopt(state, now)
-
-    def handle_loan(self, message: RetryLoan, now: float) -> None:
-        """Use retries that another owner lent."""
-        self._loans.handle(message, now)
+        """Lend, borrow or take over a part of a retry budget."""
+        match message:
+            case RetryLoan():
+                self._budgets.handle_loan(message, now)
+            case RetryLoanRequest(service=service, model=model):
+                owner = self.find(SlotKey(self._zone, service, model))
+                self._budgets.lend(owner, peer, message, now)
+            case RetryHandover(service=service, model=model):
+                owner = self.find(SlotKey(self._zone, service, model))
+                self._budgets.handle_handover(owner, message, now)
 
     def handle_grant(self, peer: str, message: SlotGrant, now: float) -> None:
         """Pass a slot of another zone on to the client that asked for one."""
@@ -359,7 +355,7 @@
                 self._carry_out(owner, owner.drop_client(client, now))
         share = self._roster.measure_heard_share()
         for owner in self:
-            self._note_ownership(owner, now)
+            self._budgets.note_ownership(owner, now)
             owner.rates.share = owner.budget.share = share
             self._carry_out(owner, owner.assign(now))
 
@@ -374,60 +370,9 @@
         suspicions, self._new_suspicions = tuple(self._new_suspicions), []
         return suspicions
 
-    def _build_budget(self) -> SharedRetryBudget:
-        budget = SharedRetryBudget(
-            ratio=self._bounds.retry_ratio * OWNER_BUDGET_SHARE,
-            slack=0.0,
-            window_s=self._bounds.retry_window_s,
-            owners=1,
-        )
-        budget.hand_over(time.monotonic())
-        return budget
-
     def _has_retry_left(self, service: str, model: str, now: float) -> bool:
         owner = self.find(SlotKey(self._zone, service, model))
-        self._loans.ask(owner, now)
-        return owner.budget.has_left(now)
-
-    def _note_ownership(self, owner: SlotOwner, now: float) -> None:
-        """Log that this process begins or ends to own a key's slots."""
-        key = (owner.key.service, owner.key.model)
-        is_owned = self._roster.find_owner(owner.key) == self._name
-        if is_owned == (key in self._owned):
-            return
-        counts = owner.budget.count(now)
-        if is_owned:
-            self._owned.add(key)
-            has_predecessor = now >= self._first_owners_until
-            owner.budget.take_over(now, has_predecessor=has_predecessor)
-        else:
-            self._owned.discard(key)
-            self._hand_over(owner, now)
-        logger.info(
-            "slots owned" if is_owned else "slots owned no more",
-            extra={
-                "key": str(owner.key),
-                "requests": counts.requests,
-                "retries": counts.retries,
-            },
-        )
-
-    def _hand_over(self, owner: SlotOwner, now: float) -> None:
-        """Give the retry budget of a key to its next owner."""
-        state = owner.budget.hand_over(now)
-        successor = self._roster.find_owner(owner.key)
-        if successor is None or math.isinf(state.slack_after_s):
-            return
-        key = owner.key
-        handover = RetryHandover(
-            key.zone,
-            key.service,
-            key.model,
-            state.earned,
-            state.used_ages_s,
-            state.slack_after_s,
-        )
-        self._deliver(successor, handover)
+        return self._budgets.has_left(owner, now)
 
     def _accepts(self, target: str, epoch: int, now: float) -> bool:
         return not self._progress.is_suspected(target, epoch, now)
@@ -452,10 +397,7 @@
             if item.zone in self._served_zones
         )
         owner.set_offers(offers, max(1, int(limit * COLD_SHARE)))
-        owners = math.inf
-        if service is not None:
-            owners = len(self._zones) * max(1, len(service.list_models()))
-        owner.budget.set_part(self._bounds.retry_slack * OWNER_BUDGET_SHARE / owners)
+        self._budgets.update_part(owner)
 
     def _carry_out(self, owner: SlotOwner, decisions) -> None:
         now = time.monotonic()
@@ -463,7 +405,8 @@
             match decision:
                 case Granted(client=client, number=number):
                     if not self._give(decision, now):
-                        self._carry_out(owner, owner.release(client, number, now))
+                        unused = owner.release(client, number, now, was_used=False)
+                        self._carry_out(owner, unused)
                 case Refused(client=client, number=number):
                     if client == self._name:
                         self._client.finish_refused(number, decision)
--- a/waxwingpitch/gateway/slots.py
+++ b/waxwingpitch/gateway/slots.py
@@ -113,12 +113,8 @@
                 self.owners.handle_rate(peer, message, now)
             case StallCheck():
                 self.owners.handle_stall_check(peer, message, now)
-            case RetryLoanRequest():
-                self.owners.handle_loan_request(peer, message, now)
-            case RetryHandover():
-                self.owners.handle_handover(message, now)
-            case RetryLoan():
-                self.owners.handle_loan(message, now)
+            case RetryLoanRequest() | RetryLoan() | RetryHandover():
+                self.owners.handle_retry_message(peer, message, now)
             case StallReply():
                 if not self.client.handle_stall_reply(message):
                     self.owners.handle_stall_reply(message, now)
--- a/waxwingpitch/platform/settings.py
+++ b/waxwingpitch/platform/settings.py
@@ -8,12 +8,7 @@
 from typing import Any
 
 from ..errors import SettingsError
-from ..settings.gateway import (
-    DEFAULT_MEMORY_BYTES,
-    Address,
-    GatewaySettings,
-    OperatingBounds,
-)
+from ..settings.gateway import Address, GatewaySettings, OperatingBounds
 
 SETTINGS_VARIABLE = "WAXWINGPITCH_CONFIG"
 METRICS_PORT = 9464
@@ -63,7 +58,7 @@
         processor_share=reader.number("limits", "cpu_share")
         * reader.number("limits", "cpu_cores"),
         link_mbps=reader.number("limits", "link_mbps"),
-        memory_bytes=reader.memory_bytes("limits", "memory_mb"),
+        memory_mb=reader.number("limits", "memory_mb"),
         is_first_start=fields.get("bootstrap") is True,
     )
 
@@ -89,13 +84,6 @@
             )
         )
 
-    def memory_bytes(self, *names: str) -> int:
-        """Return a size in bytes, given in megabytes; the default if it is missing."""
-        limits = self._fields.get(names[0])
-        if isinstance(limits, dict) and names[1] not in limits:
-            return DEFAULT_MEMORY_BYTES
-        return int(self.number(*names) * 1024 * 1024)
-
     def table(self, *names: str) -> Mapping[str, Any]:
         return self._read(names, lambda value: isinstance(value, dict), "a table")
 
--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -4,9 +4,6 @@
 
 from dataclasses import dataclass
 
-# Memory of a process where the settings state none.
-DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
-
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -86,8 +83,8 @@
         Processor share of the process, in cores.
     link_mbps
         Bandwidth of the host's link, in megabits a second.
-    memory_bytes
-        Memory at which the platform ends the process.
+    memory_mb
+        Memory at which the platform ends the process, in mebibytes.
     is_first_start
         Whether the whole system starts for the first time.
     """
@@ -105,5 +102,5 @@
     min_lease_s: float
     processor_share: float
     link_mbps: float
-    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    memory_mb: float
     is_first_start: bool = False
--- a/waxwingpitch/tests/gateway_client.py
+++ b/waxwingpitch/tests/gateway_client.py
@@ -55,6 +55,7 @@
         min_lease_s=1.0,
         processor_share=1.0,
         link_mbps=1000.0,
+        memory_mb=300.0,
         is_first_start=True,
     )
 
--- a/waxwingpitch/tests/test_process_gateway.py
+++ b/waxwingpitch/tests/test_process_gateway.py
@@ -37,6 +37,7 @@
 [limits]
 cpu_share = 0.5
 cpu_cores = 2
+memory_mb = 300
 link_mbps = 1000.0
 [bounds]
 contact_ms = 3000
