Retry budget: kept while no host can own a key

What callers saw: after an outage of the store retries were refused for 11 s, though no other process had decided meanwhile.

Cause: hosts whose knowledge is old own nothing; a key without any owner counted as one that another host had taken over, so that the next owner, the same process, began with nothing.

Evidence: test_owner_keeps_its_retry_budget_while_nobody_owns_its_key fails without the change.

Why it works: the budget is handed over only to another owner that this process knows.

--- a/waxwingpitch/gateway/retry_budgets.py
+++ b/waxwingpitch/gateway/retry_budgets.py
@@ -87,10 +87,14 @@
         owner.budget.set_part(self._bounds.retry_slack * OWNER_BUDGET_SHARE / owners)
 
     def note_ownership(self, owner: SlotOwner, now: float) -> None:
-        """Take a key's budget over or hand it over, if its owner has changed."""
+        """Take a key's budget over or hand it over, if its owner has changed.
+
+        While no host can own the key, as in an outage of the store, nothing changes.
+        """
         key = owner.key
-        is_owned = self._roster.find_owner(key) == self._name
-        if is_owned == (key in self._owned):
+        present = self._roster.find_owner(key)
+        is_owned = present == self._name
+        if present is None or is_owned == (key in self._owned):
             return
         counts = owner.budget.count(now)
         if is_owned:
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -292,3 +292,16 @@
     owners.handle_grant("b-owner", grant, now)
     assert owners.list_sends_to("b", now) == [ReportedSends("t", 1.5, 1)]
     assert owners.list_sends_to("a", now) == []
+
+
+# Guards against retries that are refused for a window after each outage of the store,
+# while which no host was ready to own slots.
+def test_owner_keeps_its_retry_budget_while_nobody_owns_its_key(owners, zone_owners):
+    now = time.monotonic()
+    owner = owners.find(KEY)
+    owners.tick(("a",), now)
+    assert owner.budget.has_left(now)
+    for name in (None, "a-owner"):
+        zone_owners["a"] = name
+        owners.tick(("a",), now + 60.0)
+    assert owner.budget.has_left(now + 60.0)
