Retry budget: an owner takes its key over before its first retry, not at the next tick

What callers saw: retries in the first tenth of a second after a start were refused.

Cause: whether a process owns a key was looked at once a tick, and until then it had no slack.

Why it works: it is looked at whenever a retry asks.

--- a/waxwingpitch/gateway/retry_budgets.py
+++ b/waxwingpitch/gateway/retry_budgets.py
@@ -115,6 +115,7 @@
 
     def has_left(self, owner: SlotOwner, now: float) -> bool:
         """Return whether a retry is left; ask other owners if few are."""
+        self.note_ownership(owner, now)
         self._ask(owner, now)
         return owner.budget.has_left(now)
 
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -12,7 +12,7 @@
 
 from ..gateway.slot_owners import LOST_CLIENT_S, SlotOwners
 from ..gateway.slot_wire import encode_request
-from ..gateway.stall_checks import STALL_FORWARD_TIMEOUT_S
+from ..gateway.stall_checks import NO_PROGRESS_AGE_S, STALL_FORWARD_TIMEOUT_S
 from ..mesh.fleet_messages import (
     SlotGrant,
     SlotRefusal,
@@ -305,3 +305,10 @@
         zone_owners["a"] = name
         owners.tick(("a",), now + 60.0)
     assert owner.budget.has_left(now + 60.0)
+
+
+# Guards against refused retries right after a start, before the owner's next tick.
+def test_owner_of_a_first_start_has_retries_before_its_first_tick(owners, sent):
+    now = time.monotonic()
+    owners.handle_stall_check("h1", CHECK, now)
+    assert sent[-1] == ("h1", StallReply(CHECK.number, NO_PROGRESS_AGE_S, True))
