Logs: a stream that is broken off says where it was, and how far its gateway's stop

The hypotheses on streams cut at a stop differ in what a stream was doing then: at work on a target, waiting, or sent to one that had not begun. 'stream broken off' now has the number of sends, the age of the last one, whether its target had begun, the time since the last event, what the caller had left, and the time since the signal.

--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -299,7 +299,7 @@
         """Answer a request that gets no more attempts; the code is for one not run."""
         route = ctx.route.name
         if resp.started:
-            self._abort_stream(ctx, resp, reason)
+            self._abort_stream(ctx, resp, attempts, reason)
         elif attempts.failure_answer is not None:
             self._relay_failure(ctx, resp, attempts.failure_answer)
         elif attempts.may_have_run:
@@ -310,7 +310,7 @@
 
     def _finish_attempts(self, ctx, resp: Responder, attempts, outcome) -> None:
         if resp.started:
-            self._abort_stream(ctx, resp, repr(outcome))
+            self._abort_stream(ctx, resp, attempts, repr(outcome))
             return
         match outcome:
             case Failed(answer=answer):
@@ -339,11 +339,26 @@
         )
         resp.send_answer(answer)
 
-    def _abort_stream(self, ctx, resp: Responder, reason: str) -> None:
-        self._metrics.count_request(
-            ctx.route.name, "broken off", time.monotonic() - ctx.arrived_at
+    def _abort_stream(
+        self, ctx, resp: Responder, attempts: Attempts, reason: str
+    ) -> None:
+        now = time.monotonic()
+        times = self.stop_times
+        self._metrics.count_request(ctx.route.name, "broken off", now - ctx.arrived_at)
+        logger.warning(
+            "stream broken off",
+            extra={
+                "request": ctx.id,
+                "reason": reason,
+                "sends": attempts.sends,
+                "sent_ms_ago": round(1000 * (now - attempts.sent_at)),
+                "is_running": attempts.ran_on_current,
+                "silent_ms": round(1000 * (now - attempts.last_forwarded_at)),
+                "took_ms": round(1000 * (now - ctx.arrived_at)),
+                "caller_left_ms": round(1000 * (ctx.caller_deadline - now)),
+                "stop_ms": times and round(1000 * (now - times.signalled_at)),
+            },
         )
-        logger.warning("stream broken off", extra={"request": ctx.id, "reason": reason})
         resp.close = True
 
     def _send_error(
