Streams: stay at a silent target near the end of a planned stop

What callers saw: a stream closed at the end of a stop though its target was sound (rule LOST; only streams with deadlines past the drain).

Cause: a stream whose target is silent for 0.24 s moves as soon as it holds a slot on another one. 7.2 s after the signal the drain ends. If it moved within the last two seconds and the next target is silent too, no target works on it in the last sixth of the grace period, which excuses only those that do.

Why it works: a move needs time for a silence of over a second and for the prompt. Without that the first target is read on; it goes on, or the stream ends while it is at work there.

--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -41,6 +41,7 @@
 from .routed import RequestContext
 from .slot_client import Slot, SlotClient
 from .stall_watch import StallWatch
+from .stop_times import StopTimes
 
 # Shortest time without progress after which a stream is resumed on another target; it
 # must exceed a pass of a busy engine, which takes up to 0.1 s.
@@ -74,6 +75,11 @@
         Asked whether a silent stream may be resumed.
     is_reachable
         Probes a target, given its id and address; returns whether it answers.
+
+    Attributes
+    ----------
+    stop_times
+        Times of the planned stop that is under way; None if there is none.
     """
 
     def __init__(
@@ -91,6 +97,7 @@
         self._progress = progress
         self._metrics = metrics
         self._slots = slots
+        self.stop_times: StopTimes | None = None
 
     def run(
         self,
@@ -157,6 +164,10 @@
         attempts.discard_ended_runs(self._is_reachable)
         return is_retry_allowed(ctx.route, attempts, outcome)
 
+    def _may_move(self, now: float) -> bool:
+        """Return whether a stop leaves a stream the time to leave a silent target."""
+        return self.stop_times is None or now < self.stop_times.moves_until
+
     def _build_request(
         self, ctx: RequestContext, attempts, replica: SlotOffer
     ) -> bytes:
@@ -404,6 +415,7 @@
             self._slots,
             self._progress,
             may_retry=lambda: self.may_retry(ctx, attempts, Stalled("nothing arrives")),
+            may_move=self._may_move,
             is_link_lost=lambda: self._is_link_lost(conn),
             last_data_at=last_data_at,
             last_event_at=last_event_at,
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -77,6 +77,10 @@
         self.in_progress = 0
         self.stop_times: StopTimes | None = None
 
+    def begin_stop(self, times: StopTimes) -> None:
+        """Limit requests to the times of a planned stop."""
+        self.stop_times = self._exchange.stop_times = times
+
     def handle(self, req: CallerRequest, resp: Responder) -> None:
         """Answer one request."""
         self.in_progress += 1
--- a/waxwingpitch/gateway/stall_watch.py
+++ b/waxwingpitch/gateway/stall_watch.py
@@ -33,6 +33,8 @@
     ----------
     may_retry
         Returns whether the request may be sent to another target.
+    may_move
+        Returns whether there is time at a monotonic time to go on at another target.
     is_link_lost
         Returns whether peers reach the target and this host does not.
     last_data_at, last_event_at
@@ -50,6 +52,7 @@
         progress: ProgressBook,
         *,
         may_retry: Callable[[], bool],
+        may_move: Callable[[float], bool],
         is_link_lost: Callable[[], bool],
         last_data_at: float,
         last_event_at: float,
@@ -61,6 +64,7 @@
         self._slots = slots
         self._progress = progress
         self._may_retry = may_retry
+        self._may_move = may_move
         self._is_link_lost = is_link_lost
         self._last_event_at = last_event_at
         self._stall_timeout_s = stall_timeout_s
@@ -103,6 +107,10 @@
         return self._check_stall(now, is_over_limit=now >= stall_limit_at)
 
     def _check_search(self, search: SlotSearch, now: float) -> float:
+        if not self._may_move(now):
+            search.cancel()
+            self._search = None
+            return now + STALL_RECHECK_INTERVAL_S
         if not search.has_ended:
             return now + SEARCH_POLL_INTERVAL_S
         self._search = None
@@ -113,7 +121,7 @@
 
     def _check_stall(self, now: float, *, is_over_limit: bool) -> float:
         """Search for another slot if the target is stalled and a retry is allowed."""
-        if not self._may_retry():
+        if not self._may_move(now) or not self._may_retry():
             return now + STALL_RECHECK_INTERVAL_S
         limit_s = 0.0 if is_over_limit else self._stall_timeout_s
         self._seen_elsewhere_at, may_resume = self._slots.may_resume(
--- a/waxwingpitch/gateway/stop_times.py
+++ b/waxwingpitch/gateway/stop_times.py
@@ -21,6 +21,10 @@
 # Time after the signal for which streams begin: the operators' bound for those that a
 # stop may break off at its end is 3 s after the signal, for the time of sending.
 STREAMS_BEGIN_S = 2.8
+# Time before the end of the drain from which a stream stays at a silent target. A sound
+# target may be silent for over a second, and then reads the prompt; if no target works
+# on a stream when the drain ends, the stop has cut it.
+STREAM_MOVE_MARGIN_S = 2.0
 # Time that a call needs, in multiples of its route's latency objective.
 CALL_OBJECTIVES = 2.0
 # Retry-After of requests that were refused because this process stops; others answer.
@@ -50,6 +54,8 @@
         Time until which connections are accepted.
     streams_until
         Time until which streams begin.
+    moves_until
+        Time until which streams leave silent targets for others.
     answers_by
         Time by which requests whose answer has not begun get their final answer.
     drained_by
@@ -59,6 +65,7 @@
     signalled_at: float
     accepts_until: float
     streams_until: float
+    moves_until: float
     answers_by: float
     drained_by: float
 
@@ -74,9 +81,17 @@
     drained_by = signalled_at + stop_s - min(STOP_MARGIN_S, stop_s * STOP_MARGIN_SHARE)
     answers_by = max(signalled_at, drained_by - ANSWER_MARGIN_S)
     streams_until = min(answers_by, signalled_at + STREAMS_BEGIN_S)
+    moves_until = max(signalled_at, drained_by - STREAM_MOVE_MARGIN_S)
     removal_s = min(BALANCER_REMOVAL_S, stop_s * BALANCER_REMOVAL_SHARE)
     accepts_until = signalled_at + removal_s
-    return StopTimes(signalled_at, accepts_until, streams_until, answers_by, drained_by)
+    return StopTimes(
+        signalled_at=signalled_at,
+        accepts_until=accepts_until,
+        streams_until=streams_until,
+        moves_until=moves_until,
+        answers_by=answers_by,
+        drained_by=drained_by,
+    )
 
 
 def may_begin(
--- a/waxwingpitch/gateway/stopping.py
+++ b/waxwingpitch/gateway/stopping.py
@@ -57,7 +57,7 @@
         """
         started_at = time.monotonic()
         times = plan_stop(started_at, self._stop_s)
-        self._server.stop_times = times
+        self._server.begin_stop(times)
         logger.info(
             "gateway stops", extra={"in_progress": self._listener.active_connections}
         )
