Attempts: a silent target that answers no probe still counts as a run

Cause: runs on targets that have ended do not count, and one that answers no probe within 0.25 s was taken for ended. A silent one answers none either, and may go on.

Evidence: test_begun_stream_at_silent_targets_reaches_no_more_than_its_route_allows failed before (all six streams broken off on their third target), and passes.

Why it works: only a target that takes no connection, breaks it, or is another one has ended. The test of discard_ended_runs has the same assertion with the callback's new meaning.

--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -153,16 +153,17 @@
         self.last_forwarded_at = now
         self.has_forwarded_events = True
 
-    def discard_ended_runs(self, is_reachable: Callable[[str, str], bool]) -> None:
+    def discard_ended_runs(self, has_ended: Callable[[str, str], bool]) -> None:
         """Stop counting runs on targets that have ended towards the route's limit.
 
         Parameters
         ----------
-        is_reachable
-            Returns whether a target, given its id and address, answers this process.
+        has_ended
+            Returns whether a target, given its id and address, is known to have ended
+            or to be cut off. A silent one may go on with the request.
         """
         for target, address in list(self._run_addresses.items()):
-            if not is_reachable(target, address):
+            if has_ended(target, address):
                 del self._run_addresses[target]
                 self.runs -= 1
 
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -174,7 +174,7 @@
                 self.progress,
                 self.metrics,
                 self.slots.client,
-                self._is_reachable,
+                self._has_ended,
                 TargetNotices(
                     self.slots.client.pauses,
                     self.metrics,
@@ -346,6 +346,19 @@
             return False
         return True
 
+    def _has_ended(self, target: str, address: str) -> bool:
+        """Return whether no connection to a target can be opened, or it is another.
+
+        One that accepts connections and is silent may go on with what it has read.
+        """
+        try:
+            fetch_report(self.pool, target, address)
+        except (TargetTimeoutError, ValueError):
+            return False
+        except (UnreachableError, TargetBrokenError):
+            return True
+        return False
+
     def _may_relay(self, address: str) -> bool:
         """Return whether an address is that of a listed target."""
         return any(
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -73,8 +73,8 @@
     ----------
     slots
         Asked whether a silent stream may be resumed.
-    is_reachable
-        Probes a target, given its id and address; returns whether it answers.
+    has_ended
+        Probes a target, given its id and address; returns whether it has ended.
 
     Attributes
     ----------
@@ -88,11 +88,11 @@
         progress: ProgressBook,
         metrics: GatewayMetrics,
         slots: SlotClient,
-        is_reachable: Callable[[str, str], bool],
+        has_ended: Callable[[str, str], bool],
         notices: TargetNotices,
     ):
         self._notices = notices
-        self._is_reachable = is_reachable
+        self._has_ended = has_ended
         self._pool = pool
         self._progress = progress
         self._metrics = metrics
@@ -161,7 +161,7 @@
             return True
         if not attempts.has_forwarded_events or not ctx.route.is_repeatable:
             return False
-        attempts.discard_ended_runs(self._is_reachable)
+        attempts.discard_ended_runs(self._has_ended)
         return is_retry_allowed(ctx.route, attempts, outcome)
 
     def _may_move(self, now: float) -> bool:
--- a/waxwingpitch/tests/test_attempts.py
+++ b/waxwingpitch/tests/test_attempts.py
@@ -79,7 +79,7 @@
     attempts = Attempts()
     attempts.record_run("a", "10.0.0.1:1")
     attempts.record_run("b", "10.0.0.2:1")
-    attempts.discard_ended_runs(lambda target, address: target == "b")
+    attempts.discard_ended_runs(lambda target, address: target == "a")
     assert attempts.runs == 1
     assert attempts.may_have_run
 
--- a/waxwingpitch/tests/test_silent_targets.py
+++ b/waxwingpitch/tests/test_silent_targets.py
@@ -52,13 +52,13 @@
         platform.targets[target].faults.pause_until = until
 
 
-def ask(daemon, request: str) -> CallerAnswer | None:
+def ask(daemon, request: str, events: int = len(EVENTS)) -> CallerAnswer | None:
     try:
         return chat(
             daemon.settings.front,
             request,
             model=PAIR.name,
-            events=len(EVENTS),
+            events=events,
             deadline_ms=8000,
         )
     except (OSError, IndexError):
@@ -108,6 +108,37 @@
         gevent.sleep(3.0)
 
 
+def silence(platform: PlatformFake, seconds: float) -> None:
+    """Let all targets answer nothing, probes neither; they go on where they were."""
+    pause(platform, seconds)
+    for target in platform.fleet.targets:
+        platform.targets[target].faults.hang = True
+    gevent.sleep(seconds)
+    for target in platform.fleet.targets:
+        platform.targets[target].faults.hang = False
+
+
+# Guards against a third target for a stream whose first two are silent: that a silent
+# one answers no probe was taken for proof that it had ended.
+def test_begun_stream_at_silent_targets_reaches_no_more_than_its_route_allows(
+    platform, gateways
+):
+    requests = [f"begun-{number}" for number in range(6)]
+    asked = [
+        gevent.spawn(ask, gateways[number % 3], request, events=100)
+        for number, request in enumerate(requests)
+    ]
+    wait_for(lambda: all(platform.runs[request] for request in requests))
+    gevent.sleep(0.3)
+    for _ in range(2):
+        silence(platform, 1.2)
+        gevent.sleep(0.3)
+    gevent.joinall(asked)
+    reached = Counter(request for _, request in platform.sends)
+    assert all(1 <= reached[request] <= MAX_ATTEMPTS for request in requests)
+    assert all(one.value is not None and one.value.is_complete for one in asked)
+
+
 @pytest.fixture
 def lone_target():
     """The platform with one group of the model, and its gateway."""
