Stops: what begins is limited from the earliest time at which the signal may have come

Cause: the times of a stop counted from when the process heard the signal.

Evidence: test_times_of_a_stop_count_from_before_a_standstill failed before (0.8 s late).

Why it works: the signal came after the last tick. Beginning, moving and waiting count from that tick; the drain of begun streams counts from when the signal was heard, so that none is cut before the last sixth (test_begun_streams_are_drained_from_when_the_signal_was_heard).

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -229,6 +229,7 @@
             lease_keeper=self._lease_keeper,
             planners=self._planners,
         )
+        self._ticked_at = time.monotonic()
         self._graceful_stop = GracefulStop(
             settings.bounds.stop_s,
             listener=self._listener,
@@ -419,7 +420,7 @@
             )
 
     def _tick(self) -> None:
-        now = time.monotonic()
+        now = self._ticked_at = time.monotonic()
         served_zones = self._roles.tick(now, is_stopping=self._stopping)
         self.slots.tick(served_zones)
         if now - self._slow_tick_at >= SLOW_TICK_S:
@@ -447,4 +448,5 @@
     def _begin_stop(self) -> None:
         if not self._stopping:
             self._stopping = True
-            gevent.spawn(self._graceful_stop.run, self.stop)
+            # The signal may have come at any time since this process last ran.
+            gevent.spawn(self._graceful_stop.run, self._ticked_at, self.stop)
--- a/waxwingpitch/gateway/stop_times.py
+++ b/waxwingpitch/gateway/stop_times.py
@@ -49,7 +49,7 @@
     Attributes
     ----------
     signalled_at
-        Time of the signal.
+        Earliest time at which the signal may have come.
     accepts_until
         Time until which connections are accepted.
     streams_until
@@ -70,27 +70,34 @@
     drained_by: float
 
 
-def plan_stop(signalled_at: float, stop_s: float) -> StopTimes:
+def plan_stop(
+    signalled_at: float, stop_s: float, *, heard_at: float | None = None
+) -> StopTimes:
     """Return the times of a stop.
 
+    What must not begin or be waited for too late counts from the earliest time at which
+    the signal may have come, and the drain of begun streams from the latest.
+
     Parameters
     ----------
+    signalled_at
+        Earliest monotonic time at which the signal may have come.
     stop_s
         Time between the signal and a kill, in seconds.
+    heard_at
+        Monotonic time at which the process took note of it; by default at once.
     """
-    drained_by = signalled_at + stop_s - min(STOP_MARGIN_S, stop_s * STOP_MARGIN_SHARE)
-    answers_by = max(signalled_at, drained_by - ANSWER_MARGIN_S)
-    streams_until = min(answers_by, signalled_at + STREAMS_BEGIN_S)
-    moves_until = max(signalled_at, drained_by - STREAM_MOVE_MARGIN_S)
+    heard_at = signalled_at if heard_at is None else heard_at
+    drain_s = stop_s - min(STOP_MARGIN_S, stop_s * STOP_MARGIN_SHARE)
+    answers_by = max(signalled_at, signalled_at + drain_s - ANSWER_MARGIN_S)
     removal_s = min(BALANCER_REMOVAL_S, stop_s * BALANCER_REMOVAL_SHARE)
-    accepts_until = signalled_at + removal_s
     return StopTimes(
         signalled_at=signalled_at,
-        accepts_until=accepts_until,
-        streams_until=streams_until,
-        moves_until=moves_until,
+        accepts_until=heard_at + removal_s,
+        streams_until=min(answers_by, signalled_at + STREAMS_BEGIN_S),
+        moves_until=max(signalled_at, signalled_at + drain_s - STREAM_MOVE_MARGIN_S),
         answers_by=answers_by,
-        drained_by=drained_by,
+        drained_by=heard_at + drain_s,
     )
 
 
--- a/waxwingpitch/gateway/stopping.py
+++ b/waxwingpitch/gateway/stopping.py
@@ -50,16 +50,25 @@
         self._lease_keeper = lease_keeper
         self._registration = registration
 
-    def run(self, stop_tasks: Callable[[], None]) -> None:
+    def run(self, signalled_at: float, stop_tasks: Callable[[], None]) -> None:
         """Hand over planning, drain requests in progress, then stop the tasks.
 
         A step that fails keeps no later step from being taken.
+
+        Parameters
+        ----------
+        signalled_at
+            Earliest monotonic time at which the signal may have come.
         """
         started_at = time.monotonic()
-        times = plan_stop(started_at, self._stop_s)
+        times = plan_stop(signalled_at, self._stop_s, heard_at=started_at)
         self._server.begin_stop(times)
         logger.info(
-            "gateway stops", extra={"in_progress": self._listener.active_connections}
+            "gateway stops",
+            extra={
+                "in_progress": self._listener.active_connections,
+                "signal_ms_ago": round(1000 * (started_at - signalled_at)),
+            },
         )
         self._listener.disable_keep_alive()
         for planner in self._planners:
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -8,6 +8,7 @@
 
 import gevent
 import pytest
+from gevent import monkey
 
 from ..configuration.routes import CallerLimits, RouteKind
 from ..forwarding import Answer, AnswerHead, CallerListener
@@ -386,3 +387,29 @@
         patched.setattr(task, step, _fail)
         daemon._begin_stop()
         assert daemon._stopped.wait(3.0)
+
+
+# The time of the signal.
+
+
+# Guards against streams that begin later than the operators allow, as a process that
+# stood still when the signal came counts its times from when it went on.
+def test_times_of_a_stop_count_from_before_a_standstill(start_stoppable):
+    daemon = start_stoppable(6.0)
+    gevent.sleep(0.3)
+    stood_still_at = time.monotonic()
+    monkey.get_original("time", "sleep")(0.8)
+    daemon._begin_stop()
+    wait_for(lambda: daemon._server.stop_times)
+    times = daemon._server.stop_times
+    assert times.signalled_at <= stood_still_at
+    assert times.streams_until <= stood_still_at + stop_times.STREAMS_BEGIN_S
+
+
+# Guards against streams that are broken off before the last sixth, if the signal came
+# at the end of a standstill.
+def test_begun_streams_are_drained_from_when_the_signal_was_heard():
+    times = plan_stop(100.0, 8.0, heard_at=103.0)
+    assert times.drained_by >= 103.0 + 8.0 * 5 / 6
+    assert times.streams_until <= 103.0
+    assert times.answers_by <= 108.0
