Stops: a connection accepted just before the listener closes is drained too

What callers may see: a request that was read and sent to a target is cut 0.2 s after the gateway stops accepting, if no other connection is open then. Suspected, by reading.

Cause: a connection is counted once its greenlet has run; the drain looked before.

Evidence: test_connection_that_was_accepted_last_is_counted_when_accepting_ends failed before (0 of 1).

Why it works: greenlets that were spawned before run before the drain looks.

--- a/waxwingpitch/forwarding/listener.py
+++ b/waxwingpitch/forwarding/listener.py
@@ -376,6 +376,8 @@
         self._accept_waiting()
         self._server.close()
         self._listening.close()
+        # Connections that were accepted just before are counted once they have run.
+        gevent.sleep(0)
 
     def _accept_waiting(self) -> None:
         self._listening.settimeout(0.0)
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -413,3 +413,16 @@
     assert times.drained_by >= 103.0 + 8.0 * 5 / 6
     assert times.streams_until <= 103.0
     assert times.answers_by <= 108.0
+
+
+# Guards against a process that ends with a request that it has just read, as no
+# connection was counted yet when the drain looked.
+def test_connection_that_was_accepted_last_is_counted_when_accepting_ends():
+    server = StoppingListener(answer_after(0.2))
+    server.listener._server.stop_accepting()
+    caller = Caller(server.address)
+    accepted, address = server.listener._listening.accept()
+    gevent.spawn(server.listener._accept, accepted, address)
+    server.listener.stop_accepting()
+    assert server.listener.open_connections == 1
+    caller.close()
