--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -174,7 +174,7 @@
                 self.progress,
                 self.metrics,
                 self.slots.client,
-                self._is_reachable,
+                self._has_ended,
                 TargetNotices(
                     self.slots.client.pauses,
                     self.metrics,
@@ -229,6 +229,7 @@
             lease_keeper=self._lease_keeper,
             planners=self._planners,
         )
+        self._ticked_at = time.monotonic()
         self._graceful_stop = GracefulStop(
             settings.bounds.stop_s,
             listener=self._listener,
@@ -346,6 +347,19 @@
             return False
         return True
 
+    def _has_ended(self, target: str, address: str) -> bool:
+        """Return whether no connection to a target can be opened, or it is another.
+
+        One that accepts connections and is silent may go on with what it has read.
+        """
+        try:
+            fetch_report(self.pool, target, address)
+        except (TargetTimeoutError, ValueError):
+            return False
+        except (UnreachableError, TargetBrokenError):
+            return True
+        return False
+
     def _may_relay(self, address: str) -> bool:
         """Return whether an address is that of a listed target."""
         return any(
@@ -406,7 +420,7 @@
             )
 
     def _tick(self) -> None:
-        now = time.monotonic()
+        now = self._ticked_at = time.monotonic()
         served_zones = self._roles.tick(now, is_stopping=self._stopping)
         self.slots.tick(served_zones)
         if now - self._slow_tick_at >= SLOW_TICK_S:
@@ -434,4 +448,5 @@
     def _begin_stop(self) -> None:
         if not self._stopping:
             self._stopping = True
-            gevent.spawn(self._graceful_stop.run, self.stop)
+            # The signal may have come at any time since this process last ran.
+            gevent.spawn(self._graceful_stop.run, self._ticked_at, self.stop)
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -41,6 +41,7 @@
 from .routed import RequestContext
 from .slot_client import Slot, SlotClient
 from .stall_watch import StallWatch
+from .stop_times import StopTimes
 
 # Shortest time without progress after which a stream is resumed on another target; it
 # must exceed a pass of a busy engine, which takes up to 0.1 s.
@@ -72,8 +73,13 @@
     ----------
     slots
         Asked whether a silent stream may be resumed.
-    is_reachable
-        Probes a target, given its id and address; returns whether it answers.
+    has_ended
+        Probes a target, given its id and address; returns whether it has ended.
+
+    Attributes
+    ----------
+    stop_times
+        Times of the planned stop that is under way; None if there is none.
     """
 
     def __init__(
@@ -82,15 +88,16 @@
         progress: ProgressBook,
         metrics: GatewayMetrics,
         slots: SlotClient,
-        is_reachable: Callable[[str, str], bool],
+        has_ended: Callable[[str, str], bool],
         notices: TargetNotices,
     ):
         self._notices = notices
-        self._is_reachable = is_reachable
+        self._has_ended = has_ended
         self._pool = pool
         self._progress = progress
         self._metrics = metrics
         self._slots = slots
+        self.stop_times: StopTimes | None = None
 
     def run(
         self,
@@ -154,9 +161,13 @@
             return True
         if not attempts.has_forwarded_events or not ctx.route.is_repeatable:
             return False
-        attempts.discard_ended_runs(self._is_reachable)
+        attempts.discard_ended_runs(self._has_ended)
         return is_retry_allowed(ctx.route, attempts, outcome)
 
+    def _may_move(self, now: float) -> bool:
+        """Return whether a stop leaves a stream the time to leave a silent target."""
+        return self.stop_times is None or now < self.stop_times.moves_until
+
     def _build_request(
         self, ctx: RequestContext, attempts, replica: SlotOffer
     ) -> bytes:
@@ -404,6 +415,7 @@
             self._slots,
             self._progress,
             may_retry=lambda: self.may_retry(ctx, attempts, Stalled("nothing arrives")),
+            may_move=self._may_move,
             is_link_lost=lambda: self._is_link_lost(conn),
             last_data_at=last_data_at,
             last_event_at=last_event_at,
--- a/waxwingpitch/gateway/stop_times.py
+++ b/waxwingpitch/gateway/stop_times.py
@@ -21,6 +21,10 @@
 # Time after the signal for which streams begin: the operators' bound for those that a
 # stop may break off at its end is 3 s after the signal, for the time of sending.
 STREAMS_BEGIN_S = 2.8
+# Time before the end of the drain from which a stream stays at a silent target. A sound
+# target may be silent for over a second, and then reads the prompt; if no target works
+# on a stream when the drain ends, the stop has cut it.
+STREAM_MOVE_MARGIN_S = 2.0
 # Time that a call needs, in multiples of its route's latency objective.
 CALL_OBJECTIVES = 2.0
 # Retry-After of requests that were refused because this process stops; others answer.
@@ -45,11 +49,13 @@
     Attributes
     ----------
     signalled_at
-        Time of the signal.
+        Earliest time at which the signal may have come.
     accepts_until
         Time until which connections are accepted.
     streams_until
         Time until which streams begin.
+    moves_until
+        Time until which streams leave silent targets for others.
     answers_by
         Time by which requests whose answer has not begun get their final answer.
     drained_by
@@ -59,24 +65,40 @@
     signalled_at: float
     accepts_until: float
     streams_until: float
+    moves_until: float
     answers_by: float
     drained_by: float
 
 
-def plan_stop(signalled_at: float, stop_s: float) -> StopTimes:
+def plan_stop(
+    signalled_at: float, stop_s: float, *, heard_at: float | None = None
+) -> StopTimes:
     """Return the times of a stop.
 
+    What must not begin or be waited for too late counts from the earliest time at which
+    the signal may have come, and the drain of begun streams from the latest.
+
     Parameters
     ----------
+    signalled_at
+        Earliest monotonic time at which the signal may have come.
     stop_s
         Time between the signal and a kill, in seconds.
+    heard_at
+        Monotonic time at which the process took note of it; by default at once.
     """
-    drained_by = signalled_at + stop_s - min(STOP_MARGIN_S, stop_s * STOP_MARGIN_SHARE)
-    answers_by = max(signalled_at, drained_by - ANSWER_MARGIN_S)
-    streams_until = min(answers_by, signalled_at + STREAMS_BEGIN_S)
+    heard_at = signalled_at if heard_at is None else heard_at
+    drain_s = stop_s - min(STOP_MARGIN_S, stop_s * STOP_MARGIN_SHARE)
+    answers_by = max(signalled_at, signalled_at + drain_s - ANSWER_MARGIN_S)
     removal_s = min(BALANCER_REMOVAL_S, stop_s * BALANCER_REMOVAL_SHARE)
-    accepts_until = signalled_at + removal_s
-    return StopTimes(signalled_at, accepts_until, streams_until, answers_by, drained_by)
+    return StopTimes(
+        signalled_at=signalled_at,
+        accepts_until=heard_at + removal_s,
+        streams_until=min(answers_by, signalled_at + STREAMS_BEGIN_S),
+        moves_until=max(signalled_at, signalled_at + drain_s - STREAM_MOVE_MARGIN_S),
+        answers_by=answers_by,
+        drained_by=heard_at + drain_s,
+    )
 
 
 def may_begin(
