Start: requests wait for the first configuration as they do for an owner of slots

Cause: a process accepts requests 0.2 to 0.9 s before it knows a configuration, and refused them at once, while those that wait for an owner of slots may wait.

Why it works: within 2 s of the start a request waits for the configuration, for 0.35 of its caller's time at most, and is then refused as not run. A process that is older refuses at once.

--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 
+from gevent.event import Event
+
 from ..agreed.mirror import StoreMirror
 from ..agreed.versions import get_era
 from ..clocks import boot_time
@@ -57,6 +59,8 @@
 
     Attributes
     ----------
+    configured
+        Set once a configuration is in force.
     removed
         Targets that were recently removed from the list, each with its last record
         and the monotonic time of its removal.
@@ -85,6 +89,7 @@
     def __init__(self, clock: Callable[[], float], on_change: Callable[[], None]):
         self.mirror = StoreMirror()
         self.route_table: RouteTable | None = None
+        self.configured = Event()
         self.targets: dict[str, KnownTarget] = {}
         self.removed: dict[str, tuple[KnownTarget, float]] = {}
         self.retained: dict[str, tuple[KnownTarget, float]] = {}
@@ -299,6 +304,7 @@
             )
             return
         self.route_table = RouteTable(cfg)
+        self.configured.set()
         logger.info(
             "configuration in force",
             extra={
--- a/waxwingpitch/gateway/routed.py
+++ b/waxwingpitch/gateway/routed.py
@@ -95,6 +95,11 @@
     return (req.find(HeaderNames.REQUEST_ID) or b"").decode("latin-1")
 
 
+def read_time_left_s(req: CallerRequest, *, default_s: float) -> float:
+    """Return the time that a caller waits for the answer, in seconds."""
+    return _read_number(req, HeaderNames.DEADLINE_MS, 1000 * default_s) / 1000
+
+
 def route_request(
     req: CallerRequest, arrived_at: float, view: GatewayView
 ) -> RequestContext:
@@ -120,10 +125,7 @@
         _check_age(view)
         raise RequestError(ResultCode.NOT_FOUND, "no such route")
     workspace, priority = _authenticate(req, route, view)
-    caller_timeout_ms = _read_number(
-        req, HeaderNames.DEADLINE_MS, 1000 * route.timeout_s
-    )
-    caller_deadline = arrived_at + caller_timeout_ms / 1000
+    caller_deadline = arrived_at + read_time_left_s(req, default_s=route.timeout_s)
     prompt, answer = _read_token_counts(req)
     service = choose_service(route, request)
     spec = view.find_service(service)
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from ..admission.first_configuration import find_wait_s
 from ..errors import RESULTS, RequestError, ResultCode
 from ..forwarding import Answer, AnswerHead, CallerRequest, Responder
 from ..forwarding.answers import Headers
@@ -27,7 +28,13 @@
 )
 from .beliefs import GatewayView
 from .exchange import TargetExchange
-from .routed import RequestContext, read_last_event, read_request_id, route_request
+from .routed import (
+    RequestContext,
+    read_last_event,
+    read_request_id,
+    read_time_left_s,
+    route_request,
+)
 from .slot_client import Slot, SlotClient
 from .slot_use import build_slot_request, classify_outcome
 from .stop_times import StopTimes, StopTimeUpError, limit_to_stop
@@ -74,6 +81,7 @@
         self._metrics = metrics
         self._suspects = suspects
         self._memory = memory
+        self._started_at = time.monotonic()
         self.in_progress = 0
         self.stop_times: StopTimes | None = None
 
@@ -86,6 +94,7 @@
         self.in_progress += 1
         request = read_request_id(req)
         try:
+            self._await_configuration(req, resp)
             ctx = route_request(req, resp.arrived_at, self._view)
             if self.stop_times is not None:
                 ctx = limit_to_stop(ctx, self.stop_times)
@@ -107,6 +116,27 @@
         finally:
             self.in_progress -= 1
 
+    def _await_configuration(self, req: CallerRequest, resp: Responder) -> None:
+        """Wait for the first configuration for a short time after the start."""
+        if self._view.route_table is not None:
+            return
+        wait_s = find_wait_s(
+            resp.arrived_at,
+            started_at=self._started_at,
+            time_left_s=read_time_left_s(req, default_s=0.0),
+        )
+        is_known = self._view.configured.wait(wait_s)
+        waited_s = time.monotonic() - resp.arrived_at
+        self._metrics.record_configuration_wait(waited_s)
+        logger.info(
+            "request waited for the first configuration",
+            extra={
+                "request": read_request_id(req),
+                "waited_ms": round(1000 * waited_s),
+                "is_known": bool(is_known),
+            },
+        )
+
     def _serve(self, ctx: RequestContext, resp: Responder) -> None:
         keys = ctx.crash_keys
         with self._memory.open() as hold:
--- a/waxwingpitch/telemetry/metrics.py
+++ b/waxwingpitch/telemetry/metrics.py
@@ -49,6 +49,10 @@
         self._first_event_s = meter.create_histogram(
             "waxwingpitch_first_event_seconds", description="Time to the first event"
         )
+        self._configuration_wait_s = meter.create_histogram(
+            "waxwingpitch_configuration_wait_seconds",
+            description="Wait for the first configuration after a start",
+        )
         self._slot_wait_s = meter.create_histogram(
             "waxwingpitch_slot_wait_seconds", description="Wait for a replica's slot"
         )
@@ -118,6 +122,10 @@
         """Record the time to a stream's first event."""
         self._first_event_s.record(took_s, {"route": route})
 
+    def record_configuration_wait(self, took_s: float) -> None:
+        """Record the time that a request waited for the first configuration."""
+        self._configuration_wait_s.record(took_s)
+
     def record_slot_wait(self, service: str, took_s: float) -> None:
         """Record the time that a request waited for a slot."""
         self._slot_wait_s.record(took_s, {"service": service})
