Slots: the choice of another zone is a module of its own

No change of behaviour. The reports of other zones, what was sent there since, and the choice by utilisation and by queue move from slots/owner.py to routing/zones.py, so that the decision can be replaced, switched off and tested without an owner.

Evidence: test_slot_owner, test_slot_owners, test_stated_rates, test_retry_budget and test_layout pass unchanged.

--- a/waxwingpitch/slots/common.py
+++ b/waxwingpitch/slots/common.py
@@ -209,9 +209,3 @@
     service_s: float = 1.0
     retry_counts: RetryCounts = RetryCounts()
     withheld: int = 0
-
-    def find_wait_s(self, added: int) -> float:
-        """Return the time until the queue, with requests added to it, is served."""
-        if not self.slots:
-            return math.inf
-        return (self.waiting + added) * self.service_s / self.slots
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -15,7 +15,8 @@
 
 from ..admission import OnTimeFirstQueue, Ticket
 from ..admission.forecast import Pressure, Refuse, decide_admission
-from ..routing.placement import ZONE_PREFERENCE, ReplicaLoad, choose_replica
+from ..routing.placement import ReplicaLoad, choose_replica
+from ..routing.zones import OtherZones
 from .budget import RetryPermit, SharedRetryBudget
 from .cold import ColdRateLimit
 from .common import (
@@ -47,11 +48,6 @@
 MAX_PERMITS = 4096
 # Utilisation that stands for a zone without a free slot.
 NO_FREE_SLOT = 9.0
-# Age at which the summary of another zone is no longer used.
-SUMMARY_TTL_S = 1.0
-# A request waits in another zone if its queue there is served this much sooner.
-QUEUE_RATIO = 1.5
-QUEUE_MARGIN_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,16 +57,6 @@
     request: SlotRequest
 
 
-class _OtherZone:
-    """Another zone's summary, and the requests passed on to it since."""
-
-    def __init__(self, summary: KeySummary, at: float, declined_at: float):
-        self.summary = summary
-        self.at = at
-        self.passed_on = 0
-        self.declined_at = declined_at
-
-
 class SlotOwner:
     """Owner of the slots of one key.
 
@@ -104,7 +90,7 @@
         self._offers: dict[str, SlotOffer] = {}
         self._queue = OnTimeFirstQueue()
         self._refused: deque[float] = deque()
-        self._other_zones: dict[str, _OtherZone] = {}
+        self._zones = OtherZones()
         self._service_s = INITIAL_SERVICE_S
         self._first_event_s = 0.0
 
@@ -192,9 +178,7 @@
         self, client: str, number: int, req: SlotRequest, zone: str, now: float
     ) -> list[Decision]:
         """Decide on a request that another zone declined, or did not answer."""
-        other = self._other_zones.get(zone)
-        if other is not None:
-            other.declined_at = now
+        self._zones.record_declined(zone, now)
         waiting = _Waiting(client, number, req)
         decision = self._place(waiting, now)
         return [decision] if decision else self._queue_or_refuse(waiting, now)
@@ -250,9 +234,7 @@
 
     def update_zone(self, zone: str, summary: KeySummary, now: float) -> list[Decision]:
         """Take note of another zone's summary, and pass waiting requests on to it."""
-        known = self._other_zones.get(zone)
-        declined_at = -1.0 if known is None else known.declined_at
-        self._other_zones[zone] = _OtherZone(summary, now, declined_at)
+        self._zones.update(zone, summary, now)
         return self.assign(now)
 
     def assign(self, now: float) -> list[Decision]:
@@ -310,14 +292,14 @@
         here = NO_FREE_SLOT
         if offer is not None:
             here = (self.ledger.count(offer.id) + 1) / offer.capacity
-        zone = self._choose_zone(here, now)
+        zone = self._zones.find_free(here, now)
         if zone is not None:
             return self._pass_on(waiting, zone, may_wait=False)
         return None if offer is None else self._grant(client, number, offer, now)
 
     def _pass_on(self, waiting: _Waiting, zone: str, *, may_wait: bool) -> Forwarded:
         client, number = waiting.client, waiting.number
-        self._other_zones[zone].passed_on += 1
+        self._zones.record_sent(zone)
         return Forwarded(client, number, zone, waiting.request, may_wait)
 
     def _find_shorter_queue(self, now: float) -> str | None:
@@ -328,15 +310,7 @@
         here_s = math.inf
         if slots:
             here_s = (len(self._queue) + 1) * self._service_s / slots
-        waits = {
-            zone: other.summary.find_wait_s(other.passed_on + 1)
-            for zone, other in self._other_zones.items()
-            if now - other.at < SUMMARY_TTL_S
-        }
-        zone = min(waits, key=waits.get, default=None)
-        if zone is None or waits[zone] * QUEUE_RATIO + QUEUE_MARGIN_S > here_s:
-            return None
-        return zone
+        return self._zones.find_shorter_queue(here_s, now)
 
     def _grant(
         self, client: str, number: int, offer: SlotOffer, now: float
@@ -367,27 +341,6 @@
             chosen = choose_replica(loads, zone="", tie_break=self._rng.random())
         return None if chosen is None else self._offers[chosen.id]
 
-    def _choose_zone(self, here: float, now: float) -> str | None:
-        """Return the zone with the least loaded replica, if it is clearly below ours.
-
-        Parameters
-        ----------
-        here
-            Utilisation of this zone's least loaded replica after one more request.
-        """
-        costs = {}
-        for zone, other in self._other_zones.items():
-            summary = other.summary
-            is_recent = now - other.at < SUMMARY_TTL_S
-            if not is_recent or other.declined_at >= other.at:
-                continue
-            if summary.free - other.passed_on <= 0 or summary.waiting:
-                continue
-            share = other.passed_on / max(1, summary.slots)
-            costs[zone] = summary.lowest_utilisation + share + ZONE_PREFERENCE
-        zone = min(costs, key=costs.get, default=None)
-        return zone if zone is not None and costs[zone] < here else None
-
     def _is_usable_for(self, offer: SlotOffer, req: SlotRequest, now: float) -> bool:
         is_excluded = offer.id in req.excluded and now < req.excluded_until
         return not is_excluded and self._is_usable(offer, now)
