Configuration: delays between zones and the slowdown of full groups

An engine may state the delays between zones (delays, in milliseconds), as a mapping of mappings or as a list of two zones and a number. It is optional; what is not understood gives a log line and no delays, as a configuration must not be refused for it.

--- a/waxwingpitch/configuration/routes.py
+++ b/waxwingpitch/configuration/routes.py
@@ -97,6 +97,14 @@
     staged_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneDelay:
+    """One-way delay between two zones, in seconds."""
+
+    zones: tuple[str, str]
+    delay_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class EngineSpec:
     """Performance parameters of a service's model engines.
@@ -120,6 +128,8 @@
         Limits of the weight store on loads started per second and in progress.
     open_s
         Time to open a group, in seconds.
+    zone_delays
+        Delays between zones, in either direction, where they are known.
     """
 
     capacity: int
@@ -134,6 +144,23 @@
     max_concurrent_loads: int
     open_s: float
     models: tuple[ModelSpec, ...]
+    zone_delays: tuple[ZoneDelay, ...] = ()
+
+    @property
+    def batch_slowdown(self) -> float:
+        """Relative increase of a step's duration from an empty to a full group."""
+        if not self.step_s:
+            return 0.0
+        return self.step_per_request_s * self.capacity / self.step_s
+
+    def find_delays_s(self, zone: str) -> dict[str, float]:
+        """Return the one-way delays from a zone to others, in seconds."""
+        return {
+            other: item.delay_s
+            for item in self.zone_delays
+            for other in item.zones
+            if zone in item.zones and other != zone
+        }
 
     def find_model(self, name: str) -> ModelSpec | None:
         """Return a model by name."""
--- a/waxwingpitch/platform/documents.py
+++ b/waxwingpitch/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from ..configuration.routes import (
@@ -15,6 +17,7 @@
     ServiceShare,
     ServiceSpec,
 )
+from ..configuration.zone_delays import read_zone_delays
 from ..decoding import Count, DurationMs, Number, decode_json, parse_address
 from ..errors import ConfigurationError
 from ..targets.records import Membership, MemberState, TargetRecord
@@ -78,6 +81,7 @@
     loads_at_once: int = 1
     form_ms: float = 0.0
     usual: _UsualRequest = msgspec.field(default_factory=_UsualRequest)
+    delays: Any = None
 
 
 class _Service(msgspec.Struct):
@@ -248,16 +252,9 @@
         max_concurrent_loads=item.loads_at_once,
         open_s=item.form_ms / 1000,
         models=tuple(
-            ModelSpec(
-                model.name,
-                model.size,
-                model.share,
-                model.pace,
-                model.load_s,
-                model.warm_s,
-            )
-            for model in item.models
+            ModelSpec(*msgspec.structs.astuple(model)) for model in item.models
         ),
+        zone_delays=read_zone_delays(item.delays),
     )
 
 
