Gateway: requests passed on to another zone are logged and counted

Each gives a line with its reason, expected gain and the age of the report it rests on, and each that is taken back another. Metrics: waxwingpitch_requests_passed_on, waxwingpitch_passed_on_gain, waxwingpitch_requests_taken_back. The owners get the delays and the slowdown of the engine; zone_spillover = false in the settings switches the choice off.

Evidence: test_slot_owners, new tests for the lines, the parameters and the switch.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -130,7 +130,10 @@
             settings.zones,
             self._peers.send,
             is_first_start=settings.is_first_start,
+            may_leave_zone=settings.may_leave_zone,
         )
+        self.slots.owners.on_passed_on = self.metrics.count_passed_on
+        self.slots.owners.on_taken_back = self.metrics.count_taken_back
         self._follower = StoreFollower(
             self._store,
             self.view,
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -24,6 +24,7 @@
     TargetRate,
 )
 from ..mesh.messages import Message
+from ..routing.zones import OtherZones
 from ..settings.gateway import OperatingBounds
 from ..slots import (
     Declined,
@@ -81,11 +82,17 @@
     is_first_start
         Whether the whole system starts for the first time, so that nobody owned slots
         before.
+    may_leave_zone
+        Whether requests may leave a zone that has a usable replica.
 
     Attributes
     ----------
     on_used
         Called with the release of a used slot and the monotonic time of its receipt.
+    on_passed_on
+        Called with each request that is passed on to another zone.
+    on_taken_back
+        Called with the zone of each that it declined or did not answer.
     """
 
     def __init__(
@@ -100,6 +107,7 @@
         deliver: Callable[[str, Message], bool],
         *,
         is_first_start: bool = False,
+        may_leave_zone: bool = True,
     ):
         self._roster = roster
         self._view = view
@@ -132,14 +140,18 @@
             is_first_start=is_first_start,
         )
         self._generation = -1
+        self._may_leave_zone = may_leave_zone
         self.on_used: Callable[[SlotRelease, float], None] = lambda release, at: None
+        self.on_passed_on: Callable[[Forwarded], None] = lambda decision: None
+        self.on_taken_back: Callable[[str], None] = lambda zone: None
 
     def find(self, key: SlotKey) -> SlotOwner:
         """Return the owner of a key's slots in this process, created on first use."""
         owner = self._owners.get((key.service, key.model))
         if owner is None:
             key = replace(key, zone=self._zone)
-            owner = SlotOwner(key, self._budgets.build(), self._accepts)
+            zones = OtherZones(self._zone, is_on=self._may_leave_zone)
+            owner = SlotOwner(key, self._budgets.build(), self._accepts, zones=zones)
             self._owners[key.service, key.model] = owner
             if (key.service, key.model) in self._service_s:
                 owner.adopt_service_s(self._service_s[key.service, key.model])
@@ -397,6 +409,10 @@
             if item.zone in self._served_zones
         )
         owner.set_offers(offers, max(1, int(limit * COLD_SHARE)))
+        engine = None if service is None else service.engine
+        if engine is not None:
+            owner.zones.delays_s = engine.find_delays_s(self._zone)
+            owner.zones.batch_slowdown = engine.batch_slowdown
         self._budgets.update_part(owner)
 
     def _carry_out(self, owner: SlotOwner, decisions) -> None:
@@ -433,6 +449,20 @@
     def _pass_on(self, owner: SlotOwner, decision: Forwarded) -> None:
         key = replace(owner.key, zone=decision.zone)
         number = next(self._numbers)
+        self.on_passed_on(decision)
+        logger.info(
+            "request passed on to another zone",
+            extra={
+                "request": decision.request.request,
+                "key": str(owner.key),
+                "zone": decision.zone,
+                "reason": decision.reason,
+                "gain": round(decision.gain, 3),
+                "may_wait": decision.may_wait,
+                "waiting": owner.count_waiting(),
+                "report_age_ms": round(1000 * decision.report_age_s),
+            },
+        )
         item = PassedOn(
             decision.client,
             decision.number,
@@ -455,8 +485,23 @@
         self._passed_on.withdraw(item.owner, number, item.key)
         owner = self.find(item.key)
         now = time.monotonic()
+        self.on_taken_back(item.key.zone)
+        logger.info(
+            "request not taken by another zone",
+            extra={
+                "request": item.request.request,
+                "key": str(owner.key),
+                "zone": item.key.zone,
+                "may_wait": item.may_wait,
+            },
+        )
         decisions = owner.take_back(
-            item.client, item.number, item.request, item.key.zone, now
+            item.client,
+            item.number,
+            item.request,
+            item.key.zone,
+            now,
+            has_waited=item.may_wait,
         )
         self._carry_out(owner, decisions)
 
--- a/waxwingpitch/gateway/slots.py
+++ b/waxwingpitch/gateway/slots.py
@@ -49,6 +49,8 @@
         Sends a message to a peer; returns False if it is not linked.
     is_first_start
         Whether the whole system starts for the first time.
+    may_leave_zone
+        Whether requests may leave a zone that has a usable replica.
 
     Attributes
     ----------
@@ -70,6 +72,7 @@
         send: Callable[[str, Message], bool],
         *,
         is_first_start: bool = False,
+        may_leave_zone: bool = True,
     ):
         self._roster = roster
         self._view = view
@@ -90,6 +93,7 @@
             self.client,
             self._deliver,
             is_first_start=is_first_start,
+            may_leave_zone=may_leave_zone,
         )
         self.client.on_stalled = lambda target, epoch: self.owners.suspect(
             target, epoch, time.monotonic()
--- a/waxwingpitch/platform/settings.py
+++ b/waxwingpitch/platform/settings.py
@@ -60,6 +60,7 @@
         link_mbps=reader.number("limits", "link_mbps"),
         memory_mb=reader.number("limits", "memory_mb"),
         is_first_start=fields.get("bootstrap") is True,
+        may_leave_zone=fields.get("zone_spillover") is not False,
     )
 
 
--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -87,6 +87,8 @@
         Memory at which the platform ends the process, in mebibytes.
     is_first_start
         Whether the whole system starts for the first time.
+    may_leave_zone
+        Whether requests may leave a zone that has a usable replica.
     """
 
     name: str
@@ -104,3 +106,4 @@
     link_mbps: float
     memory_mb: float
     is_first_start: bool = False
+    may_leave_zone: bool = True
--- a/waxwingpitch/telemetry/metrics.py
+++ b/waxwingpitch/telemetry/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -10,6 +11,9 @@
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import REGISTRY, generate_latest
 
+from ..slots import Forwarded
+
+GAIN_BUCKETS = (0.3, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0)
 SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0)
 
 
@@ -56,6 +60,19 @@
         self._slot_wait_s = meter.create_histogram(
             "waxwingpitch_slot_wait_seconds", description="Wait for a replica's slot"
         )
+        self._passed_on = meter.create_counter(
+            "waxwingpitch_requests_passed_on",
+            description="Requests passed on to another zone, by zone and reason",
+        )
+        self._passed_on_gain = meter.create_histogram(
+            "waxwingpitch_passed_on_gain",
+            description="Expected gain of requests that left a zone with replicas",
+            explicit_bucket_boundaries_advisory=GAIN_BUCKETS,
+        )
+        self._taken_back = meter.create_counter(
+            "waxwingpitch_requests_taken_back",
+            description="Requests that another zone declined or did not answer",
+        )
         self._orders = meter.create_counter(
             "waxwingpitch_orders", description="Orders to targets by kind and status"
         )
@@ -130,6 +147,17 @@
         """Record the time that a request waited for a slot."""
         self._slot_wait_s.record(took_s, {"service": service})
 
+    def count_passed_on(self, decision: Forwarded) -> None:
+        """Count a request that is passed on to another zone, and its expected gain."""
+        labels = {"zone": decision.zone, "reason": decision.reason}
+        self._passed_on.add(1, labels)
+        if math.isfinite(decision.gain):
+            self._passed_on_gain.record(decision.gain, labels)
+
+    def count_taken_back(self, zone: str) -> None:
+        """Count a request that another zone declined or did not answer."""
+        self._taken_back.add(1, {"zone": zone})
+
     def count_order(self, kind: str, status: int) -> None:
         """Count an order to a target."""
         self._orders.add(1, {"order": kind, "status": str(status)})
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -53,6 +53,10 @@
 
 @pytest.fixture
 def owners(sent, progress, zone_owners, replicas):
+    return build_owners(sent, progress, zone_owners, replicas)
+
+
+def build_owners(sent, progress, zone_owners, replicas, *, engine=None, **options):
     roster = SimpleNamespace(
         local=SimpleNamespace(name="a-owner", zone="a"),
         find_owner=lambda key: zone_owners[key.zone],
@@ -64,7 +68,7 @@
         refresh=lambda: 0,
         list_slot_keys=lambda zone: [SlotKey(zone, "pool", "m")],
     )
-    service = SimpleNamespace(cold_per_s=0.0, list_models=lambda: ["m"])
+    service = SimpleNamespace(cold_per_s=0.0, engine=engine, list_models=lambda: ["m"])
     client = SimpleNamespace(has_pending=lambda number: False)
 
     def _deliver(name, message) -> bool:
@@ -81,6 +85,7 @@
         client,
         _deliver,
         is_first_start=True,
+        **options,
     )
 
 
@@ -312,3 +317,73 @@
     now = time.monotonic()
     owners.handle_stall_check("h1", CHECK, now)
     assert sent[-1] == ("h1", StallReply(CHECK.number, NO_PROGRESS_AGE_S, True))
+
+
+def test_request_that_is_passed_on_is_logged_and_counted_with_its_reason(
+    owners, sent, caplog
+):
+    passed_on, taken_back = [], []
+    owners.on_passed_on, owners.on_taken_back = passed_on.append, taken_back.append
+    with caplog.at_level("INFO"):
+        number = pass_on_unanswered(owners, sent)
+        owners.handle_refusal(SlotRefusal(number, 0.0, "no free slot", 0, 0, 0.0, True))
+    assert [(item.zone, item.reason, item.may_wait) for item in passed_on] == [
+        ("b", "no usable replica", False),
+        ("b", "no usable replica", True),
+    ]
+    assert taken_back == ["b"]
+    first, second, _ = [
+        record for record in caplog.records if "another zone" in record.message
+    ]
+    assert (first.request, first.zone, first.reason) == ("r", "b", "no usable replica")
+    assert first.report_age_ms < 1000 and first.may_wait is False
+    assert second.message == "request not taken by another zone"
+
+
+def pass_on_unanswered(owners, sent) -> int:
+    """Let a request of host h1 be asked for in zone b; return its number there."""
+    now = time.monotonic()
+    owners.find(KEY)
+    owners.update_zone(OTHER, KeySummary(8, 0, 8, 0.1, 0, 0.0), now)
+    req = SlotRequest("r", "pool", "m", "w", 1, 1.0, now + 5.0)
+    owners.handle_request("h1", encode_request(7, KEY, req, now), now)
+    return sent[-1][1].number
+
+
+def test_delays_and_slowdown_of_the_engine_are_given_to_the_choice(
+    sent, progress, zone_owners, replicas
+):
+    owners = build_owners(
+        sent,
+        progress,
+        zone_owners,
+        replicas,
+        engine=SimpleNamespace(
+            find_delays_s=lambda zone: {"b": 0.001}, batch_slowdown=0.4
+        ),
+        may_leave_zone=False,
+    )
+    zones = owners.find(KEY).zones
+    assert (zones.delays_s, zones.batch_slowdown) == ({"b": 0.001}, 0.4)
+
+
+def test_choice_that_is_switched_off_keeps_requests_of_a_zone_with_replicas(
+    sent, progress, zone_owners, replicas
+):
+    replicas.append(SlotOffer("t", "x:1", "a", "pool", "m", 1, 1, 0.0))
+    for may_leave, is_passed_on in ((False, False), (True, True)):
+        sent.clear()
+        owners = build_owners(
+            sent, progress, zone_owners, replicas, may_leave_zone=may_leave
+        )
+        now = time.monotonic()
+        owners.find(KEY)
+        owners.update_zone(OTHER, KeySummary(8, 0, 8, 0.1, 0, 0.0), now)
+        for number in range(3):
+            req = SlotRequest(
+                "r", "pool", "m", "w", 1, 1.0, now + 5.0, due_at=now + 0.3
+            )
+            message = encode_request(number, KEY, req, now)
+            owners.handle_request("h1", message, now)
+        names = [name for name, _ in sent]
+        assert ("b-owner" in names) == is_passed_on
