Zones: requests with a free slot are decided in less time, cold zones count what they take

A zone whose replicas are cold was taken to have all their slots, so that its requests queued there.

--- a/benchmarks/zone_spillover.py
+++ b/benchmarks/zone_spillover.py
@@ -46,6 +46,9 @@
     def record_declined(self, zone: str, *, has_waited: bool) -> None:
         self._declined[zone] = True
 
+    def may_gain(self, first_event_s: float, need: TimeNeed, now: float) -> bool:
+        return True
+
     def choose(self, load: LocalLoad, need: TimeNeed, now: float) -> Leave | None:
         zone = None
         if load.is_queued or not load.waiting:
--- a/waxwingpitch/routing/zones.py
+++ b/waxwingpitch/routing/zones.py
@@ -171,6 +171,17 @@
             other.has_declined = True
             other.has_dropped |= has_waited
 
+    def may_gain(self, first_event_s: float, need: TimeNeed, now: float) -> bool:
+        """Return whether a request that gets a slot at once may gain by leaving.
+
+        Only a less loaded replica elsewhere can be faster, and it matters only if the
+        response may be late on a full one here.
+        """
+        if not self._is_on or not self.batch_slowdown:
+            return False
+        slowest_s = first_event_s * (1 + self.batch_slowdown) * (1 + RUN_DEVIATION)
+        return slowest_s > need.due_at - now
+
     def choose(self, load: LocalLoad, need: TimeNeed, now: float) -> Leave | None:
         """Return where a request goes instead of staying in its zone, or None."""
         if not load.has_free and not load.slots:
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -335,11 +335,11 @@
         req = waiting.request
         due_at = min(req.due_at, req.deadline)
         objective_s = req.objective_s or max(due_at - now, MIN_OBJECTIVE_S)
-        leave = self.zones.choose(
-            self._measure_load(req, offer, now, is_queued=is_queued),
-            TimeNeed(due_at, objective_s),
-            now,
-        )
+        need = TimeNeed(due_at, objective_s)
+        if offer and not self.zones.may_gain(self._first_event_s, need, now):
+            return None
+        load = self._measure_load(req, offer, now, is_queued=is_queued)
+        leave = self.zones.choose(load, need, now)
         if leave is None:
             return None
         self.zones.record_sent(leave.zone, now)
@@ -362,6 +362,12 @@
             for item in self._offers.values()
             if self._is_usable_for(item, req, now)
         ]
+        # Cold replicas count with the requests that they may get.
+        cold_slots = self._cold.per_s * self._service_s
+        cold = [item for item in usable if item.cold_until > now]
+        warm = [item for item in usable if item.cold_until <= now]
+        slots = self._count_slots(warm)
+        slots += sum(min(self._count_slots([item]), cold_slots) for item in cold)
         capacity = sum(item.capacity for item in usable)
         in_flight = sum(self.ledger.count(item.id) for item in usable)
         utilisation = 1.0
@@ -371,7 +377,7 @@
         priority = RESUME_PRIORITY if req.resume_deadline else req.priority
         queue = self._queue
         return LocalLoad(
-            slots=self._count_slots(usable),
+            slots=slots,
             waiting=len(queue) - 1 if is_queued else queue.count_ahead(priority),
             utilisation=utilisation,
             mean_utilisation=in_flight / max(1, capacity),
--- a/waxwingpitch/tests/test_slot_owner.py
+++ b/waxwingpitch/tests/test_slot_owner.py
@@ -205,6 +205,20 @@
     assert owner.count_waiting() == 5
 
 
+# Guards against requests that queue for cold replicas, which take few, as the forecast
+# counts all of their slots.
+def test_request_leaves_a_zone_whose_replicas_are_cold():
+    owner = build_owner()
+    owner.set_offers(
+        tuple(replace(offer, capacity=90) for offer in build_offers(9.0)), 1
+    )
+    owner.update_zone("b", KeySummary(100, 10, 90, 0.2, 0, 0.0), 0.0)
+    first = [owner.request("h1", n, build_request(), 0.0)[0] for n in range(2)]
+    assert all(isinstance(item, Granted) for item in first)
+    (passed_on,) = owner.request("h1", 2, build_request(), 0.0)
+    assert isinstance(passed_on, Forwarded) and not passed_on.may_wait
+
+
 def test_zone_without_replicas_waits_elsewhere_instead_of_refusing():
     owner = build_owner()
     owner.set_offers((), 1)
--- a/waxwingpitch/tests/test_zones.py
+++ b/waxwingpitch/tests/test_zones.py
@@ -307,3 +307,15 @@
         zones.batch_slowdown = slowdown
         load = replace(BUSY, mean_utilisation=0.0)
         assert (zones.choose(load, need, 0.0) is not None) == is_sent
+
+
+def test_request_with_a_free_slot_leaves_only_for_a_faster_replica():
+    zones = build_zones(b=replace(FREE, in_flight=0, free=100, lowest_utilisation=0.1))
+    need = replace(NEED, due_at=0.11)
+    assert not zones.may_gain(0.1, need, 0.0)
+    zones.batch_slowdown = 2.0
+    assert zones.may_gain(0.1, need, 0.0)
+    assert not zones.may_gain(0.1, replace(NEED, due_at=0.4), 0.0)
+    load = replace(BUSY, waiting=0, has_free=True)
+    assert zones.choose(load, need, 0.0).zone == "b"
+    assert zones.choose(replace(load, utilisation=0.2), need, 0.0) is None
