Zones: a request that came from another zone is not sent on

It waited in the queue of the zone that took it, from where it could be passed on to a third zone, or back. It stays now unless that zone loses its last usable replica.

Evidence: test_request_that_waits_for_another_zone_stays_until_no_replica_is_left; the test passes five requests on without the change.

--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -58,6 +58,7 @@
     client: str
     number: int
     request: SlotRequest
+    is_passed_on: bool = False
 
 
 class SlotOwner:
@@ -148,7 +149,7 @@
 
         The retry that it may be was taken from that owner's budget.
         """
-        waiting = _Waiting(client, number, req)
+        waiting = _Waiting(client, number, req, is_passed_on=True)
         offer = None if len(self._queue) else self._choose(req, now)
         if offer is not None:
             return [self._grant(client, number, offer, now)]
@@ -339,6 +340,8 @@
         if offer and not self.zones.may_gain(self._first_event_s, need, now):
             return None
         load = self._measure_load(req, offer, now, is_queued=is_queued)
+        if waiting.is_passed_on and load.slots:
+            return None  # Nothing is sent on or back while it can be served here.
         leave = self.zones.choose(load, need, now)
         if leave is None:
             return None
--- a/waxwingpitch/tests/test_slot_owner.py
+++ b/waxwingpitch/tests/test_slot_owner.py
@@ -235,6 +235,20 @@
     assert (granted.client, granted.number) == ("b-owner", 7)
 
 
+# Guards against requests that are sent on from zone to zone, or back.
+def test_request_that_waits_for_another_zone_stays_until_no_replica_is_left():
+    owner = build_owner()
+    fill(owner)
+    for number in range(5):
+        assert owner.request_passed_on("b-owner", number, build_request(), 0.0) == []
+    free = KeySummary(100, 10, 90, 0.2, 0, 0.0)
+    assert owner.update_zone("c", free, 0.1) == []
+    owner.set_offers((), 1)
+    decisions = owner.update_zone("c", free, 0.2)
+    assert [item.number for item in decisions] == [0, 1, 2, 3, 4]
+    assert all(isinstance(item, Forwarded) for item in decisions)
+
+
 def test_no_more_are_passed_on_than_another_zone_has_free_slots():
     owner = build_owner()
     fill(owner)
