Settings: zone_spillover is true or false, and another value is named

A text such as "false" was taken for true, so that the switch had no effect.

Evidence: test_gateway_settings; test_layout.

--- a/waxwingpitch/platform/settings.py
+++ b/waxwingpitch/platform/settings.py
@@ -60,7 +60,7 @@
         link_mbps=reader.number("limits", "link_mbps"),
         memory_mb=reader.number("limits", "memory_mb"),
         is_first_start=fields.get("bootstrap") is True,
-        may_leave_zone=fields.get("zone_spillover") is not False,
+        may_leave_zone="zone_spillover" not in fields or reader.flag("zone_spillover"),
     )
 
 
@@ -85,6 +85,9 @@
             )
         )
 
+    def flag(self, *names: str) -> bool:
+        return self._read(names, lambda value: isinstance(value, bool), "true or false")
+
     def table(self, *names: str) -> Mapping[str, Any]:
         return self._read(names, lambda value: isinstance(value, dict), "a table")
 
