Command line: config review checks a gateway's configuration before it is sent

Operators asked for a check of errors, entries that can never match, limits that contradict each other, and what differs from the version in force.

--- a/waxwingpitch/cli/application.py
+++ b/waxwingpitch/cli/application.py
@@ -21,6 +21,7 @@
 from .entry import EntryCommand
 from .explain import ExplainCommand
 from .load import LoadCommand
+from .review import ConfigReviewCommand
 from .standins import (
     StandInEngineCommand,
     StandInHostsCommand,
@@ -39,6 +40,7 @@
     StandInWeightsCommand,
     ConfigPrintCommand,
     ConfigCheckCommand,
+    ConfigReviewCommand,
     ConfigSubmitCommand,
     ConfigShowCommand,
     ConfigWaitCommand,
--- a/waxwingpitch/platform/documents.py
+++ b/waxwingpitch/platform/documents.py
@@ -155,6 +155,12 @@
         raise ConfigurationError(f"configuration: {exc}") from exc
 
 
+def list_keys(data: bytes) -> list[tuple[str, str]]:
+    """Return each API key of a valid configuration with each of its workspaces."""
+    tenants = decode_json(data, _Configuration).tenants or []
+    return [(key, tenant.name) for tenant in tenants for key in tenant.api_keys]
+
+
 def decode_target_record(key: str, data: bytes) -> TargetRecord:
     """Decode a target's entry in the store.
 
@@ -206,6 +212,9 @@
 
 
 def _convert_route(item: _Route) -> Route:
+    if item.kind not in _ROUTE_KINDS:
+        valid = ", ".join(_ROUTE_KINDS)
+        raise ValueError(f"route {item.name}: kind {item.kind!r}; valid: {valid}")
     shares = tuple(
         ServiceShare(split.service, split.weight) for split in item.traffic_split
     )
@@ -248,15 +257,7 @@
         max_concurrent_loads=item.loads_at_once,
         open_s=item.form_ms / 1000,
         models=tuple(
-            ModelSpec(
-                model.name,
-                model.size,
-                model.share,
-                model.pace,
-                model.load_s,
-                model.warm_s,
-            )
-            for model in item.models
+            ModelSpec(*msgspec.structs.astuple(model)) for model in item.models
         ),
     )
 
@@ -264,11 +265,9 @@
 def _convert_limits(item: _Limits | None) -> CallerLimits:
     if item is None:
         return CallerLimits()
+    sizes = item.max_header_bytes, item.max_body_bytes
     return CallerLimits(
-        item.max_header_bytes,
-        item.max_body_bytes,
-        item.header_timeout_ms / 1000,
-        item.idle_timeout_ms / 1000,
+        *sizes, item.header_timeout_ms / 1000, item.idle_timeout_ms / 1000
     )
 
 
