Start: a gateway that starts again reads the configuration itself, once

Cause: a process learns it from its zone's head, which it first has to find, and which starts at the same time.

On the first start of the whole system nobody waits, and the heads alone read, as before. test_first_configuration.py; the first of the new tests failed before.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -249,6 +249,10 @@
 
     def start(self) -> None:
         """Start all tasks."""
+        if not self.settings.is_first_start:
+            # Callers do not wait for a process that starts again, and other hosts that
+            # it could follow may start at the same time.
+            gevent.spawn(self._follower.read_configuration)
         self._registration.start()
         self._lease_keeper.start()
         self._peers.start()
--- a/waxwingpitch/gateway/following.py
+++ b/waxwingpitch/gateway/following.py
@@ -18,6 +18,7 @@
 
 from ..agreed.mirror import StoreMirror
 from ..clocks import boot_time
+from ..errors import StoreError
 from ..mesh.fleet_messages import (
     FleetStatus,
     RemovedItem,
@@ -110,6 +111,19 @@
         """Age of what is known here of what the operators wrote."""
         return self._freshness.find_age_s((OPERATOR_PREFIX,))
 
+    def read_configuration(self) -> None:
+        """Read what the operators wrote, once, before another gateway is followed."""
+        try:
+            listed = self._store.list(OPERATOR_PREFIX)
+        except StoreError as exc:
+            self._store_health.record_failure(exc)
+            logger.info("configuration not read", extra={"reason": exc.message})
+            return
+        self._store_health.record_answer()
+        if self._view.mirror.get_synced(OPERATOR_PREFIX) < listed.version:
+            self._view.apply_list(OPERATOR_PREFIX, listed)
+            self._view.mirror.mark_synced(OPERATOR_PREFIX, listed.version)
+
     def list_failed_sources(self) -> frozenset[str | None]:
         """Return the sources lately followed by which what is known here got old."""
         now = boot_time()
--- a/waxwingpitch/tests/test_first_configuration.py
+++ b/waxwingpitch/tests/test_first_configuration.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 
 import gevent
 import pytest
 
 from ..admission.first_configuration import START_S, find_wait_s
-from .gateway_client import call, start_gateway
+from ..gateway import GatewayDaemon
+from .gateway_client import build_settings, call, start_gateway, wait_for
 from .platform_standin import PlatformFake
 
 
@@ -50,6 +52,53 @@
         daemon.stop()
 
 
+@pytest.fixture
+def build_daemon(platform):
+    """Build a gateway that finds no other gateway, and does not list them."""
+    daemons = []
+
+    def _build(*, is_first_start: bool) -> GatewayDaemon:
+        settings = build_settings(platform.store.address)
+        daemon = GatewayDaemon(replace(settings, is_first_start=is_first_start))
+        daemon._registration._run = lambda: None
+        daemons.append(daemon)
+        daemon.start()
+        return daemon
+
+    yield _build
+    for daemon in daemons:
+        daemon.stop()
+
+
+# Guards against hosts that start at the same time and wait for each other's knowledge.
+def test_gateway_that_starts_again_reads_the_configuration_itself(build_daemon):
+    daemon = build_daemon(is_first_start=False)
+    wait_for(lambda: daemon.view.cfg is not None, 2.0)
+    assert daemon.view.mirror.get_synced("op/") > 0
+
+
+def test_first_start_of_the_system_leaves_reading_to_the_heads(build_daemon, platform):
+    daemon = build_daemon(is_first_start=True)
+    gevent.sleep(0.5)
+    assert daemon.view.cfg is None
+    assert platform.store.calls["kv-range"] == 0
+
+
+def test_evacuations_are_known_with_the_configuration(build_daemon, platform):
+    platform.store.write("op/evacuate/z", {})
+    daemon = build_daemon(is_first_start=False)
+    wait_for(lambda: daemon.view.cfg is not None, 2.0)
+    assert daemon.view.evacuated == {"z"}
+
+
+def test_gateway_starts_while_the_store_does_not_answer(build_daemon, platform):
+    platform.store.down = True
+    daemon = build_daemon(is_first_start=False)
+    gevent.sleep(0.3)
+    assert daemon.view.cfg is None
+    assert daemon.find_unready_reason() == "no configuration"
+
+
 @pytest.mark.parametrize(
     ("age_s", "time_left_s", "wait_s"),
     [(0.2, 1.0, 0.35), (0.2, 8.0, 1.8), (1.9, 8.0, 0.1), (2.5, 8.0, 0.0), (0.2, 0, 0)],
