Slots: a plain target that refuses connections gets one request each half second

Cause: the owner grants the least loaded target, and one that refuses at once is always that. Only targets of groups were suspected when they could not be reached.

Why it works: a refused connection says that nothing listens there, for every host. The owner passes the target over for 0.5 s; a target that listens again is found by the next request. One that only times out is not passed over, as the link may be lost.

--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -45,7 +45,17 @@
 
 
 class UnreachableError(Exception):
-    """The target could not be reached; no byte of the request was sent."""
+    """The target could not be reached; no byte of the request was sent.
+
+    Attributes
+    ----------
+    is_refused
+        Whether the target's host answered that nothing listens at its address.
+    """
+
+    def __init__(self, message: str, *, is_refused: bool = False):
+        super().__init__(message)
+        self.is_refused = is_refused
 
 
 class TargetTimeoutError(Exception):
@@ -317,7 +327,10 @@
                 conn = self._connect_relayed(address, deadline)
             if conn is not None:
                 return conn
-            raise UnreachableError(f"{address}: {exc}") from exc
+            raise UnreachableError(
+                f"{address}: {exc}",
+                is_refused=isinstance(exc, ConnectionRefusedError),
+            ) from exc
         self._record_reached(address)
         self.opened += 1
         return TargetConnection(sock, address)
--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -184,11 +184,14 @@
         not head an open group.
     is_unreachable
         Whether no connection to it could be opened.
+    is_refused
+        Whether its host said that nothing listens at its address.
     """
 
     reason: str
     is_misdirected: bool = False
     is_unreachable: bool = False
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -119,7 +119,9 @@
             )
         except UnreachableError as exc:
             is_cut = self._pool.links.is_cut
-            return NotRun(str(exc), is_unreachable=not is_cut)
+            return NotRun(
+                str(exc), is_unreachable=not is_cut, is_refused=exc.is_refused
+            )
         except TargetBrokenError as exc:
             return Broken(str(exc))
         is_reusable = False
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -58,6 +58,8 @@
 FORWARD_TIMEOUT_S = 0.1
 # Time for which a retry waits for what other owners lend.
 LOAN_WAIT_S = 0.01
+# Time after which a plain target that refused a connection is tried again.
+REFUSING_TTL_S = 0.5
 # Share of a cold target's limit that one owner uses, as two may own its key.
 COLD_SHARE = 0.5
 # Time after its link is lost for which a client's slots are still counted.
@@ -483,9 +485,20 @@
             case Outcome.SERVED:
                 owner.record_times(message.service_s, message.first_s)
                 self._progress.record_progress(message.target, message.epoch, now)
+            case Outcome.UNREACHABLE if not message.epoch:
+                self._pause_refusing(message.target, now)
             case Outcome.MISDIRECTED | Outcome.STALLED | Outcome.UNREACHABLE:
                 self.suspect(message.target, message.epoch, now)
 
+    def _pause_refusing(self, target: str, now: float) -> None:
+        """Give a plain target that refuses connections nothing for a moment.
+
+        It answers faster than those that work, and would get most requests as the
+        least loaded one. The other zones' owners find out by their own requests.
+        """
+        if self._progress.suspect(target, 0, now, is_local=True, ttl_s=REFUSING_TTL_S):
+            logger.info("plain target refuses connections", extra={"target": target})
+
     def suspect(self, target: str, epoch: int, now: float) -> None:
         """Give a replica no new requests for a while, and tell the peers."""
         if self._progress.suspect(target, epoch, now):
--- a/waxwingpitch/gateway/slot_use.py
+++ b/waxwingpitch/gateway/slot_use.py
@@ -37,6 +37,8 @@
             return SlotOutcome.MISDIRECTED
         case Broken():
             return SlotOutcome.BROKEN
+        case NotRun(is_refused=True):
+            return SlotOutcome.UNREACHABLE
         case NotRun(is_unreachable=True) if has_epoch:
             return SlotOutcome.UNREACHABLE
         case Stalled(is_link_lost=False) if has_epoch:
--- a/waxwingpitch/targets/progress.py
+++ b/waxwingpitch/targets/progress.py
@@ -77,14 +77,18 @@
         return max(self._own.get(target, 0.0), self._peers.get(target, 0.0))
 
     def suspect(
-        self, target: str, epoch: int, now: float, *, is_local: bool = False
+        self,
+        target: str,
+        epoch: int,
+        now: float,
+        *,
+        is_local: bool = False,
+        ttl_s: float = SUSPICION_TTL_S,
     ) -> bool:
         """Suspect a target; return whether it was not suspected before."""
         known = self._suspicions.get((target, epoch))
         since = known.since if known is not None and known.until > now else now
-        self._suspicions[(target, epoch)] = Suspicion(
-            since, now + SUSPICION_TTL_S, is_local
-        )
+        self._suspicions[(target, epoch)] = Suspicion(since, now + ttl_s, is_local)
         return known is None or known.until <= now
 
     def is_suspected(self, target: str, epoch: int, now: float) -> bool:
