Stops: requests without an answer get one after a standstill at the end of a drain

Cause: the drain looks whether its end has come before it answers what is unanswered. If the process stands still from before the one time until after the other (0.3 s, on a machine with little processor time), it ends without the second step.

Evidence: test_call_is_answered_after_a_standstill_at_the_end_of_a_stop failed before (no answer in place of 504).

Why it works: the drain ends only after a round in which it has answered.

--- a/waxwingpitch/gateway/stopping.py
+++ b/waxwingpitch/gateway/stopping.py
@@ -93,12 +93,15 @@
 
     def _drain(self, times: StopTimes) -> None:
         """Wait until no connection is open, or until begun streams are broken off."""
+        has_interrupted = False
         while self._listener.open_connections:
             now = time.monotonic()
-            if now >= times.drained_by:
+            # After a standstill, both times may have passed since the last round.
+            if now >= times.drained_by and has_interrupted:
                 return
             if now >= times.answers_by:
                 self._listener.interrupt_unanswered(StopTimeUpError())
+                has_interrupted = True
             self._listener.close_idle()
             gevent.sleep(DRAIN_INTERVAL_S)
 
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -257,6 +257,25 @@
     assert daemon._stopped.wait(2.0)
 
 
+# Guards against requests that are cut, as the process stood still from before the time
+# of their last answer until after the end of the drain.
+def test_call_is_answered_after_a_standstill_at_the_end_of_a_stop(
+    platform, start_stoppable
+):
+    daemon = start_stoppable(2.0)
+    for target in platform.plain:
+        platform.targets[target].faults.hang = True
+    caller = Caller(daemon.settings.front)
+    caller.send("/file/x", "h1")
+    gevent.sleep(0.1)
+    daemon._begin_stop()
+    gevent.sleep(1.3)
+    monkey.get_original("time", "sleep")(0.7)
+    answer = read_or_none(caller)
+    assert answer is not None and answer.status == 504
+    assert daemon._stopped.wait(2.0)
+
+
 def test_request_that_waits_for_a_slot_is_refused_before_the_exit(
     platform, start_stoppable
 ):
