Stops: the time of the signal holds also if a tick runs first after a standstill

Cause: counts from the last tick of the housekeeping. A process that stood still while it waited for events runs the tick that is overdue first and hears the signal only in the next round of its event loop, so that the last tick was after the signal.

Why it works: the event loop takes note of signals between any two ticks, so that one that is heard now came after the tick before the last one.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -229,7 +229,7 @@
             lease_keeper=self._lease_keeper,
             planners=self._planners,
         )
-        self._ticked_at = time.monotonic()
+        self._ticked_at = self._ticked_before_at = time.monotonic()
         self._graceful_stop = GracefulStop(
             settings.bounds.stop_s,
             listener=self._listener,
@@ -420,7 +420,8 @@
             )
 
     def _tick(self) -> None:
-        now = self._ticked_at = time.monotonic()
+        now = time.monotonic()
+        self._ticked_before_at, self._ticked_at = self._ticked_at, now
         served_zones = self._roles.tick(now, is_stopping=self._stopping)
         self.slots.tick(served_zones)
         if now - self._slow_tick_at >= SLOW_TICK_S:
@@ -448,5 +449,6 @@
     def _begin_stop(self) -> None:
         if not self._stopping:
             self._stopping = True
-            # The signal may have come at any time since this process last ran.
-            gevent.spawn(self._graceful_stop.run, self._ticked_at, self.stop)
+            # After a standstill a tick may run before a signal that came earlier, but
+            # no second one: signals are handled between any two ticks.
+            gevent.spawn(self._graceful_stop.run, self._ticked_before_at, self.stop)
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -425,6 +425,22 @@
     assert times.streams_until <= stood_still_at + stop_times.STREAMS_BEGIN_S
 
 
+# Guards against the same where housekeeping runs before the signal is heard, as it does
+# if the process stood still while it waited for events.
+def test_times_of_a_stop_count_from_before_a_standstill_that_a_tick_follows(
+    start_stoppable,
+):
+    daemon = start_stoppable(6.0)
+    gevent.sleep(0.3)
+    stood_still_at = time.monotonic()
+    monkey.get_original("time", "sleep")(0.8)
+    daemon._tick()
+    daemon._begin_stop()
+    wait_for(lambda: daemon._server.stop_times)
+    times = daemon._server.stop_times
+    assert times.signalled_at <= stood_still_at
+
+
 # Guards against streams that are broken off before the last sixth, if the signal came
 # at the end of a standstill.
 def test_begun_streams_are_drained_from_when_the_signal_was_heard():
