Stops: the drain waits for connections that are passed on for peers

What callers may see: a stream of another gateway, which reaches its target through a peer, breaks when that peer stops, 2.6 s after the signal if the peer has no callers of its own. The stream loses one of the targets that its route allows, and is cut if it was the last.

Cause: the drain waits for callers' connections only, and passed-on ones end with the process.

Evidence: test_stop_waits_for_the_connections_that_are_passed_on_for_peers failed before (the stop ended at once).

Why it works: peers use no new connection of a host that stops, and close idle ones after 4 s. The end of the drain bounds the wait as before; what runs then is still cut.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -233,6 +233,7 @@
         self._graceful_stop = GracefulStop(
             settings.bounds.stop_s,
             listener=self._listener,
+            relay=self._relay,
             server=self._server,
             planners=self._planners,
             peers=self._peers,
--- a/waxwingpitch/gateway/stopping.py
+++ b/waxwingpitch/gateway/stopping.py
@@ -9,6 +9,7 @@
 import gevent
 
 from ..forwarding import CallerListener
+from ..forwarding.relay import RelayListener
 from .peers import PeerTask
 from .planning import ZonePlanner
 from .registration import Registration
@@ -29,6 +30,8 @@
     ----------
     stop_s
         Time between the signal to stop and a kill, in seconds.
+    relay
+        Passes connections of peers on to targets, which break with this process.
     """
 
     def __init__(
@@ -36,6 +39,7 @@
         stop_s: float,
         *,
         listener: CallerListener,
+        relay: RelayListener,
         server: RequestServer,
         planners: Iterable[ZonePlanner],
         peers: PeerTask,
@@ -44,6 +48,7 @@
     ):
         self._stop_s = stop_s
         self._listener = listener
+        self._relay = relay
         self._server = server
         self._planners = planners
         self._peers = peers
@@ -92,9 +97,12 @@
         _take_step(stop_tasks)
 
     def _drain(self, times: StopTimes) -> None:
-        """Wait until no connection is open, or until begun streams are broken off."""
+        """Wait until no connection is open, or until begun streams are broken off.
+
+        Peers use no new connection of a host that stops, and close those that are idle.
+        """
         has_interrupted = False
-        while self._listener.open_connections:
+        while self._listener.open_connections or self._relay.relayed:
             now = time.monotonic()
             # After a standstill, both times may have passed since the last round.
             if now >= times.drained_by and has_interrupted:
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -12,6 +12,7 @@
 
 from ..configuration.routes import CallerLimits, RouteKind
 from ..forwarding import Answer, AnswerHead, CallerListener
+from ..forwarding.relay import RelayAnswer, ask_relay
 from ..gateway import GatewayDaemon, serving, stop_times
 from ..gateway.stop_times import may_begin, plan_stop
 from ..settings.gateway import Address
@@ -108,6 +109,21 @@
     assert daemon._stopped.wait(6.0)
 
 
+# Guards against requests of peers that are cut halfway, as the gateway that passes them
+# on stops and has no callers of its own.
+def test_stop_waits_for_the_connections_that_are_passed_on_for_peers(
+    platform, start_stoppable
+):
+    daemon = start_stoppable(6.0)
+    target = platform.targets[platform.plain[0]]
+    answer, relayed = ask_relay(str(daemon.settings.relay), target.address, 1.0)
+    assert answer is RelayAnswer.OPEN
+    daemon._begin_stop()
+    assert not daemon._stopped.wait(1.5)
+    relayed.close()
+    assert daemon._stopped.wait(1.0)
+
+
 def test_request_that_arrives_at_the_end_of_a_stop_is_not_run_and_cut(
     platform, start_stoppable, monkeypatch
 ):
