Attempts: a run whose target's address another target has taken has ended

What callers may see: a stream is cut, though one of the targets it ran on has ended, so that its route allows another one.

Cause: takes an answer that can't be decoded for a sign of life.

Evidence: test_run_has_ended_if_its_target_is_gone_or_another_has_its_address failed before (False for a target that is not the one that answers). Found by reading.

Why it works: a report that is refused with 421 is an error of its own, which tells that the target is no longer there.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -33,7 +33,7 @@
 from .notices import TargetNotices
 from .peers import PeerTask
 from .planning import ZonePlanner
-from .probing import fetch_report
+from .probing import AnotherTargetError, fetch_report
 from .registration import Registration
 from .relays import LinkCheck, RelayChooser
 from .roles import Roles
@@ -355,10 +355,10 @@
         """
         try:
             fetch_report(self.pool, target, address)
+        except (UnreachableError, TargetBrokenError, AnotherTargetError):
+            return True
         except (TargetTimeoutError, ValueError):
             return False
-        except (UnreachableError, TargetBrokenError):
-            return True
         return False
 
     def _may_relay(self, address: str) -> bool:
--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -45,6 +45,10 @@
 logger = logging.getLogger(__name__)
 
 
+class AnotherTargetError(ValueError):
+    """Another target than the expected one answers at an address."""
+
+
 def fetch_report(pool: ConnectionPool, target: str, address: str) -> MembershipReport:
     """Fetch a target's report, with one retry on a new connection.
 
@@ -52,6 +56,8 @@
     ------
     UnreachableError, TargetTimeoutError, TargetBrokenError
         The target does not answer.
+    AnotherTargetError
+        Another target has its address.
     ValueError
         The report cannot be decoded.
     """
@@ -66,6 +72,8 @@
             timeout_s=REPORT_TIMEOUT_S,
             is_foreign=_names_request,
         )
+        if answer.head.status == 421:
+            raise AnotherTargetError(f"{address}: not {target}")
         return decode_report(answer.body)
 
     try:
--- a/waxwingpitch/tests/test_silent_targets.py
+++ b/waxwingpitch/tests/test_silent_targets.py
@@ -12,7 +12,14 @@
 import pytest
 
 from .fleet_fake import PAIR
-from .gateway_client import CallerAnswer, chat, count_replicas, start_gateway, wait_for
+from .gateway_client import (
+    CallerAnswer,
+    chat,
+    count_replicas,
+    find_port,
+    start_gateway,
+    wait_for,
+)
 from .platform_standin import PlatformFake
 
 REPLICAS = 5
@@ -152,6 +159,19 @@
     platform.stop()
 
 
+# Guards against a stream that is cut as the run of a target counts that has ended, and
+# whose address another one has.
+def test_run_has_ended_if_its_target_is_gone_or_another_has_its_address(lone_target):
+    platform, daemon = lone_target
+    target = next(iter(platform.fleet.targets))
+    address = platform.targets[target].address
+    assert not daemon._has_ended(target, address)
+    assert daemon._has_ended("replaced", address)
+    assert daemon._has_ended(target, f"127.0.0.1:{find_port()}")
+    platform.targets[target].faults.hang = True
+    assert not daemon._has_ended(target, address)
+
+
 # Guards against "no answer of the slots' owner" for a stream that has begun and has no
 # other target to go on at.
 def test_begun_stream_goes_on_at_the_only_target_after_a_silence(lone_target):
