Streams: one whose request is blocked stays at its silent target

What callers may see: a stream is closed, during a stop or at any time, though its target is only silent for a moment.

Cause: a silent stream moves as soon as it holds a slot on another target. Only then is it looked up whether the request shares a key with ones that crashed targets. One that has run is never sent again under such a key, so that the stream is broken off between the two targets. Same class as: a sound way is given up before a better one is sure.

Found by reading.

--- a/waxwingpitch/gateway/attempts.py
+++ b/waxwingpitch/gateway/attempts.py
@@ -36,7 +36,9 @@
     on_survived
         Called when a target goes on to serve the request, and again when it has, with
         the monotonic time at which the request was sent there.
-
+    is_blocked
+        Returns whether it shares a blocked key with requests that crashed targets, so
+        that it is sent to no other one.
     hold
         Memory of the answers to the request; by default the least that each has.
 
@@ -78,9 +80,11 @@
         last_event: int | None = None,
         last_forwarded_at: float = 0.0,
         on_survived: Callable[[float], None] = lambda sent_at: None,
+        is_blocked: Callable[[], bool] = lambda: False,
         hold: AnswerHold | None = None,
     ):
         self._on_survived = on_survived
+        self.is_blocked = is_blocked
         self.hold = hold or AnswerMemory(limit_bytes=0).open()
         self._first_event_here_at = math.inf
         self.sent_at = 0.0
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -164,8 +164,13 @@
         attempts.discard_ended_runs(self._has_ended)
         return is_retry_allowed(ctx.route, attempts, outcome)
 
-    def _may_move(self, now: float) -> bool:
-        """Return whether a stop leaves a stream the time to leave a silent target."""
+    def _may_move(self, attempts: Attempts, now: float) -> bool:
+        """Return whether a stream may go on elsewhere once it left a silent target.
+
+        A blocked one may not, and near the end of a stop there is no time for it.
+        """
+        if attempts.is_blocked():
+            return False
         return self.stop_times is None or now < self.stop_times.moves_until
 
     def _build_request(
@@ -415,7 +420,7 @@
             self._slots,
             self._progress,
             may_retry=lambda: self.may_retry(ctx, attempts, Stalled("nothing arrives")),
-            may_move=self._may_move,
+            may_move=lambda now: self._may_move(attempts, now),
             is_link_lost=lambda: self._is_link_lost(conn),
             last_data_at=last_data_at,
             last_event_at=last_event_at,
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -155,6 +155,7 @@
             last_event=read_last_event(ctx.req),
             last_forwarded_at=ctx.arrived_at,
             on_survived=lambda sent_at: self._suspects.record_served(keys, sent_at),
+            is_blocked=lambda: self._suspects.find_blocked(keys) is not None,
         )
         try:
             self._make_attempts(ctx, resp, attempts, keys)
--- a/waxwingpitch/gateway/stall_watch.py
+++ b/waxwingpitch/gateway/stall_watch.py
@@ -34,7 +34,7 @@
     may_retry
         Returns whether the request may be sent to another target.
     may_move
-        Returns whether there is time at a monotonic time to go on at another target.
+        Returns whether the request may go on at another target at a monotonic time.
     is_link_lost
         Returns whether peers reach the target and this host does not.
     last_data_at, last_event_at
--- a/waxwingpitch/tests/test_silent_targets.py
+++ b/waxwingpitch/tests/test_silent_targets.py
@@ -11,6 +11,7 @@
 import gevent
 import pytest
 
+from ..requests.culprits import Culprit
 from .fleet_fake import PAIR
 from .gateway_client import (
     CallerAnswer,
@@ -146,6 +147,23 @@
     assert all(one.value is not None and one.value.is_complete for one in asked)
 
 
+# Guards against a stream that is cut while its target is silent for a moment, as it
+# left that target and then was not allowed to be sent to another one.
+def test_stream_whose_request_is_blocked_meanwhile_stays_at_its_silent_target(
+    platform, gateways, monkeypatch
+):
+    asked = gevent.spawn(ask, gateways[0], "blocked")
+    wait_for(lambda: platform.runs["blocked"])
+    gevent.sleep(0.2)
+    monkeypatch.setattr(
+        gateways[0]._suspects, "find_blocked", lambda keys: Culprit("key", ())
+    )
+    pause(platform, 0.8)
+    asked.join()
+    assert asked.value.events == EVENTS and asked.value.is_complete
+    assert platform.runs["blocked"] == 1
+
+
 @pytest.fixture
 def lone_target():
     """The platform with one group of the model, and its gateway."""
