--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -33,7 +33,7 @@
 from .notices import TargetNotices
 from .peers import PeerTask
 from .planning import ZonePlanner
-from .probing import fetch_report
+from .probing import AnotherTargetError, fetch_report
 from .registration import Registration
 from .relays import LinkCheck, RelayChooser
 from .roles import Roles
@@ -229,10 +229,11 @@
             lease_keeper=self._lease_keeper,
             planners=self._planners,
         )
-        self._ticked_at = time.monotonic()
+        self._ticked_at = self._ticked_before_at = time.monotonic()
         self._graceful_stop = GracefulStop(
             settings.bounds.stop_s,
             listener=self._listener,
+            relay=self._relay,
             server=self._server,
             planners=self._planners,
             peers=self._peers,
@@ -358,10 +359,10 @@
         """
         try:
             fetch_report(self.pool, target, address)
+        except (UnreachableError, TargetBrokenError, AnotherTargetError):
+            return True
         except (TargetTimeoutError, ValueError):
             return False
-        except (UnreachableError, TargetBrokenError):
-            return True
         return False
 
     def _may_relay(self, address: str) -> bool:
@@ -424,7 +425,8 @@
             )
 
     def _tick(self) -> None:
-        now = self._ticked_at = time.monotonic()
+        now = time.monotonic()
+        self._ticked_before_at, self._ticked_at = self._ticked_at, now
         served_zones = self._roles.tick(now, is_stopping=self._stopping)
         self.slots.tick(served_zones)
         if now - self._slow_tick_at >= SLOW_TICK_S:
@@ -452,5 +454,6 @@
     def _begin_stop(self) -> None:
         if not self._stopping:
             self._stopping = True
-            # The signal may have come at any time since this process last ran.
-            gevent.spawn(self._graceful_stop.run, self._ticked_at, self.stop)
+            # After a standstill a tick may run before a signal that came earlier, but
+            # no second one: signals are handled between any two ticks.
+            gevent.spawn(self._graceful_stop.run, self._ticked_before_at, self.stop)
--- a/waxwingpitch/tests/test_silent_targets.py
+++ b/waxwingpitch/tests/test_silent_targets.py
@@ -11,8 +11,16 @@
 import gevent
 import pytest
 
+from ..requests.culprits import Culprit
 from .fleet_fake import PAIR
-from .gateway_client import CallerAnswer, chat, count_replicas, start_gateway, wait_for
+from .gateway_client import (
+    CallerAnswer,
+    chat,
+    count_replicas,
+    find_port,
+    start_gateway,
+    wait_for,
+)
 from .platform_standin import PlatformFake
 
 REPLICAS = 5
@@ -139,6 +147,23 @@
     assert all(one.value is not None and one.value.is_complete for one in asked)
 
 
+# Guards against a stream that is cut while its target is silent for a moment, as it
+# left that target and then was not allowed to be sent to another one.
+def test_stream_whose_request_is_blocked_meanwhile_stays_at_its_silent_target(
+    platform, gateways, monkeypatch
+):
+    asked = gevent.spawn(ask, gateways[0], "blocked")
+    wait_for(lambda: platform.runs["blocked"])
+    gevent.sleep(0.2)
+    monkeypatch.setattr(
+        gateways[0]._suspects, "find_blocked", lambda keys: Culprit("key", ())
+    )
+    pause(platform, 0.8)
+    asked.join()
+    assert asked.value.events == EVENTS and asked.value.is_complete
+    assert platform.runs["blocked"] == 1
+
+
 @pytest.fixture
 def lone_target():
     """The platform with one group of the model, and its gateway."""
@@ -152,6 +177,19 @@
     platform.stop()
 
 
+# Guards against a stream that is cut as the run of a target counts that has ended, and
+# whose address another one has.
+def test_run_has_ended_if_its_target_is_gone_or_another_has_its_address(lone_target):
+    platform, daemon = lone_target
+    target = next(iter(platform.fleet.targets))
+    address = platform.targets[target].address
+    assert not daemon._has_ended(target, address)
+    assert daemon._has_ended("replaced", address)
+    assert daemon._has_ended(target, f"127.0.0.1:{find_port()}")
+    platform.targets[target].faults.hang = True
+    assert not daemon._has_ended(target, address)
+
+
 # Guards against "no answer of the slots' owner" for a stream that has begun and has no
 # other target to go on at.
 def test_begun_stream_goes_on_at_the_only_target_after_a_silence(lone_target):
