Stops: a stop that is heard late ends before the kill where it can

Begun streams may be broken off in the last sixth, so the drain ends then, counted from the latest time of the signal, or at its usual end, counted from the earliest.

--- a/waxwingpitch/gateway/stop_times.py
+++ b/waxwingpitch/gateway/stop_times.py
@@ -15,6 +15,8 @@
 # What follows the drain is left this time, or this share of the stop if it is less.
 STOP_MARGIN_S = 0.8
 STOP_MARGIN_SHARE = 0.1
+# Share of a stop from which begun streams may be broken off, by the operators' bounds.
+BREAK_OFF_SHARE = 5 / 6
 # Time before the end of the drain by which requests whose answer has not begun are
 # answered.
 ANSWER_MARGIN_S = 0.3
@@ -75,8 +77,8 @@
 ) -> StopTimes:
     """Return the times of a stop.
 
-    What must not begin or be waited for too late counts from the earliest time at which
-    the signal may have come, and the drain of begun streams from the latest.
+    All counts from the earliest time at which the signal may have come, but begun
+    streams are broken off in the last sixth as counted from the latest, too.
 
     Parameters
     ----------
@@ -97,7 +99,7 @@
         streams_until=min(answers_by, signalled_at + STREAMS_BEGIN_S),
         moves_until=max(signalled_at, signalled_at + drain_s - STREAM_MOVE_MARGIN_S),
         answers_by=answers_by,
-        drained_by=heard_at + drain_s,
+        drained_by=max(signalled_at + drain_s, heard_at + stop_s * BREAK_OFF_SHARE),
     )
 
 
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -462,6 +462,8 @@
 def test_begun_streams_are_drained_from_when_the_signal_was_heard():
     times = plan_stop(100.0, 8.0, heard_at=103.0)
     assert times.drained_by >= 103.0 + 8.0 * 5 / 6
+    # Not later than needed, as the process may be killed at 108.
+    assert plan_stop(100.0, 8.0, heard_at=100.5).drained_by < 108.0
     assert times.streams_until <= 103.0
     assert times.answers_by <= 108.0
 
