--- a/waxwingpitch/gateway/stop_times.py
+++ b/waxwingpitch/gateway/stop_times.py
@@ -15,6 +15,8 @@
 # What follows the drain is left this time, or this share of the stop if it is less.
 STOP_MARGIN_S = 0.8
 STOP_MARGIN_SHARE = 0.1
+# Share of that time which is left at least, if the signal was heard late.
+LEAST_MARGIN_SHARE = 1 / 3
 # Share of a stop from which begun streams may be broken off, by the operators' bounds.
 BREAK_OFF_SHARE = 5 / 6
 # Time before the end of the drain by which requests whose answer has not begun are
@@ -77,8 +79,9 @@
 ) -> StopTimes:
     """Return the times of a stop.
 
-    All counts from the earliest time at which the signal may have come, but begun
-    streams are broken off in the last sixth as counted from the latest, too.
+    What must not begin or be waited for too late counts from the earliest time at which
+    the signal may have come, and the drain of begun streams from the latest. If that
+    may end after the kill, they are broken off before it, as early as is allowed.
 
     Parameters
     ----------
@@ -90,7 +93,9 @@
         Monotonic time at which the process took note of it; by default at once.
     """
     heard_at = signalled_at if heard_at is None else heard_at
-    drain_s = stop_s - min(STOP_MARGIN_S, stop_s * STOP_MARGIN_SHARE)
+    margin_s = min(STOP_MARGIN_S, stop_s * STOP_MARGIN_SHARE)
+    drain_s = stop_s - margin_s
+    killed_from = signalled_at + stop_s - margin_s * LEAST_MARGIN_SHARE
     answers_by = max(signalled_at, signalled_at + drain_s - ANSWER_MARGIN_S)
     removal_s = min(BALANCER_REMOVAL_S, stop_s * BALANCER_REMOVAL_SHARE)
     return StopTimes(
@@ -99,7 +104,9 @@
         streams_until=min(answers_by, signalled_at + STREAMS_BEGIN_S),
         moves_until=max(signalled_at, signalled_at + drain_s - STREAM_MOVE_MARGIN_S),
         answers_by=answers_by,
-        drained_by=max(signalled_at + drain_s, heard_at + stop_s * BREAK_OFF_SHARE),
+        drained_by=max(
+            min(heard_at + drain_s, killed_from), heard_at + stop_s * BREAK_OFF_SHARE
+        ),
     )
 
 
