--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -26,6 +26,7 @@
 from ..settings.gateway import GatewaySettings
 from ..slots import EntryHost
 from ..targets.progress import ProgressBook
+from ..targets.silences import SilenceBook
 from ..telemetry import GatewayMetrics
 from .beliefs import GatewayView
 from .exchange import TargetExchange
@@ -91,6 +92,7 @@
             memory_bytes=int(settings.memory_mb * BYTES_PER_MIB * ANSWERS_MEMORY_SHARE)
         )
         self.progress = ProgressBook()
+        self._silences = SilenceBook()
         self.view = GatewayView(time.monotonic, self._on_view_change)
         self._store_health = StoreHealth(self._on_store_recovery)
         local = EntryHost(
@@ -353,16 +355,17 @@
         return True
 
     def _has_ended(self, target: str, address: str) -> bool:
-        """Return whether no connection to a target can be opened, or it is another.
-
-        One that accepts connections and is silent may go on with what it has read.
-        """
+        """Return whether a target has ended, is cut off, or is another one."""
+        asked_at = time.monotonic()
         try:
             fetch_report(self.pool, target, address)
+        except TargetTimeoutError:
+            return self._silences.record_unanswered(target, asked_at)
         except (UnreachableError, TargetBrokenError, AnotherTargetError):
             return True
-        except (TargetTimeoutError, ValueError):
-            return False
+        except ValueError:
+            logger.debug("report of a target can't be decoded")
+        self._silences.record_answered(target)
         return False
 
     def _may_relay(self, address: str) -> bool:
@@ -436,6 +439,7 @@
             self._retry_lost_links(now)
             self.view.expire_removed()
             self.progress.expire(now)
+            self._silences.expire(now)
             self._suspects.expire(now)
 
     def _retry_lost_links(self, now: float) -> None:
