--- a/waxwingpitch/tests/gateway_processes.py
+++ b/waxwingpitch/tests/gateway_processes.py
@@ -30,7 +30,8 @@
 [limits]
 cpu_share = 0.5
 cpu_cores = 2
-memory_mb = 300
+memory_mb = {memory_mb}
+max_fds = {max_fds}
 link_mbps = 1000.0
 [bounds]
 contact_ms = 3000
@@ -61,7 +62,15 @@
     """
 
     def __init__(
-        self, folder: Path, store: str, zones: tuple[str, ...], number: int, slack: int
+        self,
+        folder: Path,
+        store: str,
+        zones: tuple[str, ...],
+        number: int,
+        slack: int,
+        *,
+        memory_mb: int = 300,
+        max_fds: int = 4096,
     ):
         self.name = f"gw-{number}"
         self.front = Address("127.0.0.1", find_port())
@@ -80,6 +89,8 @@
             "ready": find_port(),
             "store": store,
             "slack": slack,
+            "memory_mb": memory_mb,
+            "max_fds": max_fds,
         }
 
     def start(self, *, is_first: bool) -> None:
--- a/waxwingpitch/tests/platform_standin.py
+++ b/waxwingpitch/tests/platform_standin.py
@@ -452,7 +452,7 @@
         }
         self.store.write(f"servers/{target}", entry)
 
-    def configure(self, *, keys=("key-1",), drop=(), **route) -> None:
+    def configure(self, *, keys=("key-1",), drop=(), limits=(), **route) -> None:
         """Write a new configuration."""
         self.version += 3
         common = {"host": "h.example", "timeout_ms": 4000, "priority": 1}
@@ -516,6 +516,7 @@
                 "max_body_bytes": 65536,
                 "header_timeout_ms": 3000,
                 "idle_timeout_ms": 15000,
+                **dict(limits),
             },
             "tenants": [{"name": "w1", "api_keys": list(keys), "priority": 1}],
         }
