--- a/waxwingpitch/forwarding/__init__.py
+++ b/waxwingpitch/forwarding/__init__.py
@@ -4,8 +4,9 @@
 
 from .answers import Answer, AnswerHead, format_answer, format_head
 from .events import EventSplitter, StreamEvent
-from .listener import CallerListener, Responder
+from .listener import CallerListener
 from .parsing import AnswerReader, CallerRequest, MalformedRequestError, RequestReader
+from .responder import Responder
 from .targets import (
     ConnectionPool,
     TargetBrokenError,
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -11,8 +11,8 @@
 from ..errors import RESULTS, RequestError, ResultCode
 from ..forwarding import Answer, AnswerHead, CallerRequest, Responder
 from ..forwarding.answers import Headers
-from ..forwarding.listener import CallerDisconnectedError
 from ..forwarding.memory import AnswerHold, AnswerMemory
+from ..forwarding.responder import CallerDisconnectedError
 from ..platform import HeaderNames
 from ..requests.culprits import Culprit
 from ..slots import BUDGET_SPENT, Refused
--- a/waxwingpitch/tests/test_process_callers.py
+++ b/waxwingpitch/tests/test_process_callers.py
@@ -1,4 +1,4 @@
-"""A gateway process whose callers send much that is legal and never end their requests."""
+"""A gateway process whose callers send much that is legal and end no request."""
 
 from __future__ import annotations
 
