Exchange: the body of a request is sent without a copy for each attempt

Head and body were joined for each attempt, and the unsent rest was copied again; the fingerprint copied the body twice. Large bodies are now sent behind the head as they are.

--- a/waxwingpitch/forwarding/exchange.py
+++ b/waxwingpitch/forwarding/exchange.py
@@ -21,14 +21,20 @@
     method: bytes, target: bytes, address: str, headers: Headers, body: bytes
 ) -> bytes:
     """Encode a request, framed with Content-Length."""
+    return format_request_head(method, target, address, headers, len(body)) + body
+
+
+def format_request_head(
+    method: bytes, target: bytes, address: str, headers: Headers, body_bytes: int
+) -> bytes:
+    """Encode the head of a request whose body has so many bytes."""
     lines = [b"%s %s HTTP/1.1\r\n" % (method, target)]
     if not any(name.lower() == b"host" for name, _ in headers):
         lines.append(b"Host: %s\r\n" % address.encode())
     lines.extend(b"%s: %s\r\n" % (name, value) for name, value in headers)
-    if body or method not in (b"GET", b"HEAD", b"DELETE"):
-        lines.append(b"Content-Length: %d\r\n" % len(body))
+    if body_bytes or method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d\r\n" % body_bytes)
     lines.append(b"\r\n")
-    lines.append(body)
     return b"".join(lines)
 
 
@@ -37,6 +43,7 @@
     address: str,
     data: bytes,
     *,
+    body: bytes | bytearray = b"",
     timeout_s: float,
     request: str | None = None,
 ) -> TargetConnection:
@@ -46,6 +53,10 @@
 
     Parameters
     ----------
+    data
+        The request, or its head if the body is given apart.
+    body
+        Sent behind the data without being copied, if it is large.
     request
         Id that the answer names; empty if the caller sent none, None for calls whose
         answers name no request.
@@ -60,7 +71,7 @@
     conn = pool.acquire(address, time.monotonic(), request)
     if conn is not None:
         try:
-            conn.send(data)
+            conn.send(data, body)
             return conn
         except UnreachableError:
             conn.close()
@@ -69,7 +80,7 @@
             raise
     conn = pool.connect(address, timeout_s=timeout_s)
     try:
-        conn.send(data)
+        conn.send(data, body)
     except BaseException:
         conn.close()
         raise
--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -33,6 +33,8 @@
 # What one read returns is handled without a pause, which takes long for small events.
 READ_BYTES = 16384
 SEND_TIMEOUT_S = 2.0
+# Bodies up to this size are sent with the head in one write; larger ones aren't copied.
+MAX_JOINED_BYTES = 16384
 # Refused requests that are remembered for a connection before it is closed.
 MAX_REFUSED = 64
 # Body of an answer to an earlier request, which is skipped.
@@ -101,8 +103,8 @@
         self._peer_closed = False
         self._refused: set[str] = set()
 
-    def send(self, data: bytes) -> None:
-        """Send a complete request.
+    def send(self, data: bytes, body: bytes | bytearray = b"") -> None:
+        """Send a complete request, or its head and its body.
 
         Raises
         ------
@@ -112,6 +114,8 @@
             A part of the request may have been sent.
         """
         self._reader.discard_answer()
+        if len(body) <= MAX_JOINED_BYTES:
+            data, body = data + body, b""
         try:
             self._sock.settimeout(SEND_TIMEOUT_S)
             sent_bytes = self._sock.send(data)
@@ -119,7 +123,9 @@
             raise UnreachableError(f"{self.address}: {exc}") from exc
         try:
             if sent_bytes < len(data):
-                self._sock.sendall(data[sent_bytes:])
+                self._sock.sendall(memoryview(data)[sent_bytes:])
+            if body:
+                self._sock.sendall(body)
         except OSError as exc:
             raise TargetBrokenError(f"{self.address}: {exc}") from exc
 
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -22,7 +22,7 @@
     UnreachableError,
 )
 from ..forwarding.answers import strip_hop_headers
-from ..forwarding.exchange import format_request, send_request
+from ..forwarding.exchange import format_request_head, send_request
 from ..platform import HeaderNames
 from ..slots import SlotOffer
 from ..targets.progress import ProgressBook
@@ -108,12 +108,13 @@
     ) -> Outcome:
         """Make one attempt on a replica and return its outcome."""
         replica = slot.offer
-        data = self._build_request(ctx, attempts, replica)
+        head = self._build_request_head(ctx, attempts, replica)
         try:
             conn = send_request(
                 self._pool,
                 replica.address,
-                data,
+                head,
+                body=ctx.req.body,
                 request=ctx.id,
                 timeout_s=ctx.deadline - time.monotonic(),
             )
@@ -168,7 +169,7 @@
         """Return whether a stop leaves a stream the time to leave a silent target."""
         return self.stop_times is None or now < self.stop_times.moves_until
 
-    def _build_request(
+    def _build_request_head(
         self, ctx: RequestContext, attempts, replica: SlotOffer
     ) -> bytes:
         overridden = {
@@ -190,8 +191,8 @@
             headers.append((HeaderNames.WORKSPACE.value, ctx.workspace.encode()))
         if attempts.last_event is not None:
             headers.append((HeaderNames.LAST_EVENT.value, b"%d" % attempts.last_event))
-        return format_request(
-            ctx.req.method, ctx.req.target, replica.address, headers, ctx.req.body
+        return format_request_head(
+            ctx.req.method, ctx.req.target, replica.address, headers, len(ctx.req.body)
         )
 
     def _read_matching_head(
--- a/waxwingpitch/gateway/routed.py
+++ b/waxwingpitch/gateway/routed.py
@@ -66,7 +66,7 @@
     def fingerprint(self) -> str:
         """Fingerprint that is the same for a caller's repeats of a request."""
         parts = (self.req.target, (self.workspace or "").encode(), self.req.body)
-        return fingerprint_request(self.service, b"\0".join(parts))
+        return fingerprint_request(self.service, *parts)
 
     @property
     def crash_keys(self) -> tuple[str, ...]:
--- a/waxwingpitch/requests/suspects.py
+++ b/waxwingpitch/requests/suspects.py
@@ -105,6 +105,10 @@
                 del self._records[record.fingerprint]
 
 
-def fingerprint_request(service: str, content: bytes) -> str:
-    """Return the fingerprint of a request's content."""
-    return xxhash.xxh3_128_hexdigest(service.encode() + b"\0" + content)
+def fingerprint_request(service: str, *parts: bytes | bytearray) -> str:
+    """Return the fingerprint of a request's content, whose parts are not copied."""
+    digest = xxhash.xxh3_128(service.encode())
+    for part in parts:
+        digest.update(b"\0")
+        digest.update(part)
+    return digest.hexdigest()
