Gateway: callers share a bound on memory and connections

Callers that sent legal heads of many fields, trailers without end or large bodies that never end made a process exceed its memory. The listener now accounts for heads, bodies, trailers, and requests that wait or are served; over a quarter of the process's memory, and two fifths of its descriptors beside those for files, incomplete requests are rejected with 503 or 408. Trailers are dropped and may be as large as a head. Bodies are held in one buffer.

--- a/waxwingpitch/forwarding/connection.py
+++ b/waxwingpitch/forwarding/connection.py
@@ -15,12 +15,15 @@
 import gevent
 
 from ..configuration.routes import CallerLimits
-from .answers import Answer, AnswerHead, format_answer
+from ..memory import CallerAccount, HoldKind, Rejection, RejectionReason
+from .answers import Answer, AnswerHead, Headers, format_answer
 from .parsing import CallerRequest, MalformedRequestError, RequestReader
 from .responder import CallerDisconnectedError, Handler, Responder
 from .turns import TurnReader
 
-READ_BYTES = 65536
+# What one read returns is parsed before its memory is accounted for, which is up to 40
+# times as much for small fields.
+READ_BYTES = 16384
 # Pipelined requests that may wait on a connection before reading from it pauses.
 MAX_PIPELINED_REQUESTS = 8
 # Time after a connection was accepted, or its last answer ended, for which a request is
@@ -30,15 +33,32 @@
 # unread bytes resets the connection, which destroys what the caller has not read yet.
 LINGER_S = 0.5
 
+REASONS = {
+    408: RejectionReason.TIMEOUT,
+    413: RejectionReason.BODY_SIZE,
+    431: RejectionReason.HEAD_SIZE,
+}
+
 logger = logging.getLogger(__name__)
 
 
+class RejectedError(MalformedRequestError):
+    """A request that is rejected for what its connection holds."""
+
+    def __init__(self, rejection: Rejection):
+        super().__init__(
+            rejection.status, f"not run, the gateway is full ({rejection.reason.value})"
+        )
+        self.rejection = rejection
+
+
 class ConnectionOwner(Protocol):
     """What a connection needs of the listener that accepted it."""
 
     handler: Handler
     limits: Callable[[], CallerLimits]
     stopping: bool
+    account: CallerAccount
 
 
 class CallerConnection:
@@ -47,6 +67,11 @@
     It is read also while a request is handled, which detects that the caller
     disconnects. The reading greenlet is the only one that closes the socket, once the
     handling one has ended; others shut it down.
+
+    Attributes
+    ----------
+    is_accepted
+        Whether the connection may be served; if not, it must be closed at once.
     """
 
     def __init__(self, sock, listener: ConnectionOwner):
@@ -56,19 +81,23 @@
         self._limits = listener.limits()
         self._pending: deque[tuple[CallerRequest, float]] = deque()
         self._handler_greenlet: gevent.Greenlet | None = None
-        self._idle_since = time.monotonic()
+        self._opened_at = self._idle_since = time.monotonic()
         self._closing = False
         self._linger: gevent.Greenlet | None = None
         self._resp: Responder | None = None
-        self._reader = RequestReader(
-            header_bytes=self._limits.header_bytes, body_bytes=self._limits.body_bytes
-        )
+        self._reader = self._build_reader()
+        self._greenlet: gevent.Greenlet | None = None
+        self._is_receiving = False
+        self._account = listener.account
+        self._hold, self._rejection = self._account.open(self._evict, self._idle_since)
+        self.is_accepted = self._hold is not None
 
     @property
     def is_idle(self) -> bool:
         return self._handler_greenlet is None and not self._pending
 
     def run(self) -> None:
+        self._greenlet = gevent.getcurrent()
         try:
             while True:
                 data = self._receive()
@@ -76,23 +105,79 @@
                     continue
                 if not data:
                     break
-                now = time.monotonic()
-                self._pending.extend((req, now) for req in self._reader.feed(data))
-                self._start_next_request()
-                if self._reader.error is not None:
-                    raise self._reader.error
+                self._take(data)
         except MalformedRequestError as exc:
             self._reject(exc)
         except OSError as exc:
             logger.debug("caller connection failed: %s", exc)
         finally:
-            if self._handler_greenlet is not None:
-                self._handler_greenlet.kill(
-                    CallerDisconnectedError("connection closed")
-                )
-            if self._linger is not None:
-                self._linger.kill(block=False)
-            self._sock.close()
+            try:
+                self._end()
+            finally:
+                self._hold.close()
+
+    def _end(self) -> None:
+        if self._handler_greenlet is not None:
+            self._handler_greenlet.kill(CallerDisconnectedError("connection closed"))
+        if self._linger is not None:
+            self._linger.kill(block=False)
+        self._sock.close()
+        self._reader.close()
+
+    def _take(self, data: bytes) -> None:
+        """Parse bytes, and serve what is complete if there is memory for all of it."""
+        now = time.monotonic()
+        self._hold.receive(len(data), now)
+        had_partial = self._reader.has_partial_request
+        completed = self._reader.feed(data)
+        if completed or not had_partial:
+            self._hold.mark_progress(now)
+        self._pending.extend((req, now) for req in completed)
+        self._record_held()
+        rejection = self._hold.admit(now)
+        if rejection is not None:
+            self._drop_unserved()
+            raise RejectedError(rejection)
+        self._start_next_request()
+        if self._reader.error is not None:
+            raise self._reader.error
+
+    def _evict(self, rejection: Rejection) -> None:
+        """Take all that is not being served, and close behind the current answer."""
+        if self.is_idle and not self._reader.has_partial_request:
+            self._log_rejection(rejection)
+            self._shut_down()
+            return
+        self._rejection = rejection
+        self._drop_unserved()
+        gevent.get_hub().loop.run_callback(self._interrupt_receiving)
+
+    def _interrupt_receiving(self) -> None:
+        """Raise the rejection where bytes are waited for; called in the hub."""
+        if self._is_receiving and self._rejection is not None:
+            self._greenlet.throw(RejectedError(self._rejection))
+
+    def _drop_unserved(self) -> None:
+        self._pending.clear()
+        self._drop_partial()
+
+    def _drop_partial(self) -> None:
+        self._reader.close()
+        self._reader = self._build_reader()
+        self._record_held()
+
+    def _build_reader(self) -> RequestReader:
+        return RequestReader(
+            header_bytes=self._limits.header_bytes, body_bytes=self._limits.body_bytes
+        )
+
+    def _record_held(self) -> None:
+        partial = self._reader.partial
+        self._hold.set(HoldKind.HEAD, partial.head)
+        self._hold.set(HoldKind.BODY, partial.body)
+        self._hold.set(HoldKind.TRAILERS, partial.trailers)
+        waiting_bytes = sum(req.held_bytes for req, _ in self._pending)
+        self._hold.set(HoldKind.WAITING, waiting_bytes)
 
     def close_if_quiet(self, now: float) -> None:
         """Close unless a request has arrived, in part or whole, or may be on its way.
@@ -125,6 +210,16 @@
         return count[0] > 0
 
     def _receive(self) -> bytes | None:
+        self._is_receiving = True
+        try:
+            data = None if self._rejection is not None else self._await_bytes()
+        finally:
+            self._is_receiving = False
+        if self._rejection is not None:
+            raise RejectedError(self._rejection)
+        return data
+
+    def _await_bytes(self) -> bytes | None:
         while len(self._pending) > MAX_PIPELINED_REQUESTS:
             gevent.sleep(0.01)
         timeout_s = (
@@ -147,6 +242,9 @@
     def _start_next_request(self) -> None:
         if self._handler_greenlet is None and self._pending:
             req, arrived_at = self._pending.popleft()
+            self._hold.set(HoldKind.SERVED, req.held_bytes)
+            self._hold.is_served = True
+            self._record_held()
             self._handler_greenlet = gevent.spawn(self._handle_request, req, arrived_at)
 
     def _handle_request(self, req: CallerRequest, arrived_at: float) -> None:
@@ -159,6 +257,10 @@
             return
         except Exception:
             logger.exception("request failed")
+        finally:
+            self._hold.set(HoldKind.SERVED, 0)
+            self._hold.is_served = False
+        self._hold.mark_progress(time.monotonic())
         self._handler_greenlet = self._resp = None
         self._idle_since = time.monotonic()
         if not resp.ended or resp.close:
@@ -176,13 +278,13 @@
 
     def _end_sending(self) -> None:
         """End the connection behind the last answer, once the caller closes it too."""
-        self._closing = True
+        self._closing = self._hold.is_ending = True
         if self._pending:
             logger.info(
                 "requests behind the last answer dropped",
                 extra={"count": len(self._pending)},
             )
-            self._pending.clear()
+        self._drop_unserved()
         self._linger = gevent.spawn_later(LINGER_S, self._shut_down)
         try:
             self._sock.shutdown(socket.SHUT_WR)
@@ -190,20 +292,34 @@
             logger.debug("caller connection was already closed")
 
     def _shut_down(self) -> None:
-        self._closing = True
-        self._pending.clear()
+        self._closing = self._hold.is_ending = True
+        self._drop_unserved()
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             logger.debug("caller connection was already closed")
 
     def _reject(self, exc: MalformedRequestError) -> None:
+        # The parts of a request that is refused are not kept until others are answered.
+        self._drop_partial()
         while (handling := self._handler_greenlet) is not None and not handling.dead:
             handling.join()
         if self._closing:
             return
-        message = str(exc).encode()
-        answer = Answer(AnswerHead(exc.status, ()), message + b"\n")
+        headers: Headers = ()
+        if isinstance(exc, RejectedError):
+            self._log_rejection(exc.rejection)
+            if exc.rejection.retry_after_s is not None:
+                headers = ((b"Retry-After", b"%.2f" % exc.rejection.retry_after_s),)
+        else:
+            self._account.count_rejection(
+                REASONS.get(exc.status, RejectionReason.MALFORMED)
+            )
+            logger.info(
+                "malformed request refused",
+                extra={"status": exc.status, "reason": str(exc)},
+            )
+        answer = Answer(AnswerHead(exc.status, headers), str(exc).encode() + b"\n")
         try:
             self._sock.sendall(format_answer(answer, close=True))
             self._end_sending()
@@ -211,7 +327,16 @@
                 continue
         except OSError:
             logger.debug("caller disconnected before the error answer was sent")
+
+    def _log_rejection(self, rejection: Rejection) -> None:
         logger.info(
-            "malformed request refused",
-            extra={"status": exc.status, "reason": str(exc)},
+            "caller rejected",
+            extra={
+                "status": rejection.status,
+                "reason": rejection.reason.value,
+                "held_bytes": rejection.held_bytes,
+                "held_by_all_bytes": self._account.held_bytes,
+                "connections": self._account.connections,
+                "open_ms": round(1000 * (time.monotonic() - self._opened_at)),
+            },
         )
--- a/waxwingpitch/forwarding/listener.py
+++ b/waxwingpitch/forwarding/listener.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import time
 from collections.abc import Callable
 
 import gevent
+from gevent.pool import Pool
 from gevent.server import StreamServer
 
 from ..configuration.routes import CallerLimits
+from ..memory import CallerAccount, CallerBounds
 from .connection import CallerConnection
 from .responder import Handler
 
 BACKLOG = 1024
+# Receive buffer of a connection, for what its caller sends while nothing is read. The
+# kernel would let it grow to some megabytes. It holds several segments of loopback.
+RECEIVE_BUFFER_BYTES = 256 * 1024
+
+logger = logging.getLogger(__name__)
 
 
 class CallerListener:
@@ -28,6 +36,8 @@
         :class:`CallerDisconnectedError` when the caller disconnects.
     limits
         Returns the limits in force.
+    account
+        What all callers hold; by default one with the bounds of a large process.
     """
 
     def __init__(
@@ -36,13 +46,20 @@
         port: int,
         handler: Handler,
         limits: Callable[[], CallerLimits],
+        account: CallerAccount | None = None,
     ):
         self.handler = handler
         self.limits = limits
+        self.account = account or CallerAccount(CallerBounds())
         self.stopping = False
         self._conns: set[CallerConnection] = set()
         self._listening = socket.create_server((host, port), backlog=BACKLOG)
-        self._server = StreamServer(self._listening, self._accept)
+        self._listening.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        # Callers above the limit wait to be accepted, so that they take no descriptors.
+        pool = Pool(self.account.max_connections)
+        self._server = StreamServer(self._listening, self._accept, spawn=pool)
 
     @property
     def port(self) -> int:
@@ -99,14 +116,25 @@
             except OSError:
                 return
             sock.settimeout(None)
-            gevent.spawn(self._serve, self._add(sock))
+            conn = self._add(sock)
+            if conn is not None:
+                gevent.spawn(self._serve, conn)
 
     def _accept(self, sock, address) -> None:
-        self._serve(self._add(sock))
+        conn = self._add(sock)
+        if conn is not None:
+            self._serve(conn)
 
-    def _add(self, sock) -> CallerConnection:
+    def _add(self, sock) -> CallerConnection | None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         conn = CallerConnection(sock, self)
+        if not conn.is_accepted:
+            logger.info(
+                "connection closed at once, too many are open",
+                extra={"connections": self.account.connections},
+            )
+            sock.close()
+            return None
         self._conns.add(conn)
         return conn
 
--- a/waxwingpitch/forwarding/parsing.py
+++ b/waxwingpitch/forwarding/parsing.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from ..memory.common import FIELD_BYTES, REQUEST_BYTES
 from .answers import AnswerHead, Headers
 
 # Bytes of a target that carry no body, such as a head, a chunk's size or trailers.
@@ -16,6 +17,11 @@
 MAX_ANSWER_FIELDS = 256
 
 
+# Bytes in front of trailers that are not counted: the size of the last chunk, and the
+# end of the one before.
+LAST_CHUNK_BYTES = 64
+
+
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A complete request of a caller.
@@ -24,15 +30,20 @@
     ----------
     target
         Path and query as sent.
+    body
+        Held once for all attempts, and not changed by any.
     keep_alive
         Whether the caller allows the connection to stay open after the answer.
+    held_bytes
+        Memory that the request takes, overhead included.
     """
 
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     keep_alive: bool
+    held_bytes: int = 0
 
     @property
     def path(self) -> bytes:
@@ -58,9 +69,20 @@
         self.status = status
 
 
+@dataclass(frozen=True, slots=True)
+class PartialBytes:
+    """Memory that the parts of an incomplete request take, overhead included."""
+
+    head: int = 0
+    body: int = 0
+    trailers: int = 0
+
+
 class RequestReader:
     """Reads requests from the bytes of one connection.
 
+    Trailers are dropped. Together they may be as large as a head.
+
     Parameters
     ----------
     header_bytes, body_bytes
@@ -103,6 +125,7 @@
         return completed
 
     def _parse(self, data: bytes) -> None:
+        self._unframed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except MalformedRequestError:
@@ -114,22 +137,49 @@
             raise
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             raise MalformedRequestError(400, str(exc)) from exc
-        if self.has_partial_request and not self._in_body:
-            self._check_header_bytes(len(data))
+        if not self.has_partial_request:
+            return
+        if self._in_body:
+            self._check_head_size(self._unframed_bytes - LAST_CHUNK_BYTES, "trailers")
+        else:
+            self._head_size += len(data)
+            self._check_head_size(self._head_size)
+
+    def close(self) -> None:
+        """Release what is held, which else is only freed by a garbage collection."""
+        self._reset()
+        self._completed.clear()
+        self.has_partial_request = False
+        # The parser and this reader refer to each other.
+        self._parser = None
+
+    @property
+    def partial(self) -> PartialBytes:
+        """What the incomplete request holds."""
+        if not self.has_partial_request:
+            return PartialBytes()
+        return PartialBytes(
+            self._head_memory, self._body.__alloc__(), self._unframed_bytes
+        )
+
+    @property
+    def _head_memory(self) -> int:
+        return self._head_size + FIELD_BYTES * len(self._headers)
 
     def _reset(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body = bytearray()
         self._head_size = 0
+        self._trailer_size = 0
+        # Bytes since the last ones of the body: sizes of chunks and trailers.
+        self._unframed_bytes = 0
         self._in_body = False
 
-    def _check_header_bytes(self, added: int) -> None:
-        self._head_size += added
-        if self._head_size > self._header_bytes:
+    def _check_head_size(self, size: int, name: str = "headers") -> None:
+        if size > self._header_bytes:
             raise MalformedRequestError(
-                431, f"headers are over {self._header_bytes} bytes"
+                431, f"{name} are over {self._header_bytes} bytes"
             )
 
     def on_message_begin(self) -> None:
@@ -140,17 +190,19 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._in_body:
+            self._trailer_size += len(name) + len(value) + 4
+            self._check_head_size(self._trailer_size, "trailers")
+            return
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         self._in_body = True
-        size = len(self._target) + sum(
+        self._unframed_bytes = 0
+        self._head_size = len(self._target) + sum(
             len(name) + len(value) + 4 for name, value in self._headers
         )
-        if size > self._header_bytes:
-            raise MalformedRequestError(
-                431, f"headers are over {self._header_bytes} bytes"
-            )
+        self._check_head_size(self._head_size)
         if not self._target.startswith(b"/"):
             raise MalformedRequestError(400, "the request target is not a path")
         names = [name.lower() for name, _ in self._headers]
@@ -160,22 +212,25 @@
             raise MalformedRequestError(400, "the request needs one Host header")
 
     def on_body(self, data: bytes) -> None:
-        self._body_size += len(data)
-        if self._body_size > self._body_bytes:
+        self._unframed_bytes = 0
+        if len(self._body) + len(data) > self._body_bytes:
             raise MalformedRequestError(413, f"body is over {self._body_bytes} bytes")
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
+        held_bytes = REQUEST_BYTES + self._head_memory + self._body.__alloc__()
         self._completed.append(
             CallerRequest(
                 method=self._parser.get_method(),
                 target=self._target,
                 headers=tuple(self._headers),
-                body=b"".join(self._body),
+                body=self._body,
                 keep_alive=self._parser.should_keep_alive(),
+                held_bytes=held_bytes,
             )
         )
         self.has_partial_request = False
+        self._reset()
 
 
 class OversizedAnswerError(ValueError):
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -20,6 +20,7 @@
     UnreachableError,
 )
 from ..forwarding.relay import RelayListener
+from ..memory import CallerAccount, CallerBounds
 from ..mesh.messages import PlanningHandover
 from ..platform import PlatformStore
 from ..ports import KeyValueStore
@@ -61,6 +62,13 @@
 BYTES_PER_MIB = 1024 * 1024
 # Share of the process's memory that answers of targets may hold together.
 ANSWERS_MEMORY_SHARE = 0.2
+# Share of it that callers' connections and requests may hold together. On hosts with
+# 152 MB, of which an idle process takes 50, it leaves 30 for all else.
+CALLERS_MEMORY_SHARE = 0.25
+# Descriptors that are reserved for files, and the share of the others for callers. The
+# rest is for targets, one for each request, and for peers and the store.
+FILE_DESCRIPTORS = 200
+CALLERS_DESCRIPTOR_SHARE = 0.4
 # Link of an entry host below which it leads and owns less than its processor allows.
 FAST_LINK_MBPS = 100.0
 # Time for which a process must be the head or the next host before it plans, so that
@@ -72,6 +80,15 @@
 logger = logging.getLogger(__name__)
 
 
+def find_caller_bounds(settings: GatewaySettings) -> CallerBounds:
+    """Return what callers may hold in a process with these settings."""
+    descriptors = max(0, settings.max_fds - FILE_DESCRIPTORS)
+    return CallerBounds(
+        memory_bytes=int(settings.memory_mb * BYTES_PER_MIB * CALLERS_MEMORY_SHARE),
+        connections=int(descriptors * CALLERS_DESCRIPTOR_SHARE),
+    )
+
+
 class GatewayDaemon:
     """One gateway process.
 
@@ -90,6 +107,8 @@
         self.pool = ConnectionPool(
             memory_bytes=int(settings.memory_mb * BYTES_PER_MIB * ANSWERS_MEMORY_SHARE)
         )
+        self.callers = CallerAccount(find_caller_bounds(settings))
+        self.metrics.observe_memory(self._measure_held, self.callers)
         self.progress = ProgressBook()
         self.view = GatewayView(time.monotonic, self._on_view_change)
         self._store_health = StoreHealth(self._on_store_recovery)
@@ -213,6 +232,7 @@
             settings.front.port,
             self._server.handle,
             self._find_limits,
+            self.callers,
         )
         self._web = GatewayWeb(
             settings.ready, settings.metrics, self.find_unready_reason, self.dump
@@ -327,6 +347,11 @@
             "replicas": list(self.view.iter_replicas()),
             "slots": self.slots.describe(),
             "answers_held_bytes": self.pool.memory.held_bytes,
+            "held_bytes": self._measure_held(),
+            "caller_connections": self.callers.connections,
+            "rejections": {
+                reason.value: count for reason, count in self.callers.rejections.items()
+            },
             "store_source": self._follower.source,
             "store_knowledge_age_s": self._follower.data_age_s,
             "head": self.roster.find_head(self.settings.zone),
@@ -339,6 +364,11 @@
             "store_era": self.view.mirror.era,
         }
 
+    def _measure_held(self) -> dict[str, int]:
+        """Return the bytes that are held for callers, by kind."""
+        held = {kind.value: size for kind, size in self.callers.by_kind.items()}
+        return {**held, "answers": self.pool.memory.held_bytes}
+
     def _is_reachable(self, target: str, address: str) -> bool:
         """Return whether a target answers this process."""
         try:
--- a/waxwingpitch/platform/settings.py
+++ b/waxwingpitch/platform/settings.py
@@ -8,7 +8,12 @@
 from typing import Any
 
 from ..errors import SettingsError
-from ..settings.gateway import Address, GatewaySettings, OperatingBounds
+from ..settings.gateway import (
+    DEFAULT_MAX_FDS,
+    Address,
+    GatewaySettings,
+    OperatingBounds,
+)
 
 SETTINGS_VARIABLE = "WAXWINGPITCH_CONFIG"
 METRICS_PORT = 9464
@@ -59,6 +64,9 @@
         * reader.number("limits", "cpu_cores"),
         link_mbps=reader.number("limits", "link_mbps"),
         memory_mb=reader.number("limits", "memory_mb"),
+        max_fds=int(
+            reader.number("limits", "max_fds", default=DEFAULT_MAX_FDS),
+        ),
         is_first_start=fields.get("bootstrap") is True,
     )
 
@@ -73,7 +81,8 @@
     def text(self, *names: str) -> str:
         return self._read(names, lambda value: isinstance(value, str) and value, "text")
 
-    def number(self, *names: str) -> float:
+    def number(self, *names: str, default: float | None = None) -> float:
+        """Return a number; an absent field without a default is an error."""
         return float(
             self._read(
                 names,
@@ -81,6 +90,7 @@
                 and not isinstance(value, bool)
                 and value >= 0,
                 "a number of 0 or more",
+                default,
             )
         )
 
@@ -103,10 +113,14 @@
         )
         return ports[0], ports[1]
 
-    def _read(self, names: tuple[str, ...], is_valid, valid: str) -> Any:
+    def _read(
+        self, names: tuple[str, ...], is_valid, valid: str, default: Any = None
+    ) -> Any:
         value: Any = self._fields
         for name in names:
             value = value.get(name) if isinstance(value, dict) else None
+        if value is None:
+            value = default
         if not is_valid(value):
             raise SettingsError(
                 f"{self._path}: {'.'.join(names)}: {value!r} is invalid; valid: {valid}"
--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+# Descriptors where the settings state none, the least that larger hosts have.
+DEFAULT_MAX_FDS = 4096
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -85,6 +88,8 @@
         Bandwidth of the host's link, in megabits a second.
     memory_mb
         Memory at which the platform ends the process, in mebibytes.
+    max_fds
+        Descriptors that the process may have open, those reserved for files included.
     is_first_start
         Whether the whole system starts for the first time.
     """
@@ -103,4 +108,5 @@
     processor_share: float
     link_mbps: float
     memory_mb: float
+    max_fds: int = DEFAULT_MAX_FDS
     is_first_start: bool = False
--- a/waxwingpitch/telemetry/metrics.py
+++ b/waxwingpitch/telemetry/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Meter, Observation
@@ -10,6 +10,8 @@
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import REGISTRY, generate_latest
 
+from ..memory import CallerAccount
+
 SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0)
 
 
@@ -36,7 +38,7 @@
     """Instruments of one gateway, by route, target and outcome."""
 
     def __init__(self):
-        meter = _build_meter()
+        self._meter = meter = _build_meter()
         self._requests = meter.create_counter(
             "waxwingpitch_requests", description="Requests by route and outcome"
         )
@@ -84,6 +86,47 @@
             description="Answers of targets that were over a limit",
         )
 
+    def observe_memory(
+        self, measure: Callable[[], Mapping[str, int]], callers: CallerAccount
+    ) -> None:
+        """Read what is held for callers at each scrape.
+
+        Parameters
+        ----------
+        measure
+            Returns the bytes that are held, by kind.
+        """
+
+        def _read_bytes(options: CallbackOptions) -> Iterable[Observation]:
+            return [
+                Observation(size, {"kind": kind}) for kind, size in measure().items()
+            ]
+
+        def _read_connections(options: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(callers.connections)]
+
+        def _read_rejections(options: CallbackOptions) -> Iterable[Observation]:
+            return [
+                Observation(count, {"reason": reason.value})
+                for reason, count in callers.rejections.items()
+            ]
+
+        self._meter.create_observable_gauge(
+            "waxwingpitch_held_bytes",
+            callbacks=[_read_bytes],
+            description="Memory that is held for callers, by kind",
+        )
+        self._meter.create_observable_gauge(
+            "waxwingpitch_caller_connections",
+            callbacks=[_read_connections],
+            description="Open connections of callers",
+        )
+        self._meter.create_observable_counter(
+            "waxwingpitch_caller_rejections",
+            callbacks=[_read_rejections],
+            description="Requests and connections that were rejected, by reason",
+        )
+
     def count_store_restored(self) -> None:
         """Count that the store came back from an older copy."""
         self._store_restored.add(1)
