--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -4,9 +4,6 @@
 
 from dataclasses import dataclass
 
-# Descriptors where the settings state none, the least that larger hosts have.
-DEFAULT_MAX_FDS = 4096
-
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -108,5 +105,5 @@
     processor_share: float
     link_mbps: float
     memory_mb: float
-    max_fds: int = DEFAULT_MAX_FDS
+    max_fds: int
     is_first_start: bool = False
