Gateway: bounds from memory_mb and max_fds; documentation

Shares of memory and descriptors stand in host_bounds.py. Relayed connections, two descriptors each, now have a share too: 500 of them and callers exceeded the 1,535 of the smallest hosts.

--- a/waxwingpitch/forwarding/relay.py
+++ b/waxwingpitch/forwarding/relay.py
@@ -25,7 +25,8 @@
 OPEN_TIMEOUT_S = 0.06
 # Time in which a relay answers, including the time for the connection to it.
 ANSWER_TIMEOUT_S = 0.2
-# Connections that a relay passes on at the same time; each takes two descriptors.
+# Connections that a relay passes on at the same time, where descriptors allow; each
+# takes two.
 MAX_RELAYED = 500
 MAX_LINE_BYTES = 64
 READ_BYTES = 65536
@@ -74,6 +75,8 @@
         Returns whether this host's own links to targets are presumed lost.
     reaches_another
         Returns whether a target other than the given address can be reached now.
+    max_relayed
+        Connections that are relayed at the same time.
     """
 
     def __init__(
@@ -82,11 +85,14 @@
         may_relay: Callable[[str], bool],
         is_cut: Callable[[], bool],
         reaches_another: Callable[[str], bool],
+        *,
+        max_relayed: int = MAX_RELAYED,
     ):
         self._open_socket = open_socket
         self._may_relay = may_relay
         self._is_cut = is_cut
         self._reaches_another = reaches_another
+        self._max_relayed = max_relayed
         self._server: StreamServer | None = None
         self.relayed = 0
 
@@ -117,7 +123,7 @@
                 target.close()
 
     def _open(self, address: str) -> tuple[RelayAnswer, socket.socket | None]:
-        is_allowed = self.relayed < MAX_RELAYED and self._may_relay(address)
+        is_allowed = self.relayed < self._max_relayed and self._may_relay(address)
         if not is_allowed or self._is_cut():
             return RelayAnswer.UNABLE, None
         try:
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -20,7 +20,7 @@
     UnreachableError,
 )
 from ..forwarding.relay import RelayListener
-from ..memory import CallerAccount, CallerBounds
+from ..memory import CallerAccount
 from ..mesh.messages import PlanningHandover
 from ..platform import PlatformStore
 from ..ports import KeyValueStore
@@ -31,6 +31,7 @@
 from .beliefs import GatewayView
 from .exchange import TargetExchange
 from .following import StoreFollower
+from .host_bounds import find_answer_bytes, find_caller_bounds, find_max_relayed
 from .notices import TargetNotices
 from .peers import PeerTask
 from .planning import ZonePlanner
@@ -59,16 +60,6 @@
 # Interval at which lost links to targets are tried again, and how many of them.
 LINK_RETRY_S = 0.5
 RETRIED_LINKS = 4
-BYTES_PER_MIB = 1024 * 1024
-# Share of the process's memory that answers of targets may hold together.
-ANSWERS_MEMORY_SHARE = 0.2
-# Share of it that callers' connections and requests may hold together. On hosts with
-# 152 MB, of which an idle process takes 50, it leaves 30 for all else.
-CALLERS_MEMORY_SHARE = 0.25
-# Descriptors that are reserved for files, and the share of the others for callers. The
-# rest is for targets, one for each request, and for peers and the store.
-FILE_DESCRIPTORS = 200
-CALLERS_DESCRIPTOR_SHARE = 0.4
 # Link of an entry host below which it leads and owns less than its processor allows.
 FAST_LINK_MBPS = 100.0
 # Time for which a process must be the head or the next host before it plans, so that
@@ -80,15 +71,6 @@
 logger = logging.getLogger(__name__)
 
 
-def find_caller_bounds(settings: GatewaySettings) -> CallerBounds:
-    """Return what callers may hold in a process with these settings."""
-    descriptors = max(0, settings.max_fds - FILE_DESCRIPTORS)
-    return CallerBounds(
-        memory_bytes=int(settings.memory_mb * BYTES_PER_MIB * CALLERS_MEMORY_SHARE),
-        connections=int(descriptors * CALLERS_DESCRIPTOR_SHARE),
-    )
-
-
 class GatewayDaemon:
     """One gateway process.
 
@@ -104,9 +86,7 @@
         self._stopping = False
         self.metrics = GatewayMetrics()
         self._store = store or self._build_store()
-        self.pool = ConnectionPool(
-            memory_bytes=int(settings.memory_mb * BYTES_PER_MIB * ANSWERS_MEMORY_SHARE)
-        )
+        self.pool = ConnectionPool(memory_bytes=find_answer_bytes(settings))
         self.callers = CallerAccount(find_caller_bounds(settings))
         self.metrics.observe_memory(self._measure_held, self.callers)
         self.progress = ProgressBook()
@@ -140,6 +120,7 @@
                 lambda address, timeout_s: self.pool.open_socket(address, timeout_s),
                 lambda: (item.record.address for item in self.view.iter_targets()),
             ).reaches_another,
+            max_relayed=find_max_relayed(settings),
         )
         self.slots = SlotTask(
             self.roster,
--- a/waxwingpitch/tests/gateway_client.py
+++ b/waxwingpitch/tests/gateway_client.py
@@ -56,6 +56,7 @@
         processor_share=1.0,
         link_mbps=1000.0,
         memory_mb=300.0,
+        max_fds=4096,
         is_first_start=True,
     )
 
--- a/waxwingpitch/tests/test_caller_memory.py
+++ b/waxwingpitch/tests/test_caller_memory.py
@@ -11,10 +11,13 @@
 import pytest
 
 from ..configuration.routes import CallerLimits
+from ..errors import SettingsError
 from ..forwarding import Answer, AnswerHead, CallerListener
-from ..gateway.daemon import find_caller_bounds
+from ..gateway.host_bounds import find_caller_bounds, find_max_relayed
 from ..memory import CallerAccount, CallerBounds, HoldKind, RejectionReason
+from ..platform.settings import load_platform_settings
 from .gateway_client import build_settings, wait_for
+from .gateway_processes import SETTINGS
 
 HEAD_BYTES = 64 * 1024
 BODY_BYTES = 4 * 1024 * 1024
@@ -265,6 +268,48 @@
     return find_caller_bounds(replace(settings, memory_mb=152.0, max_fds=1535))
 
 
+def write_settings(path, limits: str) -> str:
+    fields = {"name": "gw", "zone": "z", "zones": 'z = "r"', "ip": "127.0.0.1"}
+    ports = {"peers": 1, "front": 2, "ready": 3, "store": "127.0.0.1:4", "slack": 5}
+    text = SETTINGS.format(
+        **fields, **ports, bootstrap="false", memory_mb=152, max_fds=1535
+    )
+    file = path / "settings.toml"
+    file.write_text(text.replace("max_fds = 1535\n", limits))
+    return str(file)
+
+
+@pytest.mark.parametrize(
+    ("limits", "expected"), [("", 4096), ("max_fds = 1535\n", 1535)]
+)
+def test_descriptors_have_a_default(tmp_path, limits, expected):
+    settings = load_platform_settings(write_settings(tmp_path, limits))
+    assert settings.max_fds == expected
+
+
+def test_wrong_descriptors_are_named(tmp_path):
+    path = write_settings(tmp_path, 'max_fds = "many"\n')
+    with pytest.raises(SettingsError, match="limits.max_fds: 'many' is invalid; valid"):
+        load_platform_settings(path)
+
+
+# Guards against settings that leave nothing for callers, so that all are rejected.
+def test_settings_without_memory_leave_some_for_callers():
+    settings = build_settings("127.0.0.1:1")
+    bounds = find_caller_bounds(replace(settings, memory_mb=0.0, max_fds=0))
+    assert bounds.memory_bytes > 2 * BODY_BYTES
+    assert bounds.connections > 0
+
+
+# Guards against callers, targets and relays that exceed the descriptors together.
+@pytest.mark.parametrize("max_fds", [1535, 4100, 8192])
+def test_descriptors_suffice_for_all_uses(max_fds):
+    settings = replace(build_settings("127.0.0.1:1"), max_fds=max_fds)
+    callers = find_caller_bounds(settings).connections
+    relayed = find_max_relayed(settings)
+    assert 2 * callers + 2 * relayed <= 0.9 * (max_fds - 200)
+
+
 # Guards against a bound that rejects a single request within the limits of the
 # configuration, whichever form it has.
 @pytest.mark.parametrize("line", [b"a:\r\n", b"ab:cd\r\n", b"!x:\t\xff\r\n"])
