--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -20,6 +20,7 @@
     UnreachableError,
 )
 from ..forwarding.relay import RelayListener
+from ..memory import CallerAccount
 from ..mesh.messages import PlanningHandover
 from ..platform import PlatformStore
 from ..ports import KeyValueStore
@@ -31,6 +32,7 @@
 from .beliefs import GatewayView
 from .exchange import TargetExchange
 from .following import StoreFollower
+from .host_bounds import find_answer_bytes, find_caller_bounds, find_max_relayed
 from .notices import TargetNotices
 from .peers import PeerTask
 from .planning import ZonePlanner
@@ -59,9 +61,6 @@
 # Interval at which lost links to targets are tried again, and how many of them.
 LINK_RETRY_S = 0.5
 RETRIED_LINKS = 4
-BYTES_PER_MIB = 1024 * 1024
-# Share of the process's memory that answers of targets may hold together.
-ANSWERS_MEMORY_SHARE = 0.2
 # Link of an entry host below which it leads and owns less than its processor allows.
 FAST_LINK_MBPS = 100.0
 # Time for which a process must be the head or the next host before it plans, so that
@@ -88,9 +87,9 @@
         self._stopping = False
         self.metrics = GatewayMetrics()
         self._store = store or self._build_store()
-        self.pool = ConnectionPool(
-            memory_bytes=int(settings.memory_mb * BYTES_PER_MIB * ANSWERS_MEMORY_SHARE)
-        )
+        self.pool = ConnectionPool(memory_bytes=find_answer_bytes(settings))
+        self.callers = CallerAccount(find_caller_bounds(settings))
+        self.metrics.observe_memory(self._measure_held, self.callers)
         self.progress = ProgressBook()
         self._silences = SilenceBook()
         self.view = GatewayView(time.monotonic, self._on_view_change)
@@ -123,6 +122,7 @@
                 lambda address, timeout_s: self.pool.open_socket(address, timeout_s),
                 lambda: (item.record.address for item in self.view.iter_targets()),
             ).reaches_another,
+            max_relayed=find_max_relayed(settings),
         )
         self.slots = SlotTask(
             self.roster,
@@ -215,6 +215,7 @@
             settings.front.port,
             self._server.handle,
             self._find_limits,
+            self.callers,
         )
         self._web = GatewayWeb(
             settings.ready, settings.metrics, self.find_unready_reason, self.dump
@@ -334,6 +335,11 @@
             "replicas": list(self.view.iter_replicas()),
             "slots": self.slots.describe(),
             "answers_held_bytes": self.pool.memory.held_bytes,
+            "held_bytes": self._measure_held(),
+            "caller_connections": self.callers.connections,
+            "rejections": {
+                reason.value: count for reason, count in self.callers.rejections.items()
+            },
             "store_source": self._follower.source,
             "store_knowledge_age_s": self._follower.data_age_s,
             "head": self.roster.find_head(self.settings.zone),
@@ -346,6 +352,11 @@
             "store_era": self.view.mirror.era,
         }
 
+    def _measure_held(self) -> dict[str, int]:
+        """Return the bytes that are held for callers, by kind."""
+        held = {kind.value: size for kind, size in self.callers.by_kind.items()}
+        return {**held, "answers": self.pool.memory.held_bytes}
+
     def _is_reachable(self, target: str, address: str) -> bool:
         """Return whether a target answers this process."""
         try:
