Queue: no accepted request is lost when it becomes late, and the spread decides who is on time

The bound now applies to newcomers of each kind only.

A request counts as on time if it can start by its objective less the mean time to the first event and twice the spread.

--- a/waxwingpitch/admission/fresh.py
+++ b/waxwingpitch/admission/fresh.py
@@ -12,7 +12,7 @@
 import math
 from collections.abc import Iterator
 
-from .queue import FairQueue, Ticket
+from .queue import QUEUED_PER_PRIORITY, FairQueue, Ticket
 
 
 class OnTimeFirstQueue:
@@ -34,12 +34,16 @@
 
     def __init__(self):
         self._on_time = FairQueue()
-        self._late = FairQueue()
+        # Tickets that become late were accepted and must not be lost, so that the bound
+        # is applied to newcomers; the others wait until their deadlines at most.
+        self._late = FairQueue(bound=math.inf)
         self._next_move_at = math.inf
 
     def push(self, ticket: Ticket, *, is_late: bool = False) -> bool:
         """Add a ticket; return False if its priority is full."""
         if is_late:
+            if self._late.count(ticket.priority) >= QUEUED_PER_PRIORITY:
+                return False
             return self._late.push(ticket)
         self._next_move_at = min(self._next_move_at, ticket.latest_start_at)
         return self._on_time.push(ticket)
@@ -98,7 +102,7 @@
     def has_on_time(self, priority: int, now: float) -> bool:
         """Whether a ticket of a priority waits that can meet its objective."""
         self._move_late(now)
-        return bool(self._on_time.list_priority(priority))
+        return self._on_time.count(priority) > 0
 
     def list_hopeless(self, now: float, per_s: float) -> list[Ticket]:
         """Return the tickets that can't be served before their deadlines.
--- a/waxwingpitch/admission/queue.py
+++ b/waxwingpitch/admission/queue.py
@@ -123,7 +123,7 @@
     'r'
     """
 
-    def __init__(self, bound: int = QUEUED_PER_PRIORITY):
+    def __init__(self, bound: float = QUEUED_PER_PRIORITY):
         self._bound = bound
         self._queues: dict[int, _PriorityQueue] = {}
         self._order = itertools.count()
@@ -192,6 +192,11 @@
         start_tag = queue.find_start_tag(ticket.workspace)
         return count + sum(tag <= start_tag for tag, _, _ in queue.heap)
 
+    def count(self, priority: int) -> int:
+        """Return the number of tickets of a priority."""
+        queue = self._queues.get(priority)
+        return 0 if queue is None else len(queue.heap)
+
     def list_priority(self, priority: int) -> list[Ticket]:
         """Return the tickets of a priority, in no particular order."""
         queue = self._queues.get(priority)
--- a/waxwingpitch/admission/service_times.py
+++ b/waxwingpitch/admission/service_times.py
@@ -34,8 +34,8 @@
         self.mean_s += weight * difference_s
         self.variance = (1 - weight) * (self.variance + weight * difference_s**2)
 
-    def find_long_s(self, factor: float) -> float:
-        return self.mean_s + factor * math.sqrt(self.variance)
+    def find_long_s(self) -> float:
+        return self.mean_s + SPREAD_FACTOR * math.sqrt(self.variance)
 
 
 class ServiceTimes:
@@ -67,14 +67,12 @@
         if len(self._by_size) > MAX_SIZES:
             self._by_size.popitem(last=False)
 
-    def find_long_s(
-        self, cost: float, *, factor: float = SPREAD_FACTOR
-    ) -> float | None:
+    def find_long_s(self, cost: float) -> float | None:
         """Return a time that few requests of a cost exceed; None before any sample."""
         moments = self._by_size.get(_find_size(cost))
         if moments is None or moments.samples < MIN_SAMPLES:
             moments = self._all
-        return moments.find_long_s(factor) if moments.samples else None
+        return moments.find_long_s() if moments.samples else None
 
 
 def _find_size(cost: float) -> int:
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -59,10 +59,6 @@
 MIN_SERVICE_S = 0.001
 # Time between two looks for requests that can't be served in time any more.
 EVICTION_INTERVAL_S = 0.05
-# Standard deviations beyond the mean that are left for the first event of an answer.
-# One meets the objective in about 84 of 100 cases; with two, most would be late from
-# the start where the objective is short.
-FIRST_EVENT_SPREAD = 1.0
 # Time for which a refused request counts as unmet demand.
 REFUSED_WINDOW_S = 1.0
 # Time after which a request is asked to come back whose retry was not covered.
@@ -513,9 +509,7 @@
         return now + forecast_wait_s(ahead) <= latest_start_at
 
     def _find_latest_on_time_start(self, req: SlotRequest, now: float) -> float:
-        first_event_s = self._first_event_times.find_long_s(
-            req.cost, factor=FIRST_EVENT_SPREAD
-        )
+        first_event_s = self._first_event_times.find_long_s(req.cost)
         return find_latest_on_time_start(now, req.due_at, first_event_s or 0.0)
 
     def _find_served_per_s(self, now: float) -> float:
