--- a/waxwingpitch/tests/test_admission.py
+++ b/waxwingpitch/tests/test_admission.py
@@ -8,6 +8,8 @@
 from hypothesis import given
 
 from ..admission import FairQueue, OnTimeFirstQueue, RetryBudget, Ticket
+from ..admission.service_times import ServiceTimes
+from ..admission.taken import TakenCapacity
 from ..errors import (
     ResultCode,
     TargetConnectionLostError,
@@ -307,3 +309,70 @@
     for step in range(1000, 1020):
         window.adapt_to_load(40, float(step))
     assert window.size == 1
+
+
+def test_late_ticket_that_has_to_start_now_goes_before_those_on_time():
+    """It was accepted; without this, newcomers on time would push it out for ever."""
+    queue = OnTimeFirstQueue()
+    late = Ticket("late", "w", 0, 1.0, 1.0, deadline=2.0, latest_start_at=0.5)
+    assert queue.push(late, is_late=True)
+    queue.push(Ticket("fresh", "w", 0, 1.0, 1.0, deadline=9.0, latest_start_at=5.0))
+    assert queue.peek(1.0, per_s=2.0).request == "fresh"
+    assert queue.peek(1.6, per_s=2.0).request == "late"
+    assert queue.peek(2.1, per_s=2.0).request == "fresh"
+
+
+def test_hopeless_are_those_that_higher_priorities_and_deadlines_leave_no_time():
+    queue = OnTimeFirstQueue()
+    for number in range(4):
+        queue.push(Ticket(f"high{number}", "w", 0, 1.0, 1.0, deadline=9.0))
+        queue.push(Ticket(f"low{number}", "w", 1, 1.0, 1.0, deadline=2.5))
+    names = [item.request for item in queue.list_hopeless(0.0, per_s=2.0)]
+    assert names == ["low2", "low3"]
+
+
+def test_ticket_that_becomes_late_is_kept_beyond_the_bound():
+    """Before, it was lost without a decision, and its caller waited to its deadline."""
+    queue = OnTimeFirstQueue()
+    for number in range(512):
+        ticket = Ticket(f"l{number}", "w", 0, 1.0, 1.0, 9.0, latest_start_at=0.0)
+        assert queue.push(ticket, is_late=True)
+    assert not queue.push(ticket, is_late=True)
+    assert queue.push(Ticket("fresh", "w", 0, 1.0, 1.0, 9.0, latest_start_at=1.0))
+    assert queue.peek(0.5).request == "fresh"
+    queue.peek(2.0)
+    assert len(queue) == 513
+
+
+def test_workspace_does_not_pay_for_what_is_dropped():
+    queue = FairQueue()
+    for number in range(20):
+        queue.push(Ticket(f"a{number}", "a", 0, 1.0, 1.0, 9.0))
+    queue.push(Ticket("b0", "b", 0, 1.0, 1.0, 9.0))
+    for number in range(1, 20):
+        queue.drop(f"a{number}")
+    queue.push(Ticket("a20", "a", 0, 1.0, 1.0, 9.0))
+    queue.push(Ticket("b1", "b", 0, 1.0, 1.0, 9.0))
+    queue.push(Ticket("b2", "b", 0, 1.0, 1.0, 9.0))
+    assert [queue.pop().request for _ in range(5)] == ["a0", "b0", "a20", "b1", "b2"]
+
+
+def test_service_times_of_a_size_do_not_follow_those_of_another():
+    times = ServiceTimes()
+    for _ in range(20):
+        times.record(10.0, 0.1)
+        times.record(160.0, 2.0)
+    assert times.find_long_s(10.0) == pytest.approx(0.1)
+    assert times.find_long_s(160.0) == pytest.approx(2.0)
+    assert times.find_long_s(1000.0) > 2.0
+
+
+def test_burst_of_three_seconds_does_not_hide_what_is_left_over_after_it():
+    """13 a second on time for 3 s count as 3.9 a second, after 10 s as none."""
+    taken = TakenCapacity()
+    for number in range(39):
+        taken.record(1, is_left_over=False, now=number / 13)
+        taken.record(1, is_left_over=True, now=number / 13)
+    assert taken.find_per_s(1, 3.0) == pytest.approx(3.9)
+    assert taken.find_per_s(2, 3.0) == pytest.approx(7.8)
+    assert taken.find_per_s(0, 3.0) == taken.find_per_s(1, 13.1) == 0.0
