Slots: the memory of a group is counted in tokens before a request is granted

A group that holds more tokens than its memory crashes, and its slots say nothing of that: 17 requests of 2,000 tokens need 34,000 of a memory of 20,000. Where the configuration gives kv_capacity in the engine of a service, the owner of its slots now counts the prompt and the expected answer of what all hosts hold, and grants nothing that would not fit. Slots told to other zones, the forecast and the queue follow what the memory allows. A request that no group can hold is refused at once. Nothing changes where the capacity is not given.

--- a/waxwingpitch/configuration/routes.py
+++ b/waxwingpitch/configuration/routes.py
@@ -120,6 +120,8 @@
         Limits of the weight store on loads started per second and in progress.
     open_s
         Time to open a group, in seconds.
+    kv_capacity
+        Tokens of prompts and answers that a group's memory holds; None if not given.
     """
 
     capacity: int
@@ -134,6 +136,7 @@
     max_concurrent_loads: int
     open_s: float
     models: tuple[ModelSpec, ...]
+    kv_capacity: int | None = None
 
     def find_model(self, name: str) -> ModelSpec | None:
         """Return a model by name."""
--- a/waxwingpitch/gateway/routed.py
+++ b/waxwingpitch/gateway/routed.py
@@ -29,6 +29,8 @@
 
 # Parts of a prompt, from its beginning, under which crashes of targets count.
 MAX_PARTS = 16
+# Tokens of a request that are told to owners of slots, so that they fit a message.
+MAX_TOKENS = 2**53
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +44,8 @@
     cost
         Expected work: in tokens, where an answer token counts as ten prompt tokens, for
         services with models; 1 for each call otherwise.
+    tokens
+        Tokens of the prompt and the expected answer; 0 if they are not told.
     deadline
         Monotonic time by which the final answer is sent.
     caller_deadline
@@ -58,6 +62,7 @@
     parts: tuple[str, ...]
     cost: float
     prompt_tokens: int
+    tokens: int
     arrived_at: float
     deadline: float
     caller_deadline: float
@@ -142,6 +147,7 @@
         parts=_read_shared_parts(req, service),
         cost=prompt + 10 * answer if has_models else 1.0,
         prompt_tokens=prompt,
+        tokens=min(MAX_TOKENS, prompt + answer) if has_models else 0,
         arrived_at=arrived_at,
         deadline=min(arrived_at + route.timeout_s, caller_deadline - ANSWER_MARGIN_S),
         caller_deadline=caller_deadline,
--- a/waxwingpitch/gateway/slot_client.py
+++ b/waxwingpitch/gateway/slot_client.py
@@ -50,6 +50,8 @@
     ----------
     owner
         Host that granted it.
+    tokens
+        Tokens that its request occupies; 0 if they are not told.
     """
 
     number: int
@@ -57,6 +59,7 @@
     key: SlotKey
     offer: SlotOffer
     in_flight: int
+    tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -306,7 +309,8 @@
         """Give a slot to the request that awaits it."""
         pending = self._pending.pop(number, None)
         if pending is not None:
-            slot = Slot(number, owner, pending.key, offer, in_flight)
+            tokens = pending.request.tokens
+            slot = Slot(number, owner, pending.key, offer, in_flight, tokens)
             self.held[number] = slot
             self.sends.record(offer.id, offer.rate_per_s, time.monotonic())
             pending.result.set(slot)
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -314,10 +314,11 @@
                 self._progress.record_peer_progress(
                     item.target, now - item.progress_age_ms / 1000
                 )
+        tokens = {item.number: max(0, item.tokens) for item in held}
         for service, model in by_key.keys() - self._owners.keys():
             self.find(SlotKey(self._zone, service, model))
         for key, owner in self._owners.items():
-            owner.ledger.reconcile(peer, by_key.get(key, {}), now)
+            owner.ledger.reconcile(peer, by_key.get(key, {}), now, tokens=tokens)
         numbers = {item.number for item in held}
         gone = self._passed_on.list_gone(peer, numbers, now - REPORT_DELAY_S)
         self._give_back(gone, now)
@@ -359,11 +360,11 @@
             owner.rates.share = owner.budget.share = share
             self._carry_out(owner, owner.assign(now))
 
-    def iter_passed_on(self, peer: str) -> Iterable[tuple[int, SlotKey, str]]:
-        """Yield number, key and target of the slots that a peer granted here."""
+    def iter_passed_on(self, peer: str) -> Iterable[tuple[int, SlotKey, str, int]]:
+        """Yield number, key, target and tokens of slots that a peer granted here."""
         for number, item in self._passed_on.iter_at(peer):
             if item.target:
-                yield number, item.key, item.target
+                yield number, item.key, item.target, item.request.tokens
 
     def take_new_suspicions(self) -> tuple[tuple[str, int], ...]:
         """Return the targets suspected since the last call, with their epochs."""
@@ -381,6 +382,8 @@
         key = owner.key
         service = self._view.find_service(key.service)
         cold_per_s = 0.0 if service is None else service.cold_per_s
+        engine = None if service is None else service.engine
+        kv_capacity = None if engine is None else engine.kv_capacity
         limit = cold_per_s * self._bounds.cold_factor + self._bounds.cold_slack
         offers = tuple(
             SlotOffer(
@@ -392,6 +395,7 @@
                 item.capacity,
                 item.epoch,
                 item.cold_until if cold_per_s else 0.0,
+                kv_capacity=kv_capacity,
             )
             for item in self._view.find_replicas(key.service, key.model)
             if item.zone in self._served_zones
--- a/waxwingpitch/gateway/slot_use.py
+++ b/waxwingpitch/gateway/slot_use.py
@@ -25,6 +25,7 @@
         due_at=ctx.arrived_at + ctx.route.latency_objective_s,
         is_retry=attempts.sends > 0,
         is_repeated=attempts.has_asked,
+        tokens=ctx.tokens,
     )
 
 
--- a/waxwingpitch/gateway/slot_wire.py
+++ b/waxwingpitch/gateway/slot_wire.py
@@ -60,6 +60,7 @@
         for_other_zone=for_other_zone,
         may_wait=may_wait,
         is_repeated=req.is_repeated,
+        tokens=req.tokens,
     )
 
 
@@ -81,6 +82,7 @@
         due_at=_decode_time(message.due_left_s, now),
         is_retry=message.is_retry,
         is_repeated=message.is_repeated,
+        tokens=max(0, message.tokens),
     )
 
 
--- a/waxwingpitch/gateway/slots.py
+++ b/waxwingpitch/gateway/slots.py
@@ -176,11 +176,11 @@
         now = time.monotonic()
         if peer_zone != self._zone:
             return tuple(
-                self._build_held(number, key, target, now)
-                for number, key, target in self.owners.iter_passed_on(peer)
+                self._build_held(number, key, target, tokens, now)
+                for number, key, target, tokens in self.owners.iter_passed_on(peer)
             )
         return tuple(
-            self._build_held(slot.number, slot.key, slot.offer.id, now)
+            self._build_held(slot.number, slot.key, slot.offer.id, slot.tokens, now)
             for slot in self.client.held.values()
             if slot.owner == peer or peer in self._roster.list_owners(slot.key)
         )
@@ -244,8 +244,8 @@
         return self._send(name, message)
 
     def _build_held(
-        self, number: int, key: SlotKey, target: str, now: float
+        self, number: int, key: SlotKey, target: str, tokens: int, now: float
     ) -> HeldSlotItem:
         at = self._progress.last_own_progress_at(target)
         age_ms = int(1000 * (now - at)) if at else -1
-        return HeldSlotItem(number, key.service, key.model, target, age_ms)
+        return HeldSlotItem(number, key.service, key.model, target, age_ms, tokens)
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -29,6 +29,8 @@
         Whether a request of another zone may wait; otherwise it is declined at once.
     is_repeated
         Whether an owner was asked for the same attempt before.
+    tokens
+        Tokens of the prompt and the expected answer; 0 if they are not told.
     """
 
     number: int
@@ -49,6 +51,7 @@
     for_other_zone: bool = False
     may_wait: bool = False
     is_repeated: bool = False
+    tokens: int = 0
 
 
 class SlotGrant(MeshMessage, tag=31):
@@ -247,6 +250,8 @@
     ----------
     progress_age_ms
         Time since the last progress of its stream; negative if there was none.
+    tokens
+        Tokens of the prompt and the expected answer; 0 if they are not told.
     """
 
     number: int
@@ -254,6 +259,7 @@
     model: str
     target: str
     progress_age_ms: int
+    tokens: int = 0
 
 
 class KeySummaryItem(MeshItem):
--- a/waxwingpitch/platform/documents.py
+++ b/waxwingpitch/platform/documents.py
@@ -15,7 +15,7 @@
     ServiceShare,
     ServiceSpec,
 )
-from ..decoding import Count, DurationMs, Number, decode_json, parse_address
+from ..decoding import MAX_NUMBER, Count, DurationMs, Number, decode_json, parse_address
 from ..errors import ConfigurationError
 from ..targets.records import Membership, MemberState, TargetRecord
 
@@ -78,6 +78,7 @@
     loads_at_once: int = 1
     form_ms: float = 0.0
     usual: _UsualRequest = msgspec.field(default_factory=_UsualRequest)
+    kv_capacity: float | None = None
 
 
 class _Service(msgspec.Struct):
@@ -226,12 +227,8 @@
 
 
 def _convert_service(item: _Service) -> ServiceSpec:
-    return ServiceSpec(
-        item.name,
-        item.max_conns,
-        item.cold_per_s,
-        None if item.engine is None else _convert_engine(item.engine),
-    )
+    engine = None if item.engine is None else _convert_engine(item.engine)
+    return ServiceSpec(item.name, item.max_conns, item.cold_per_s, engine)
 
 
 def _convert_engine(item: _Engine) -> EngineSpec:
@@ -258,6 +255,7 @@
             )
             for model in item.models
         ),
+        kv_capacity=int(min(max(0, item.kv_capacity or 0), MAX_NUMBER)) or None,
     )
 
 
--- a/waxwingpitch/slots/common.py
+++ b/waxwingpitch/slots/common.py
@@ -57,6 +57,8 @@
     rate_per_s
         Requests a second that it takes from all entry hosts together; None if it states
         no limit.
+    kv_capacity
+        Tokens that its memory holds; None if no limit is known.
     """
 
     id: str
@@ -68,6 +70,7 @@
     epoch: int
     cold_until: float = 0.0
     rate_per_s: float | None = None
+    kv_capacity: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +99,8 @@
     is_repeated
         Whether an owner was asked for a slot for this attempt before, so that a first
         attempt is not counted again.
+    tokens
+        Tokens of its prompt and its expected answer; 0 if they are not told.
     """
 
     request: str
@@ -112,6 +117,7 @@
     due_at: float = math.inf
     is_retry: bool = False
     is_repeated: bool = False
+    tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -44,6 +44,7 @@
 )
 from .ledger import SlotLedger
 from .rates import ReportedSends, StatedRates
+from .room import MemoryRoom
 
 # Weight of the newest sample in an exponentially weighted moving average.
 NEWEST_SAMPLE_WEIGHT = 0.05
@@ -53,6 +54,8 @@
 RESUME_PRIORITY = -1
 # Multiple of a mean service time, of unknown spread, that is left for a request.
 ADOPTED_SPREAD = 2.0
+# Reason of a refusal of a request that no replica's memory can hold.
+TOO_LARGE = "more tokens than a target's memory holds"
 # Requests in flight of which the cost is remembered.
 MAX_COSTS = 8192
 # Service time below which none is taken for exact.
@@ -115,6 +118,7 @@
     ):
         self.key = key
         self.ledger = SlotLedger()
+        self.room = MemoryRoom(self.ledger)
         self.rates = StatedRates()
         self.budget = budget
         self._permits: dict[tuple[str, int], RetryPermit] = {}
@@ -163,6 +167,7 @@
                 self.settle_retry(*next(iter(self._permits)), now)
         elif not req.is_repeated:
             self.budget.earn(now)
+        self.room.record(req, now)
         waiting = _Waiting(client, number, req)
         if not len(self._queue) or req.resume_deadline is not None:
             decision = self._place(waiting, now)
@@ -180,6 +185,7 @@
 
         The retry that it may be was taken from that owner's budget.
         """
+        self.room.record(req, now)
         waiting = _Waiting(client, number, req)
         offer = None if len(self._queue) else self._choose(req, now)
         if offer is not None:
@@ -190,6 +196,7 @@
         self, client: str, number: int, req: SlotRequest, now: float
     ) -> list[Decision]:
         """Grant a slot to another zone's request, unless requests of this one wait."""
+        self.room.record(req, now)
         if not len(self._queue):
             offer = self._choose(req, now)
             if offer is not None:
@@ -314,7 +321,12 @@
         usable = [item for item in self._offers.values() if self._is_usable(item, now)]
         counts = [(item, self.ledger.count(item.id)) for item in usable]
         slots = self._count_slots(usable)
-        rooms = {item.id: self.rates.count_room(item.id, now) for item in usable}
+        rooms = {
+            item.id: min(
+                self.rates.count_room(item.id, now), self.room.count_free(item, now)
+            )
+            for item in usable
+        }
         return KeySummary(
             slots=math.ceil(slots),
             in_flight=sum(count for _, count in counts),
@@ -381,7 +393,7 @@
         client, number = waiting.client, waiting.number
         if not self._use_permit(client, number, now):
             return self._refuse_retry(client, number, now)
-        self.ledger.add(client, number, offer.id, now)
+        self.ledger.add(client, number, offer.id, now, waiting.request.tokens)
         self._note_grant(waiting, now)
         self.rates.record(offer.id, client, now)
         offer = replace(offer, rate_per_s=self.rates.find(offer.id))
@@ -399,6 +411,7 @@
             if self._is_usable_for(offer, req, now)
             and (offer.cold_until <= now or self._cold.has_room(offer.id, now))
             and self.rates.has_room(offer.id, now)
+            and self.room.has_room(offer, req, now)
         ]
         untried = [load for load in loads if load.id not in req.avoid]
         chosen = choose_replica(untried, zone="", tie_break=self._rng.random())
@@ -437,7 +450,10 @@
     def _count_slots(self, offers: Iterable[SlotOffer]) -> float:
         """Return the slots of replicas that requests can use, by their limits too."""
         return sum(
-            self.rates.limit_slots(offer.id, offer.capacity, self._service_s)
+            self.room.limit_slots(
+                offer,
+                self.rates.limit_slots(offer.id, offer.capacity, self._service_s),
+            )
             for offer in offers
         )
 
@@ -454,6 +470,8 @@
 
     def _queue_or_refuse(self, waiting: _Waiting, now: float) -> list[Decision]:
         client, number, req = waiting.client, waiting.number, waiting.request
+        if not self.room.can_ever_fit(self._offers.values(), req):
+            return [self._refuse(client, number, NEXT_RETRY_S, TOO_LARGE, now)]
         latest_start_at = find_latest_start(
             now, req.deadline, self._find_long_service_s(req)
         )
--- a/waxwingpitch/tests/test_slot_owner.py
+++ b/waxwingpitch/tests/test_slot_owner.py
@@ -325,6 +325,7 @@
         excluded=frozenset({"t2"}),
         excluded_until=2.0,
         resume_deadline=1.0,
+        tokens=1234,
     )
     message = encode_request(7, KEY, req, 0.0, for_other_zone=True)
     decoded = decode_message(encode_message(message))
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -64,7 +64,7 @@
         refresh=lambda: 0,
         list_slot_keys=lambda zone: [SlotKey(zone, "pool", "m")],
     )
-    service = SimpleNamespace(cold_per_s=0.0, list_models=lambda: ["m"])
+    service = SimpleNamespace(cold_per_s=0.0, engine=None, list_models=lambda: ["m"])
     client = SimpleNamespace(has_pending=lambda number: False)
 
     def _deliver(name, message) -> bool:
