--- a/waxwingpitch/admission/queue.py
+++ b/waxwingpitch/admission/queue.py
@@ -171,7 +171,7 @@
                 yield from expired
 
     def drop(self, request: str) -> None:
-        """Remove a request's tickets as not served; one that was asked again has two."""
+        """Remove a request's tickets as not served; one asked again has two."""
         for queue in self._queues.values():
             while queue.remove(request, is_charged=False):
                 pass
