Slots: targets of unequal speed get work by the time that it takes there

With targets at 0.6 of the others' speed, the owner placed requests by their count, so that slow targets had as many in flight as fast ones.

--- a/waxwingpitch/admission/service_times.py
+++ b/waxwingpitch/admission/service_times.py
@@ -67,6 +67,13 @@
         if len(self._by_size) > MAX_SIZES:
             self._by_size.popitem(last=False)
 
+    def find_mean_s(self, cost: float) -> float | None:
+        """Return the mean time of requests of a cost; None if too few are known."""
+        moments = self._by_size.get(_find_size(cost))
+        if moments is None or moments.samples < MIN_SAMPLES:
+            return None
+        return moments.mean_s
+
     def find_long_s(self, cost: float) -> float | None:
         """Return a time that few requests of a cost exceed; None before any sample."""
         moments = self._by_size.get(_find_size(cost))
--- a/waxwingpitch/slots/ledger.py
+++ b/waxwingpitch/slots/ledger.py
@@ -98,6 +98,11 @@
             self.remove(client, number)
         self._by_client.pop(client, None)
 
+    def find_target(self, client: str, number: int) -> str | None:
+        """Return the replica whose slot a client holds under a number."""
+        held = self._by_client.get(client, {}).get(number)
+        return None if held is None else held.target
+
     def count(self, target: str) -> int:
         """Return the number of requests in flight at a replica."""
         return self._in_flight[target]
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -32,6 +32,7 @@
 from .ledger import SlotLedger
 from .rates import ReportedSends, StatedRates
 from .room import MemoryRoom
+from .speeds import ReplicaSpeeds
 from .waiting import Waiting, WaitingRequests
 
 # Weight of the newest sample in an exponentially weighted moving average.
@@ -98,6 +99,7 @@
         self._rng = random.Random(str(key))
         self._offers: dict[str, SlotOffer] = {}
         self._queue = WaitingRequests()
+        self._speeds = ReplicaSpeeds()
         self._refused: deque[float] = deque()
         self._other_zones: dict[str, _OtherZone] = {}
         self._service_s = INITIAL_SERVICE_S
@@ -113,6 +115,7 @@
         self._offers = {offer.id: offer for offer in offers}
         self._cold.per_s = cold_per_s
         self.rates.keep(self._offers.keys())
+        self._speeds.keep(self._offers.keys())
 
     def request(
         self, client: str, number: int, req: SlotRequest, now: float
@@ -249,7 +252,10 @@
         The client and the number name the request whose slot was used.
         """
         self._service_s += NEWEST_SAMPLE_WEIGHT * (service_s - self._service_s)
-        self._queue.record_times(client, number, service_s, first_event_s)
+        ratio = self._queue.record_times(client, number, service_s, first_event_s)
+        target = self.ledger.find_target(client, number)
+        if ratio is not None and target is not None:
+            self._speeds.record(target, ratio)
 
     def adopt_service_s(self, service_s: float) -> None:
         """Go on from the service time that the present owner measured."""
@@ -368,7 +374,13 @@
     def _choose(self, req: SlotRequest, now: float) -> SlotOffer | None:
         """Return the least loaded replica with a free slot."""
         loads = [
-            ReplicaLoad(offer.id, "", self.ledger.count(offer.id), offer.capacity)
+            ReplicaLoad(
+                offer.id,
+                "",
+                self.ledger.count(offer.id),
+                offer.capacity,
+                self._speeds.find(offer.id),
+            )
             for offer in self._offers.values()
             if self._is_usable_for(offer, req, now)
             and (offer.cold_until <= now or self._cold.has_room(offer.id, now))
--- a/waxwingpitch/slots/waiting.py
+++ b/waxwingpitch/slots/waiting.py
@@ -169,11 +169,17 @@
 
     def record_times(
         self, client: str, number: int, service_s: float, first_event_s: float
-    ) -> None:
-        """Record the times that a request took, by its size if that is known."""
+    ) -> float | None:
+        """Record the times that a request took, by its size if that is known.
+
+        Returns the service time as a multiple of the mean for its size, if that is
+        known.
+        """
         cost = self._costs.pop((client, number), None)
+        mean_s = None if cost is None else self._service_times.find_mean_s(cost)
         self._service_times.record(cost, service_s)
         self._first_event_times.record(cost, first_event_s)
+        return service_s / mean_s if mean_s else None
 
     def adopt_service_s(self, service_s: float) -> None:
         """Use the mean that another owner measured until there is one of its own."""
