--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -11,10 +11,9 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
-from ..admission import OnTimeFirstQueue, Ticket
-from ..admission.forecast import Pressure, Refuse, decide_admission
+from ..admission.forecast import Pressure, forecast_wait_s, limit_retry_after
 from ..routing.placement import ZONE_PREFERENCE, ReplicaLoad, choose_replica
 from .budget import RetryPermit, SharedRetryBudget
 from .cold import ColdRateLimit
@@ -32,13 +31,16 @@
 )
 from .ledger import SlotLedger
 from .rates import ReportedSends, StatedRates
+from .room import MemoryRoom
+from .speeds import ReplicaSpeeds
+from .waiting import Waiting, WaitingRequests
 
 # Weight of the newest sample in an exponentially weighted moving average.
 NEWEST_SAMPLE_WEIGHT = 0.05
 # Service time assumed until the first request has been served.
 INITIAL_SERVICE_S = 1.0
-# Priority of requests that have run in part, above all those that callers can have.
-RESUME_PRIORITY = -1
+# Reason of a refusal of a request that no replica's memory can hold.
+TOO_LARGE = "more tokens than a target's memory holds"
 # Time for which a refused request counts as unmet demand.
 REFUSED_WINDOW_S = 1.0
 # Time after which a request is asked to come back whose retry was not covered.
@@ -54,13 +56,6 @@
 QUEUE_MARGIN_S = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class _Waiting:
-    client: str
-    number: int
-    request: SlotRequest
-
-
 class _OtherZone:
     """Another zone's summary, and the requests passed on to it since."""
 
@@ -95,6 +90,7 @@
     ):
         self.key = key
         self.ledger = SlotLedger()
+        self.room = MemoryRoom(self.ledger)
         self.rates = StatedRates()
         self.budget = budget
         self._permits: dict[tuple[str, int], RetryPermit] = {}
@@ -102,11 +98,11 @@
         self._cold = ColdRateLimit(1)
         self._rng = random.Random(str(key))
         self._offers: dict[str, SlotOffer] = {}
-        self._queue = OnTimeFirstQueue()
+        self._queue = WaitingRequests()
+        self._speeds = ReplicaSpeeds()
         self._refused: deque[float] = deque()
         self._other_zones: dict[str, _OtherZone] = {}
         self._service_s = INITIAL_SERVICE_S
-        self._first_event_s = 0.0
 
     def set_offers(self, offers: tuple[SlotOffer, ...], cold_per_s: int) -> None:
         """Replace the replicas whose slots are owned.
@@ -119,6 +115,7 @@
         self._offers = {offer.id: offer for offer in offers}
         self._cold.per_s = cold_per_s
         self.rates.keep(self._offers.keys())
+        self._speeds.keep(self._offers.keys())
 
     def request(
         self, client: str, number: int, req: SlotRequest, now: float
@@ -136,7 +133,8 @@
                 self.settle_retry(*next(iter(self._permits)), now)
         elif not req.is_repeated:
             self.budget.earn(now)
-        waiting = _Waiting(client, number, req)
+        self.room.record(req, now)
+        waiting = Waiting(client, number, req)
         if not len(self._queue) or req.resume_deadline is not None:
             decision = self._place(waiting, now)
             if decision is not None:
@@ -153,20 +151,22 @@
 
         The retry that it may be was taken from that owner's budget.
         """
-        waiting = _Waiting(client, number, req)
+        self.room.record(req, now)
+        waiting = Waiting(client, number, req)
         offer = None if len(self._queue) else self._choose(req, now)
         if offer is not None:
-            return [self._grant(client, number, offer, now)]
+            return [self._grant(waiting, offer, now)]
         return self._queue_or_refuse(waiting, now)
 
     def request_for_zone(
         self, client: str, number: int, req: SlotRequest, now: float
     ) -> list[Decision]:
         """Grant a slot to another zone's request, unless requests of this one wait."""
+        self.room.record(req, now)
         if not len(self._queue):
             offer = self._choose(req, now)
             if offer is not None:
-                return [self._grant(client, number, offer, now)]
+                return [self._grant(Waiting(client, number, req), offer, now)]
         return [Declined(client, number)]
 
     def use_elsewhere(self, client: str, number: int, now: float) -> Refused | None:
@@ -195,7 +195,7 @@
         other = self._other_zones.get(zone)
         if other is not None:
             other.declined_at = now
-        waiting = _Waiting(client, number, req)
+        waiting = Waiting(client, number, req)
         decision = self._place(waiting, now)
         return [decision] if decision else self._queue_or_refuse(waiting, now)
 
@@ -215,13 +215,14 @@
         if permit is not None and not was_used:
             self.budget.cancel(permit)
         self.ledger.remove(client, number)
+        self._queue.forget_grant(client, number)
         return self.assign(now)
 
     def cancel(
         self, client: str, number: int, now: float, *, was_used: bool = False
     ) -> list[Decision]:
         """Forget a request that waits or holds a slot, as its caller has left."""
-        self._queue.drop(_name_ticket(client, number))
+        self._queue.drop(client, number)
         return self.release(client, number, now, was_used=was_used)
 
     def drop_client(self, client: str, now: float) -> list[Decision]:
@@ -234,19 +235,32 @@
 
     def drop_waiting(self, client: str) -> None:
         """Forget what a client waits for."""
-        for ticket in [item for item in self._queue if item.payload.client == client]:
-            self._queue.drop(ticket.request)
-            self._cancel_permit(client, ticket.payload.number)
+        for item in [item for item in self._queue if item.client == client]:
+            self._queue.drop(client, item.number)
+            self._cancel_permit(client, item.number)
+
+    def record_times(
+        self,
+        service_s: float,
+        first_event_s: float,
+        *,
+        client: str = "",
+        number: int = 0,
+    ) -> None:
+        """Record how long a replica took to the whole answer and to its first part.
 
-    def record_times(self, service_s: float, first_event_s: float) -> None:
-        """Record how long a replica took to the whole answer and to its first part."""
+        The client and the number name the request whose slot was used.
+        """
         self._service_s += NEWEST_SAMPLE_WEIGHT * (service_s - self._service_s)
-        known_s = self._first_event_s or first_event_s
-        self._first_event_s = known_s + NEWEST_SAMPLE_WEIGHT * (first_event_s - known_s)
+        ratio = self._queue.record_times(client, number, service_s, first_event_s)
+        target = self.ledger.find_target(client, number)
+        if ratio is not None and target is not None:
+            self._speeds.record(target, ratio)
 
     def adopt_service_s(self, service_s: float) -> None:
         """Go on from the service time that the present owner measured."""
         self._service_s = service_s
+        self._queue.adopt_service_s(service_s)
 
     def update_zone(self, zone: str, summary: KeySummary, now: float) -> list[Decision]:
         """Take note of another zone's summary, and pass waiting requests on to it."""
@@ -257,26 +271,30 @@
 
     def assign(self, now: float) -> list[Decision]:
         """Decide on the requests that wait, as far as slots are free."""
-        decisions: list[Decision] = []
-        for ticket in self._drop_expired(now):
-            item = ticket.payload
-            decisions.append(
-                self._refuse(item.client, item.number, 0.5, "waited too long", now)
-            )
-        while (ticket := self._queue.peek(now)) is not None:
-            decision = self._place(ticket.payload, now)
+        decisions: list[Decision] = [
+            self._refuse_waiting(item, "waited too long", now)
+            for item in self._queue.drop_expired(now)
+        ]
+        per_s = self._find_served_per_s(now)
+        while (waiting := self._queue.peek(now, per_s)) is not None:
+            decision = self._place(waiting, now)
             if decision is None:
                 break
-            self._queue.pop(now)
+            self._queue.take(now, per_s)
             decisions.append(decision)
-        return decisions
+        return decisions + self._evict(now)
 
     def summarize(self, now: float) -> KeySummary:
         """Return the summary for other zones and the planner."""
         usable = [item for item in self._offers.values() if self._is_usable(item, now)]
         counts = [(item, self.ledger.count(item.id)) for item in usable]
         slots = self._count_slots(usable)
-        rooms = {item.id: self.rates.count_room(item.id, now) for item in usable}
+        rooms = {
+            item.id: min(
+                self.rates.count_room(item.id, now), self.room.count_free(item, now)
+            )
+            for item in usable
+        }
         return KeySummary(
             slots=math.ceil(slots),
             in_flight=sum(count for _, count in counts),
@@ -303,19 +321,18 @@
         """Return the number of requests that wait."""
         return len(self._queue)
 
-    def _place(self, waiting: _Waiting, now: float) -> Decision | None:
+    def _place(self, waiting: Waiting, now: float) -> Decision | None:
         """Grant a slot here or pass the request on; None if no slot is free."""
-        client, number, req = waiting.client, waiting.number, waiting.request
-        offer = self._choose(req, now)
+        offer = self._choose(waiting.request, now)
         here = NO_FREE_SLOT
         if offer is not None:
             here = (self.ledger.count(offer.id) + 1) / offer.capacity
         zone = self._choose_zone(here, now)
         if zone is not None:
             return self._pass_on(waiting, zone, may_wait=False)
-        return None if offer is None else self._grant(client, number, offer, now)
+        return None if offer is None else self._grant(waiting, offer, now)
 
-    def _pass_on(self, waiting: _Waiting, zone: str, *, may_wait: bool) -> Forwarded:
+    def _pass_on(self, waiting: Waiting, zone: str, *, may_wait: bool) -> Forwarded:
         client, number = waiting.client, waiting.number
         self._other_zones[zone].passed_on += 1
         return Forwarded(client, number, zone, waiting.request, may_wait)
@@ -339,11 +356,13 @@
         return zone
 
     def _grant(
-        self, client: str, number: int, offer: SlotOffer, now: float
+        self, waiting: Waiting, offer: SlotOffer, now: float
     ) -> Granted | Refused:
+        client, number = waiting.client, waiting.number
         if not self._use_permit(client, number, now):
             return self._refuse_retry(client, number, now)
-        self.ledger.add(client, number, offer.id, now)
+        self.ledger.add(client, number, offer.id, now, waiting.request.tokens)
+        self._queue.note_grant(waiting, now)
         self.rates.record(offer.id, client, now)
         offer = replace(offer, rate_per_s=self.rates.find(offer.id))
         if offer.cold_until > now:
@@ -355,11 +374,18 @@
     def _choose(self, req: SlotRequest, now: float) -> SlotOffer | None:
         """Return the least loaded replica with a free slot."""
         loads = [
-            ReplicaLoad(offer.id, "", self.ledger.count(offer.id), offer.capacity)
+            ReplicaLoad(
+                offer.id,
+                "",
+                self.ledger.count(offer.id),
+                offer.capacity,
+                self._speeds.find(offer.id),
+            )
             for offer in self._offers.values()
             if self._is_usable_for(offer, req, now)
             and (offer.cold_until <= now or self._cold.has_room(offer.id, now))
             and self.rates.has_room(offer.id, now)
+            and self.room.has_room(offer, req, now)
         ]
         untried = [load for load in loads if load.id not in req.avoid]
         chosen = choose_replica(untried, zone="", tie_break=self._rng.random())
@@ -398,38 +424,40 @@
     def _count_slots(self, offers: Iterable[SlotOffer]) -> float:
         """Return the slots of replicas that requests can use, by their limits too."""
         return sum(
-            self.rates.limit_slots(offer.id, offer.capacity, self._service_s)
+            self.room.limit_slots(
+                offer,
+                self.rates.limit_slots(offer.id, offer.capacity, self._service_s),
+            )
             for offer in offers
         )
 
-    def _queue_or_refuse(self, waiting: _Waiting, now: float) -> list[Decision]:
+    def _queue_or_refuse(self, waiting: Waiting, now: float) -> list[Decision]:
         client, number, req = waiting.client, waiting.number, waiting.request
-        decision = decide_admission(
-            self._measure_pressure(req, now),
-            now=now,
-            deadline=req.deadline,
-            resume_deadline=req.resume_deadline,
-        )
-        if isinstance(decision, Refuse):
-            return [
-                self._refuse(
-                    client, number, decision.retry_after_s, "no slot in time", now
-                )
-            ]
-        is_resumed = req.resume_deadline is not None
-        ticket = Ticket(
-            request=_name_ticket(client, number),
-            workspace=req.workspace,
-            priority=RESUME_PRIORITY if is_resumed else req.priority,
-            share=1.0,
-            cost=req.cost,
-            deadline=decision.until,
-            payload=waiting,
-            latest_start_at=req.due_at - self._first_event_s,
-        )
-        if self._queue.push(ticket):
-            return []
-        return [self._refuse(client, number, 1.0, "queue is full", now)]
+        if not self.room.can_ever_fit(self._offers.values(), req):
+            return [self._refuse(client, number, NEXT_RETRY_S, TOO_LARGE, now)]
+        refusal = self._queue.add(waiting, self._measure_pressure(waiting, now), now)
+        if refusal is None:
+            return self._evict(now)
+        retry_after_s = refusal.retry_after_s
+        return [self._refuse(client, number, retry_after_s, "no slot in time", now)]
+
+    def _find_served_per_s(self, now: float) -> float:
+        """Return the requests served a second; infinite if no replica is usable."""
+        usable = [item for item in self._offers.values() if self._is_usable(item, now)]
+        pressure = Pressure(self._count_slots(usable), 0, self._service_s)
+        return pressure.served_per_s or math.inf
+
+    def _evict(self, now: float) -> list[Decision]:
+        """Refuse those that others, or lost replicas, leave no slot in time."""
+        hopeless = self._queue.drop_hopeless(now, self._find_served_per_s(now))
+        reason = "more urgent ones came"
+        return [self._refuse_waiting(item, reason, now) for item in hopeless]
+
+    def _refuse_waiting(self, waiting: Waiting, reason: str, now: float) -> Refused:
+        req = waiting.request
+        wait_s = forecast_wait_s(self._measure_pressure(waiting, now))
+        retry_after_s = limit_retry_after(wait_s, req.deadline - now)
+        return self._refuse(waiting.client, waiting.number, retry_after_s, reason, now)
 
     def _use_permit(self, client: str, number: int, now: float) -> bool:
         """Count a retry whose slot is granted; False if the budget does not cover it.
@@ -464,7 +492,8 @@
         )
         return Refused(client, number, retry_after_s, reason, pressure)
 
-    def _measure_pressure(self, req: SlotRequest, now: float) -> Pressure:
+    def _measure_pressure(self, waiting: Waiting, now: float) -> Pressure:
+        req = waiting.request
         slots = self._count_slots(
             offer
             for offer in self._offers.values()
@@ -473,22 +502,12 @@
         has_paused = now < req.excluded_until < math.inf
         return Pressure(
             slots=slots,
-            waiting=self._queue.count_ahead(req.priority),
+            waiting=self._queue.count_ahead(waiting),
             service_s=self._service_s,
             pause_s=req.excluded_until - now if has_paused else None,
         )
 
-    def _drop_expired(self, now: float) -> list[Ticket]:
-        expired = [item for item in self._queue if item.deadline <= now]
-        for ticket in expired:
-            self._queue.drop(ticket.request)
-        return expired
-
     def _estimate_unmet(self, now: float) -> float:
         while self._refused and now - self._refused[0] > REFUSED_WINDOW_S:
             self._refused.popleft()
         return len(self._queue) + len(self._refused) * self._service_s
-
-
-def _name_ticket(client: str, number: int) -> str:
-    return f"{client}/{number}"
