--- a/waxwingpitch/configuration/routes.py
+++ b/waxwingpitch/configuration/routes.py
@@ -128,6 +128,8 @@
         Limits of the weight store on loads started per second and in progress.
     open_s
         Time to open a group, in seconds.
+    kv_capacity
+        Tokens of prompts and answers that a group's memory holds; None if not given.
     zone_delays
         Delays between zones, in either direction, where they are known.
     """
@@ -144,6 +146,7 @@
     max_concurrent_loads: int
     open_s: float
     models: tuple[ModelSpec, ...]
+    kv_capacity: int | None = None
     zone_delays: tuple[ZoneDelay, ...] = ()
 
     @property
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -20,20 +20,23 @@
     UnreachableError,
 )
 from ..forwarding.relay import RelayListener
+from ..memory import CallerAccount
 from ..mesh.messages import PlanningHandover
 from ..platform import PlatformStore
 from ..ports import KeyValueStore
 from ..settings.gateway import GatewaySettings
 from ..slots import EntryHost
 from ..targets.progress import ProgressBook
+from ..targets.silences import SilenceBook
 from ..telemetry import GatewayMetrics
 from .beliefs import GatewayView
 from .exchange import TargetExchange
 from .following import StoreFollower
+from .host_bounds import find_answer_bytes, find_caller_bounds, find_max_relayed
 from .notices import TargetNotices
 from .peers import PeerTask
 from .planning import ZonePlanner
-from .probing import fetch_report
+from .probing import AnotherTargetError, fetch_report
 from .registration import Registration
 from .relays import LinkCheck, RelayChooser
 from .roles import Roles
@@ -58,9 +61,6 @@
 # Interval at which lost links to targets are tried again, and how many of them.
 LINK_RETRY_S = 0.5
 RETRIED_LINKS = 4
-BYTES_PER_MIB = 1024 * 1024
-# Share of the process's memory that answers of targets may hold together.
-ANSWERS_MEMORY_SHARE = 0.2
 # Link of an entry host below which it leads and owns less than its processor allows.
 FAST_LINK_MBPS = 100.0
 # Time for which a process must be the head or the next host before it plans, so that
@@ -87,10 +87,11 @@
         self._stopping = False
         self.metrics = GatewayMetrics()
         self._store = store or self._build_store()
-        self.pool = ConnectionPool(
-            memory_bytes=int(settings.memory_mb * BYTES_PER_MIB * ANSWERS_MEMORY_SHARE)
-        )
+        self.pool = ConnectionPool(memory_bytes=find_answer_bytes(settings))
+        self.callers = CallerAccount(find_caller_bounds(settings))
+        self.metrics.observe_memory(self._measure_held, self.callers)
         self.progress = ProgressBook()
+        self._silences = SilenceBook()
         self.view = GatewayView(time.monotonic, self._on_view_change)
         self._store_health = StoreHealth(self._on_store_recovery)
         local = EntryHost(
@@ -121,6 +122,7 @@
                 lambda address, timeout_s: self.pool.open_socket(address, timeout_s),
                 lambda: (item.record.address for item in self.view.iter_targets()),
             ).reaches_another,
+            max_relayed=find_max_relayed(settings),
         )
         self.slots = SlotTask(
             self.roster,
@@ -216,6 +218,7 @@
             settings.front.port,
             self._server.handle,
             self._find_limits,
+            self.callers,
         )
         self._web = GatewayWeb(
             settings.ready, settings.metrics, self.find_unready_reason, self.dump
@@ -232,10 +235,11 @@
             lease_keeper=self._lease_keeper,
             planners=self._planners,
         )
-        self._ticked_at = time.monotonic()
+        self._ticked_at = self._ticked_before_at = time.monotonic()
         self._graceful_stop = GracefulStop(
             settings.bounds.stop_s,
             listener=self._listener,
+            relay=self._relay,
             server=self._server,
             planners=self._planners,
             peers=self._peers,
@@ -252,6 +256,10 @@
 
     def start(self) -> None:
         """Start all tasks."""
+        if not self.settings.is_first_start:
+            # Callers do not wait for a process that starts again, and other hosts that
+            # it could follow may start at the same time.
+            gevent.spawn(self._follower.read_configuration)
         self._registration.start()
         self._lease_keeper.start()
         self._peers.start()
@@ -330,6 +338,11 @@
             "replicas": list(self.view.iter_replicas()),
             "slots": self.slots.describe(),
             "answers_held_bytes": self.pool.memory.held_bytes,
+            "held_bytes": self._measure_held(),
+            "caller_connections": self.callers.connections,
+            "rejections": {
+                reason.value: count for reason, count in self.callers.rejections.items()
+            },
             "store_source": self._follower.source,
             "store_knowledge_age_s": self._follower.data_age_s,
             "head": self.roster.find_head(self.settings.zone),
@@ -342,6 +355,11 @@
             "store_era": self.view.mirror.era,
         }
 
+    def _measure_held(self) -> dict[str, int]:
+        """Return the bytes that are held for callers, by kind."""
+        held = {kind.value: size for kind, size in self.callers.by_kind.items()}
+        return {**held, "answers": self.pool.memory.held_bytes}
+
     def _is_reachable(self, target: str, address: str) -> bool:
         """Return whether a target answers this process."""
         try:
@@ -351,16 +369,17 @@
         return True
 
     def _has_ended(self, target: str, address: str) -> bool:
-        """Return whether no connection to a target can be opened, or it is another.
-
-        One that accepts connections and is silent may go on with what it has read.
-        """
+        """Return whether a target has ended, is cut off, or is another one."""
+        asked_at = time.monotonic()
         try:
             fetch_report(self.pool, target, address)
-        except (TargetTimeoutError, ValueError):
-            return False
-        except (UnreachableError, TargetBrokenError):
+        except TargetTimeoutError:
+            return self._silences.record_unanswered(target, asked_at)
+        except (UnreachableError, TargetBrokenError, AnotherTargetError):
             return True
+        except ValueError:
+            logger.debug("report of a target can't be decoded")
+        self._silences.record_answered(target)
         return False
 
     def _may_relay(self, address: str) -> bool:
@@ -423,7 +442,8 @@
             )
 
     def _tick(self) -> None:
-        now = self._ticked_at = time.monotonic()
+        now = time.monotonic()
+        self._ticked_before_at, self._ticked_at = self._ticked_at, now
         served_zones = self._roles.tick(now, is_stopping=self._stopping)
         self.slots.tick(served_zones)
         if now - self._slow_tick_at >= SLOW_TICK_S:
@@ -433,6 +453,7 @@
             self._retry_lost_links(now)
             self.view.expire_removed()
             self.progress.expire(now)
+            self._silences.expire(now)
             self._suspects.expire(now)
 
     def _retry_lost_links(self, now: float) -> None:
@@ -451,5 +472,6 @@
     def _begin_stop(self) -> None:
         if not self._stopping:
             self._stopping = True
-            # The signal may have come at any time since this process last ran.
-            gevent.spawn(self._graceful_stop.run, self._ticked_at, self.stop)
+            # After a standstill a tick may run before a signal that came earlier, but
+            # no second one: signals are handled between any two ticks.
+            gevent.spawn(self._graceful_stop.run, self._ticked_before_at, self.stop)
--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -22,7 +22,7 @@
     UnreachableError,
 )
 from ..forwarding.answers import strip_hop_headers
-from ..forwarding.exchange import format_request, send_request
+from ..forwarding.exchange import format_request_head, send_request
 from ..platform import HeaderNames
 from ..slots import SlotOffer
 from ..targets.progress import ProgressBook
@@ -108,18 +108,21 @@
     ) -> Outcome:
         """Make one attempt on a replica and return its outcome."""
         replica = slot.offer
-        data = self._build_request(ctx, attempts, replica)
+        head = self._build_request_head(ctx, attempts, replica)
         try:
             conn = send_request(
                 self._pool,
                 replica.address,
-                data,
+                head,
+                body=ctx.req.body,
                 request=ctx.id,
                 timeout_s=ctx.deadline - time.monotonic(),
             )
         except UnreachableError as exc:
             is_cut = self._pool.links.is_cut
-            return NotRun(str(exc), is_unreachable=not is_cut)
+            return NotRun(
+                str(exc), is_unreachable=not is_cut, is_refused=exc.is_refused
+            )
         except TargetBrokenError as exc:
             return Broken(str(exc))
         is_reusable = False
@@ -164,11 +167,16 @@
         attempts.discard_ended_runs(self._has_ended)
         return is_retry_allowed(ctx.route, attempts, outcome)
 
-    def _may_move(self, now: float) -> bool:
-        """Return whether a stop leaves a stream the time to leave a silent target."""
+    def _may_move(self, attempts: Attempts, now: float) -> bool:
+        """Return whether a stream may go on elsewhere once it left a silent target.
+
+        A blocked one may not, and near the end of a stop there is no time for it.
+        """
+        if attempts.is_blocked():
+            return False
         return self.stop_times is None or now < self.stop_times.moves_until
 
-    def _build_request(
+    def _build_request_head(
         self, ctx: RequestContext, attempts, replica: SlotOffer
     ) -> bytes:
         overridden = {
@@ -190,8 +198,8 @@
             headers.append((HeaderNames.WORKSPACE.value, ctx.workspace.encode()))
         if attempts.last_event is not None:
             headers.append((HeaderNames.LAST_EVENT.value, b"%d" % attempts.last_event))
-        return format_request(
-            ctx.req.method, ctx.req.target, replica.address, headers, ctx.req.body
+        return format_request_head(
+            ctx.req.method, ctx.req.target, replica.address, headers, len(ctx.req.body)
         )
 
     def _read_matching_head(
@@ -415,7 +423,7 @@
             self._slots,
             self._progress,
             may_retry=lambda: self.may_retry(ctx, attempts, Stalled("nothing arrives")),
-            may_move=self._may_move,
+            may_move=lambda now: self._may_move(attempts, now),
             is_link_lost=lambda: self._is_link_lost(conn),
             last_data_at=last_data_at,
             last_event_at=last_event_at,
--- a/waxwingpitch/gateway/serving.py
+++ b/waxwingpitch/gateway/serving.py
@@ -11,8 +11,8 @@
 from ..errors import RESULTS, RequestError, ResultCode
 from ..forwarding import Answer, AnswerHead, CallerRequest, Responder
 from ..forwarding.answers import Headers
-from ..forwarding.listener import CallerDisconnectedError
 from ..forwarding.memory import AnswerHold, AnswerMemory
+from ..forwarding.responder import CallerDisconnectedError
 from ..platform import HeaderNames
 from ..requests.culprits import Culprit
 from ..slots import BUDGET_SPENT, Refused
@@ -155,6 +155,7 @@
             last_event=read_last_event(ctx.req),
             last_forwarded_at=ctx.arrived_at,
             on_survived=lambda sent_at: self._suspects.record_served(keys, sent_at),
+            is_blocked=lambda: self._suspects.find_blocked(keys) is not None,
         )
         try:
             self._make_attempts(ctx, resp, attempts, keys)
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -59,6 +59,8 @@
 FORWARD_TIMEOUT_S = 0.1
 # Time for which a retry waits for what other owners lend.
 LOAN_WAIT_S = 0.01
+# Time after which a plain target that refused a connection is tried again.
+REFUSING_TTL_S = 0.5
 # Share of a cold target's limit that one owner uses, as two may own its key.
 COLD_SHARE = 0.5
 # Time after its link is lost for which a client's slots are still counted.
@@ -255,7 +257,7 @@
             if message.service and key != (message.service, message.model):
                 continue
             if message.outcome != UNUSED and not is_passed_on:
-                self._note_outcome(owner, message, now)
+                self._note_outcome(owner, peer, message, now)
             was_used = message.outcome != UNUSED
             decisions = owner.cancel(peer, message.number, now, was_used=was_used)
             self._carry_out(owner, decisions)
@@ -326,10 +328,11 @@
                 self._progress.record_peer_progress(
                     item.target, now - item.progress_age_ms / 1000
                 )
+        tokens = {item.number: max(0, item.tokens) for item in held}
         for service, model in by_key.keys() - self._owners.keys():
             self.find(SlotKey(self._zone, service, model))
         for key, owner in self._owners.items():
-            owner.ledger.reconcile(peer, by_key.get(key, {}), now)
+            owner.ledger.reconcile(peer, by_key.get(key, {}), now, tokens=tokens)
         numbers = {item.number for item in held}
         gone = self._passed_on.list_gone(peer, numbers, now - REPORT_DELAY_S)
         self._give_back(gone, now)
@@ -371,11 +374,11 @@
             owner.rates.share = owner.budget.share = share
             self._carry_out(owner, owner.assign(now))
 
-    def iter_passed_on(self, peer: str) -> Iterable[tuple[int, SlotKey, str]]:
-        """Yield number, key and target of the slots that a peer granted here."""
+    def iter_passed_on(self, peer: str) -> Iterable[tuple[int, SlotKey, str, int]]:
+        """Yield number, key, target and tokens of slots that a peer granted here."""
         for number, item in self._passed_on.iter_at(peer):
             if item.target:
-                yield number, item.key, item.target
+                yield number, item.key, item.target, item.request.tokens
 
     def take_new_suspicions(self) -> tuple[tuple[str, int], ...]:
         """Return the targets suspected since the last call, with their epochs."""
@@ -393,6 +396,8 @@
         key = owner.key
         service = self._view.find_service(key.service)
         cold_per_s = 0.0 if service is None else service.cold_per_s
+        engine = None if service is None else service.engine
+        kv_capacity = None if engine is None else engine.kv_capacity
         limit = cold_per_s * self._bounds.cold_factor + self._bounds.cold_slack
         offers = tuple(
             SlotOffer(
@@ -404,6 +409,7 @@
                 item.capacity,
                 item.epoch,
                 item.cold_until if cold_per_s else 0.0,
+                kv_capacity=kv_capacity,
             )
             for item in self._view.find_replicas(key.service, key.model)
             if item.zone in self._served_zones
@@ -522,15 +528,33 @@
         )
         return True
 
-    def _note_outcome(self, owner: SlotOwner, message: SlotRelease, now: float) -> None:
+    def _note_outcome(
+        self, owner: SlotOwner, peer: str, message: SlotRelease, now: float
+    ) -> None:
         self.on_used(message, now)
         match Outcome(message.outcome):
             case Outcome.SERVED:
-                owner.record_times(message.service_s, message.first_s)
+                owner.record_times(
+                    message.service_s,
+                    message.first_s,
+                    client=peer,
+                    number=message.number,
+                )
                 self._progress.record_progress(message.target, message.epoch, now)
+            case Outcome.UNREACHABLE if not message.epoch:
+                self._pause_refusing(message.target, now)
             case Outcome.MISDIRECTED | Outcome.STALLED | Outcome.UNREACHABLE:
                 self.suspect(message.target, message.epoch, now)
 
+    def _pause_refusing(self, target: str, now: float) -> None:
+        """Give a plain target that refuses connections nothing for a moment.
+
+        It answers faster than those that work, and would get most requests as the
+        least loaded one. The other zones' owners find out by their own requests.
+        """
+        if self._progress.suspect(target, 0, now, is_local=True, ttl_s=REFUSING_TTL_S):
+            logger.info("plain target refuses connections", extra={"target": target})
+
     def suspect(self, target: str, epoch: int, now: float) -> None:
         """Give a replica no new requests for a while, and tell the peers."""
         if self._progress.suspect(target, epoch, now):
--- a/waxwingpitch/gateway/slot_use.py
+++ b/waxwingpitch/gateway/slot_use.py
@@ -25,6 +25,7 @@
         due_at=ctx.arrived_at + ctx.route.latency_objective_s,
         is_retry=attempts.sends > 0,
         is_repeated=attempts.has_asked,
+        tokens=ctx.tokens,
         objective_s=ctx.route.latency_objective_s,
     )
 
@@ -38,6 +39,8 @@
             return SlotOutcome.MISDIRECTED
         case Broken():
             return SlotOutcome.BROKEN
+        case NotRun(is_refused=True):
+            return SlotOutcome.UNREACHABLE
         case NotRun(is_unreachable=True) if has_epoch:
             return SlotOutcome.UNREACHABLE
         case Stalled(is_link_lost=False) if has_epoch:
--- a/waxwingpitch/platform/documents.py
+++ b/waxwingpitch/platform/documents.py
@@ -18,7 +18,7 @@
     ServiceSpec,
 )
 from ..configuration.zone_delays import read_zone_delays
-from ..decoding import Count, DurationMs, Number, decode_json, parse_address
+from ..decoding import MAX_NUMBER, Count, DurationMs, Number, decode_json, parse_address
 from ..errors import ConfigurationError
 from ..targets.records import Membership, MemberState, TargetRecord
 
@@ -81,6 +81,7 @@
     loads_at_once: int = 1
     form_ms: float = 0.0
     usual: _UsualRequest = msgspec.field(default_factory=_UsualRequest)
+    kv_capacity: float | None = None
     delays: Any = None
 
 
@@ -159,6 +160,12 @@
         raise ConfigurationError(f"configuration: {exc}") from exc
 
 
+def list_keys(data: bytes) -> list[tuple[str, str]]:
+    """Return each API key of a valid configuration with each of its workspaces."""
+    tenants = decode_json(data, _Configuration).tenants or []
+    return [(key, tenant.name) for tenant in tenants for key in tenant.api_keys]
+
+
 def decode_target_record(key: str, data: bytes) -> TargetRecord:
     """Decode a target's entry in the store.
 
@@ -210,6 +217,9 @@
 
 
 def _convert_route(item: _Route) -> Route:
+    if item.kind not in _ROUTE_KINDS:
+        valid = ", ".join(_ROUTE_KINDS)
+        raise ValueError(f"route {item.name}: kind {item.kind!r}; valid: {valid}")
     shares = tuple(
         ServiceShare(split.service, split.weight) for split in item.traffic_split
     )
@@ -230,12 +240,8 @@
 
 
 def _convert_service(item: _Service) -> ServiceSpec:
-    return ServiceSpec(
-        item.name,
-        item.max_conns,
-        item.cold_per_s,
-        None if item.engine is None else _convert_engine(item.engine),
-    )
+    engine = None if item.engine is None else _convert_engine(item.engine)
+    return ServiceSpec(item.name, item.max_conns, item.cold_per_s, engine)
 
 
 def _convert_engine(item: _Engine) -> EngineSpec:
@@ -254,6 +260,7 @@
         models=tuple(
             ModelSpec(*msgspec.structs.astuple(model)) for model in item.models
         ),
+        kv_capacity=int(min(max(0, item.kv_capacity or 0), MAX_NUMBER)) or None,
         zone_delays=read_zone_delays(item.delays),
     )
 
@@ -261,11 +268,9 @@
 def _convert_limits(item: _Limits | None) -> CallerLimits:
     if item is None:
         return CallerLimits()
+    sizes = item.max_header_bytes, item.max_body_bytes
     return CallerLimits(
-        item.max_header_bytes,
-        item.max_body_bytes,
-        item.header_timeout_ms / 1000,
-        item.idle_timeout_ms / 1000,
+        *sizes, item.header_timeout_ms / 1000, item.idle_timeout_ms / 1000
     )
 
 
--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -85,6 +85,8 @@
         Bandwidth of the host's link, in megabits a second.
     memory_mb
         Memory at which the platform ends the process, in mebibytes.
+    max_fds
+        Descriptors that the process may have open, those reserved for files included.
     is_first_start
         Whether the whole system starts for the first time.
     may_leave_zone
@@ -105,5 +107,6 @@
     processor_share: float
     link_mbps: float
     memory_mb: float
+    max_fds: int
     is_first_start: bool = False
     may_leave_zone: bool = True
--- a/waxwingpitch/tests/test_planned_stop.py
+++ b/waxwingpitch/tests/test_planned_stop.py
@@ -12,6 +12,7 @@
 
 from ..configuration.routes import CallerLimits, RouteKind
 from ..forwarding import Answer, AnswerHead, CallerListener
+from ..forwarding.relay import RelayAnswer, ask_relay
 from ..gateway import GatewayDaemon, serving, stop_times
 from ..gateway.stop_times import may_begin, plan_stop
 from ..settings.gateway import Address
@@ -108,6 +109,21 @@
     assert daemon._stopped.wait(6.0)
 
 
+# Guards against requests of peers that are cut halfway, as the gateway that passes them
+# on stops and has no callers of its own.
+def test_stop_waits_for_the_connections_that_are_passed_on_for_peers(
+    platform, start_stoppable
+):
+    daemon = start_stoppable(6.0)
+    target = platform.targets[platform.plain[0]]
+    answer, relayed = ask_relay(str(daemon.settings.relay), target.address, 1.0)
+    assert answer is RelayAnswer.OPEN
+    daemon._begin_stop()
+    assert not daemon._stopped.wait(1.5)
+    relayed.close()
+    assert daemon._stopped.wait(1.0)
+
+
 def test_request_that_arrives_at_the_end_of_a_stop_is_not_run_and_cut(
     platform, start_stoppable, monkeypatch
 ):
@@ -257,6 +273,25 @@
     assert daemon._stopped.wait(2.0)
 
 
+# Guards against requests that are cut, as the process stood still from before the time
+# of their last answer until after the end of the drain.
+def test_call_is_answered_after_a_standstill_at_the_end_of_a_stop(
+    platform, start_stoppable
+):
+    daemon = start_stoppable(2.0)
+    for target in platform.plain:
+        platform.targets[target].faults.hang = True
+    caller = Caller(daemon.settings.front)
+    caller.send("/file/x", "h1")
+    gevent.sleep(0.1)
+    daemon._begin_stop()
+    gevent.sleep(1.3)
+    monkey.get_original("time", "sleep")(0.7)
+    answer = read_or_none(caller)
+    assert answer is not None and answer.status == 504
+    assert daemon._stopped.wait(2.0)
+
+
 def test_request_that_waits_for_a_slot_is_refused_before_the_exit(
     platform, start_stoppable
 ):
@@ -406,11 +441,29 @@
     assert times.streams_until <= stood_still_at + stop_times.STREAMS_BEGIN_S
 
 
+# Guards against the same where housekeeping runs before the signal is heard, as it does
+# if the process stood still while it waited for events.
+def test_times_of_a_stop_count_from_before_a_standstill_that_a_tick_follows(
+    start_stoppable,
+):
+    daemon = start_stoppable(6.0)
+    gevent.sleep(0.3)
+    stood_still_at = time.monotonic()
+    monkey.get_original("time", "sleep")(0.8)
+    daemon._tick()
+    daemon._begin_stop()
+    wait_for(lambda: daemon._server.stop_times)
+    times = daemon._server.stop_times
+    assert times.signalled_at <= stood_still_at
+
+
 # Guards against streams that are broken off before the last sixth, if the signal came
 # at the end of a standstill.
 def test_begun_streams_are_drained_from_when_the_signal_was_heard():
     times = plan_stop(100.0, 8.0, heard_at=103.0)
     assert times.drained_by >= 103.0 + 8.0 * 5 / 6
+    # Not later than needed, as the process may be killed at 108.
+    assert plan_stop(100.0, 8.0, heard_at=100.5).drained_by < 108.0
     assert times.streams_until <= 103.0
     assert times.answers_by <= 108.0
 
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -359,7 +359,9 @@
         zone_owners,
         replicas,
         engine=SimpleNamespace(
-            find_delays_s=lambda zone: {"b": 0.001}, batch_slowdown=0.4
+            find_delays_s=lambda zone: {"b": 0.001},
+            batch_slowdown=0.4,
+            kv_capacity=None,
         ),
         may_leave_zone=False,
     )
