--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -57,6 +57,8 @@
     ----------
     orders, refused
         Orders that were carried out, and those that targets refused.
+    spec
+        Engines of the service that the targets belong to.
     running_s, longest_answer_s
         Time that the requests in flight at a head take, and that routes allow them.
     absent
@@ -65,8 +67,9 @@
         Heads whose requests in flight were ended by an order.
     """
 
-    def __init__(self, domains: int = 1, size: int = 10):
+    def __init__(self, domains: int = 1, size: int = 10, *, spec: EngineSpec = SPEC):
         self.now = 0.0
+        self.spec = spec
         self.targets: dict[str, _Target] = {}
         self.orders: list[tuple[str, Order]] = []
         self.refused: list[tuple[str, Order]] = []
@@ -90,7 +93,7 @@
             service="pool",
             address=f"10.0.0.1:{len(self.targets) + 1}",
             zone="z",
-            capacity=9,
+            capacity=self.spec.capacity,
             leaving=False,
             cold_s=0.0,
             domain=domain,
@@ -129,13 +132,13 @@
             for key, item in self.targets.items()
             if item.listed
         }
-        slots = {QUAD.name: 0, PAIR.name: 0}
+        slots = {model.name: 0 for model in self.spec.models}
         for item in self.targets.values():
             place = item.record.membership
             if place and place.rank == 0 and place.state is MemberState.OPEN:
-                slots[item.record.model] += SPEC.capacity
+                slots[item.record.model] += self.spec.capacity
         return FleetView(
-            spec=SPEC,
+            spec=self.spec,
             targets=self._listed,
             unreachable=frozenset(self.unreachable),
             removed_at={
@@ -202,7 +205,7 @@
             case Stage() if item.staging:
                 return False
             case Stage():
-                load_s = SPEC.find_model(order.model).load_s
+                load_s = self.spec.find_model(order.model).load_s
                 item.staging = order.model
                 item.staged_at = self.now + (
                     load_s if self.has_traffic else load_s / 10
@@ -212,7 +215,7 @@
 
     def count_open(self) -> dict[str, int]:
         """Return the number of open groups, by model."""
-        found = {QUAD.name: 0, PAIR.name: 0}
+        found = {model.name: 0 for model in self.spec.models}
         for item in self.targets.values():
             place = item.record.membership
             if place and place.rank == 0 and place.state is MemberState.OPEN:
@@ -226,7 +229,7 @@
             return False
         if place is not None and place.group != order.group:
             self._check_not_serving(target, item)
-        model = SPEC.find_model(order.model)
+        model = self.spec.find_model(order.model)
         if item.last_model == order.model:
             join_s = 0.2
         elif order.model in item.record.staged:
@@ -273,7 +276,7 @@
                 raise InvariantViolatedError(
                     f"{order.group} opened, {member} is not ready"
                 )
-        item.open_at = self.now + SPEC.open_s
+        item.open_at = self.now + self.spec.open_s
         self.orders.append((item.record.id, order))
         return True
 
