Groups: targets that restart while they join are not ordered to load

Callers waited for a group of restarted targets for 16 s. Orders to join were repeated to members that had restarted and so lost the model in memory: each loaded the weights from the store, not counted by the limit on loads, and the others waited. A group being formed is now abandoned if a member would have to load; its targets are free for another group. First groups of a domain, whose members have no weights yet, are formed as before.

--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -172,6 +172,14 @@
                 order = Open(forming.group, forming.epoch)
                 yield from self.ledger.issue(records[0], order, EFFECT_TIMEOUT_S, now)
             else:
+                if not forming.is_initial and any(
+                    state is None and find_join_s(forming.model, record) is None
+                    for record, state in zip(records, states, strict=True)
+                ):
+                    # A member that restarted lost the weights in memory. Joining would
+                    # load them from the store, past the limit on loads.
+                    del self.ledger.forming[forming.group]
+                    continue
                 yield from self._join_missing(forming, records, states, now)
 
     def _join_missing(
@@ -320,7 +328,9 @@
             model = max(fitting, key=lambda item: (desired[item.name], item.size))
             chosen, free = free[: model.size], free[model.size :]
             desired[model.name] -= model.size
-            yield from self._start_forming(view, model, chosen, now, model.load_s)
+            yield from self._start_forming(
+                view, model, chosen, now, model.load_s, is_initial=True
+            )
 
     def _form_groups(
         self, view: FleetView, free: list[TargetRecord], now: float
@@ -360,6 +370,8 @@
         chosen: Sequence[TargetRecord],
         now: float,
         join_s: float,
+        *,
+        is_initial: bool = False,
     ) -> Iterator[TargetOrder]:
         epoch = self._next_epoch()
         head = chosen[0]
@@ -367,7 +379,7 @@
         members = tuple(record.id for record in chosen)
         deadline = now + join_s + view.spec.open_s + 2 * EFFECT_TIMEOUT_S
         self.ledger.forming[group] = FormingGroup(
-            group, epoch, model, members, deadline
+            group, epoch, model, members, deadline, is_initial
         )
         self._rebalancer.end_reservation(head.domain)
         order = Join(group, epoch, model.name, members)
--- a/waxwingpitch/groups/ledger.py
+++ b/waxwingpitch/groups/ledger.py
@@ -29,13 +29,20 @@
 
 @dataclass(frozen=True, slots=True)
 class FormingGroup:
-    """A group being formed until a monotonic deadline; its head is the first member."""
+    """A group being formed until a monotonic deadline; its head is the first member.
+
+    Attributes
+    ----------
+    is_initial
+        Whether the members load the weights only as they join.
+    """
 
     group: str
     epoch: int
     model: ModelSpec
     members: tuple[str, ...]
     deadline: float
+    is_initial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
