Groups: a load that a target's restart ended is ordered again at once

Empty targets of a zone that had restarted stayed empty for up to 34 s: the planner waited for the loads that it had ordered before the restart, and counted them against the limit. A load now ends with the process that got it, which the start time in the target's record shows. If the host loads on nevertheless, it refuses the order, which is repeated after 2 s as before.

--- a/waxwingpitch/groups/ledger.py
+++ b/waxwingpitch/groups/ledger.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..configuration.routes import ModelSpec
 from ..targets.records import MemberState, TargetRecord
@@ -47,10 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingOrder:
-    """An order whose effect should be visible by a monotonic deadline."""
+    """An order whose effect should be visible by a monotonic deadline.
+
+    Attributes
+    ----------
+    started_ms
+        Start of the target's process that got the order.
+    """
 
     order: Order
     deadline: float
+    started_ms: int = 0
 
 
 class OrderLedger:
@@ -106,7 +113,9 @@
         """
         pending = self._find_pending(order)
         if record.id not in pending:
-            pending[record.id] = PendingOrder(order, now + effect_timeout_s)
+            pending[record.id] = PendingOrder(
+                order, now + effect_timeout_s, record.started_ms
+            )
             yield TargetOrder(record.id, order)
 
     def record_refusal(self, target: str, order: Order, now: float) -> None:
@@ -117,10 +126,13 @@
             is_load = isinstance(order, Stage)
             backoff_s = LOAD_REFUSAL_BACKOFF_S if is_load else REFUSAL_BACKOFF_S
             deadline = min(item.deadline, now + backoff_s)
-            pending[target] = PendingOrder(order, deadline)
+            pending[target] = replace(item, deadline=deadline)
 
     def drop_finished(self, view: FleetView, now: float) -> None:
-        """Drop orders that took effect, are overdue or whose targets are not listed."""
+        """Drop orders that took effect, are overdue or whose targets are not listed.
+
+        A target that restarted no longer carries out an order to load weights.
+        """
         for pending in (self._pending, self._loads):
             for target, item in list(pending.items()):
                 record = view.targets.get(target)
@@ -128,6 +140,10 @@
                     record is None
                     or now >= item.deadline
                     or _has_taken_effect(record, item.order)
+                    or (
+                        isinstance(item.order, Stage)
+                        and record.started_ms != item.started_ms
+                    )
                 ):
                     del pending[target]
 
--- a/waxwingpitch/groups/load_limit.py
+++ b/waxwingpitch/groups/load_limit.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..configuration.routes import EngineSpec, ModelSpec
 from ..targets.records import TargetRecord
@@ -21,10 +21,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadInProgress:
-    """A load of a model onto a target's host, counted until a monotonic time."""
+    """A load of a model onto a target's host, counted until a monotonic time.
+
+    Attributes
+    ----------
+    started_ms
+        Start of the target's process; None until its record is seen.
+    """
 
     model: str
     until: float
+    started_ms: int | None = None
 
 
 class LoadLimit:
@@ -52,11 +59,17 @@
         return len(self._in_progress)
 
     def drop_ended(self, targets: Mapping[str, TargetRecord]) -> None:
-        """Drop loads that have ended, or whose targets are no longer listed."""
+        """Drop loads that have ended, or whose targets restarted or left the list."""
         for target, load in list(self._in_progress.items()):
             record = targets.get(target)
-            if record is None or load.model in record.staged:
+            if (
+                record is None
+                or load.model in record.staged
+                or load.started_ms not in (None, record.started_ms)
+            ):
                 del self._in_progress[target]
+            elif load.started_ms is None:
+                self._in_progress[target] = replace(load, started_ms=record.started_ms)
 
     def cancel(self, target: str) -> None:
         """Give back the start of a load that a target refused."""
--- a/waxwingpitch/tests/test_idle_hosts.py
+++ b/waxwingpitch/tests/test_idle_hosts.py
@@ -63,3 +63,16 @@
     play(player, 30.0)
     assert player.joins_with_load == 0
     assert player.count_loads_in_window(5.0) <= find_load_bound(player)
+
+
+def test_load_that_a_restart_ended_is_ordered_again():
+    """Guards against waiting 25 to 34 s for loads that no target carries out."""
+    player = build_small(1, loss_interval_s=0.0, restart_zone_at_s=3.0)
+    player.warm_up()
+    fleet = player.fleets["a"]
+    fleet.add("new", "d0")
+    player.run(2.0)
+    assert fleet.targets["new"].staging
+    player.run(4.0)
+    assert fleet.targets["new"].record.started_ms
+    assert fleet.targets["new"].staging
--- a/waxwingpitch/tests/test_load_limit.py
+++ b/waxwingpitch/tests/test_load_limit.py
@@ -56,3 +56,16 @@
     limit = LoadLimit(3, lambda: 0)
     started = [limit.try_begin(SPEC, PAIR, f"t{n}", 0.1 * n, True) for n in range(10)]
     assert sum(started) == 1
+
+
+def test_load_of_a_target_that_restarted_no_longer_counts():
+    """A restart ends the load; counted on, it would hold up others for 17 s."""
+    fleet = FleetFake(size=2)
+    limit = LoadLimit(3, lambda: 0)
+    assert limit.try_begin(SPEC, PAIR, "t0-0", 0.0, True)
+    limit.drop_ended(fleet.view().targets)
+    assert limit.count_in_progress(1.0) == 1
+    item = fleet.targets["t0-0"]
+    item.record = replace(item.record, started_ms=5)
+    limit.drop_ended(fleet.view().targets)
+    assert limit.count_in_progress(1.0) == 0
