Groups: idle hosts load what a group or a spare of their domain needs

Callers waited up to 1.7 s for slots while 48 to 56 of 158 targets were idle. Idle targets held one staged model and were told to load the other one, which replaced the first, and then back again, each up to 5 times in a minute. These loads let no group be formed where too few targets were left in the domain, and took the store's 20 concurrent loads, so empty targets and targets that lacked one member for a group waited. Loads are now chosen for a domain at once: for a group that fits into the targets left, by pressure and by the loads that it needs, those first that need the fewest; then a spare for each model served; a spare keeps what it holds. Second models of serving targets come last, as before.

--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -95,10 +95,7 @@
             elif self._is_size_stable(domain, len(members), now):
                 self._initialized_domains.add(domain)
                 orders += self._form_initial_groups(view, members, now)
-        serving = {
-            key for key, group in observed.items() if group.state is MemberState.OPEN
-        }
-        orders += self._staging.plan(view, serving, self._initialized_domains, now)
+        orders += self._staging.plan(view, observed, self._initialized_domains, now)
         orders += self._rebalancer.rebalance(
             view,
             by_domain,
--- a/waxwingpitch/groups/staging.py
+++ b/waxwingpitch/groups/staging.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Set
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator, Mapping, Set
 
 from ..configuration.routes import EngineSpec, ModelSpec
 from ..targets.records import MemberState, TargetRecord
 from .balance import GroupRebalancer
-from .fleet import REJOIN_S, FleetView, count_models, find_join_s
+from .domain_loads import DomainLoads, IdleHost, LoadChoice
+from .fleet import REJOIN_S, FleetView, ObservedGroup, count_models
 from .ledger import EFFECT_TIMEOUT_S, OrderLedger, TargetOrder
 from .orders_to_targets import Stage
 
@@ -37,80 +39,131 @@
     def plan(
         self,
         view: FleetView,
-        serving: Set[tuple[str, int]],
+        groups: Mapping[tuple[str, int], ObservedGroup],
         initialized_domains: Set[str],
         now: float,
     ) -> Iterator[TargetOrder]:
         """Load onto each host the model that its target would need next.
 
-        Targets without any weights come first, and idle ones before those in a group.
-        A target with the weights of two models on its host can change between them
-        without loading from the weight store.
+        Loads that idle targets need come first. A target with the weights of two
+        models on its host can change between them without the weight store.
         """
+        serving = {
+            key for key, group in groups.items() if group.state is MemberState.OPEN
+        }
         idle = {
-            record.id
+            record.id: record
             for record in view.targets.values()
-            if record.membership is None
-            or record.membership.state in (MemberState.READY, MemberState.BROKEN)
-            and (record.membership.group, record.membership.epoch) not in serving
+            if self._is_idle(view, record, serving)
         }
-        ranked = sorted(
-            view.targets.values(),
-            key=lambda record: (count_models(record), record.id not in idle),
+        choices = sorted(
+            self._choose_for_idle(view, groups, idle, initialized_domains, now),
+            key=lambda choice: choice.rank,
         )
-        for record in ranked:
-            if (
-                record.leaving
-                or record.id in view.unreachable
-                or record.domain not in initialized_domains
-                or self._ledger.find_order(record.id) is not None
-                or self._ledger.find_load(record.id) is not None
+        for choice in choices:
+            if not self._may_begin(view, choice.model, choice.record, now, True):
+                return
+            yield from self._order(choice.record, choice.model, now)
+        for record in view.targets.values():
+            if record.domain not in initialized_domains or not self._may_order(
+                view, record
             ):
                 continue
-            model = self._choose_to_stage(view, record, idle)
+            model = self._choose_second(view, record)
             if model is None:
                 continue
-            is_urgent = record.id in idle
-            if view.has_traffic and not self._may_load(
-                view.spec, model, record.id, now, is_urgent
-            ):
+            if not self._may_begin(view, model, record, now, False):
                 return
-            effect_timeout_s = model.load_s * 2 + EFFECT_TIMEOUT_S
-            yield from self._ledger.issue(
-                record, Stage(model.name), effect_timeout_s, now
+            yield from self._order(record, model, now)
+
+    def _is_idle(
+        self, view: FleetView, record: TargetRecord, serving: Set[tuple[str, int]]
+    ) -> bool:
+        place = record.membership
+        return (
+            not record.leaving
+            and record.id not in view.unreachable
+            and not self._ledger.is_forming(record.id)
+            and (
+                place is None
+                or place.state in (MemberState.READY, MemberState.BROKEN)
+                and (place.group, place.epoch) not in serving
             )
+        )
 
-    def _choose_to_stage(
-        self, view: FleetView, record: TargetRecord, idle: Set[str]
-    ) -> ModelSpec | None:
-        """Return the model with the most pressure per load time needed, or None."""
-        if count_models(record) > 1:
-            return None
-        if self._ledger.is_forming(record.id) and not record.model:
-            return None
-        not_loaded = [
-            model
-            for model in view.spec.models
-            if model.name != record.model and model.name not in record.staged
-        ]
-
-        def _score(model: ModelSpec) -> float:
-            missing = self._count_missing(view, record.domain, model, idle)
-            cost_s = max(model.load_s, REJOIN_S) * missing
-            return self._rebalancer.find_pressure(view, model) / cost_s
-
-        return max(not_loaded, key=_score, default=None)
-
-    def _count_missing(
-        self, view: FleetView, domain: str, model: ModelSpec, idle: Set[str]
-    ) -> int:
-        """Return how many idle targets a domain lacks for another group of a model."""
-        available = 0
-        for target in idle:
-            record = view.targets[target]
-            load = self._ledger.find_load(target)
-            available += record.domain == domain and (
-                find_join_s(model, record) is not None
-                or (load is not None and load.model == model.name)
+    def _may_order(self, view: FleetView, record: TargetRecord) -> bool:
+        return (
+            not record.leaving
+            and record.id not in view.unreachable
+            and self._ledger.find_order(record.id) is None
+            and self._ledger.find_load(record.id) is None
+        )
+
+    def _may_begin(
+        self,
+        view: FleetView,
+        model: ModelSpec,
+        record: TargetRecord,
+        now: float,
+        is_urgent: bool,
+    ) -> bool:
+        return not view.has_traffic or self._may_load(
+            view.spec, model, record.id, now, is_urgent
+        )
+
+    def _order(
+        self, record: TargetRecord, model: ModelSpec, now: float
+    ) -> Iterator[TargetOrder]:
+        effect_timeout_s = model.load_s * 2 + EFFECT_TIMEOUT_S
+        yield from self._ledger.issue(record, Stage(model.name), effect_timeout_s, now)
+
+    def _choose_for_idle(
+        self,
+        view: FleetView,
+        groups: Mapping[tuple[str, int], ObservedGroup],
+        idle: Mapping[str, TargetRecord],
+        initialized_domains: Set[str],
+        now: float,
+    ) -> Iterator[LoadChoice]:
+        """Yield the loads that the idle targets of each domain need."""
+        by_domain: dict[str, list[IdleHost]] = defaultdict(list)
+        for record in idle.values():
+            load = self._ledger.find_load(record.id)
+            by_domain[record.domain].append(
+                IdleHost(
+                    record,
+                    "" if load is None else load.model,
+                    self._may_order(view, record),
+                )
+            )
+        serving: dict[str, Counter[str]] = defaultdict(Counter)
+        for group in groups.values():
+            if group.state is MemberState.OPEN:
+                serving[group.head.domain][group.head.model] += 1
+        for domain in sorted(by_domain.keys() & initialized_domains):
+            hosts = by_domain[domain]
+            models = [
+                model
+                for model in view.spec.models
+                if self._rebalancer.may_form(model, hosts[0].record, now)
+            ]
+            loads = DomainLoads(
+                models,
+                serving[domain],
+                lambda model, extra: self._rebalancer.find_pressure(
+                    view, model, extra=extra
+                ),
             )
-        return model.size - available % model.size
+            yield from loads.choose(hosts)
+
+    def _choose_second(self, view: FleetView, record: TargetRecord) -> ModelSpec | None:
+        """Return the model to load beside the one in memory, or None."""
+        if not record.model or count_models(record) > 1:
+            return None
+        others = [model for model in view.spec.models if model.name != record.model]
+        return max(
+            others,
+            key=lambda model: self._rebalancer.find_pressure(view, model)
+            / max(model.load_s, REJOIN_S),
+            default=None,
+        )
