--- a/waxwingpitch/tests/zone_load.py
+++ b/waxwingpitch/tests/zone_load.py
@@ -267,7 +267,7 @@
         ended, self._owners[zone] = self._owners[zone], [self._build_owner(zone)]
         for client, held in self._held[zone].items():
             self._owners[zone][0].ledger.reconcile(client, held, self.now)
-        waiting = [ticket.payload.number for owner in ended for ticket in owner._queue]
+        waiting = [item.number for owner in ended for item in owner._queue]
         for number in waiting:
             item = self._asked[number]
             if item.zone == zone:
