Callers: what a review of the account of their connections found

Blank lines kept a connection for good and could not be evicted; one connection could be evicted twice in a loop round, so that all places were taken and nobody was told; an idle connection was closed with its next request unread; a legal head was refused with 431 if it came in one read with the end of another request; callers beyond the bound were reset at a stop.

--- a/waxwingpitch/forwarding/connection.py
+++ b/waxwingpitch/forwarding/connection.py
@@ -16,6 +16,7 @@
 
 from ..configuration.routes import CallerLimits
 from ..memory import CallerAccount, HoldKind, Rejection, RejectionReason
+from ..memory.account import RETRY_AFTER_S
 from .answers import Answer, AnswerHead, Headers, format_answer
 from .parsing import CallerRequest, MalformedRequestError, RequestReader
 from .responder import CallerDisconnectedError, Handler, Responder
@@ -127,10 +128,15 @@
     def _take(self, data: bytes) -> None:
         """Parse bytes, and serve what is complete if there is memory for all of it."""
         now = time.monotonic()
-        self._hold.receive(len(data), now)
         had_partial = self._reader.has_partial_request
         completed = self._reader.feed(data)
-        if completed or not had_partial:
+        if completed or self._reader.has_partial_request:
+            self._hold.receive(len(data), now)
+        elif self.is_idle and now - self._idle_since >= self._limits.idle_timeout_s:
+            # Blank lines in front of a request neither begin one nor keep a connection.
+            self._shut_down()
+            return
+        if completed or (self._reader.has_partial_request and not had_partial):
             self._hold.mark_progress(now)
         self._pending.extend((req, now) for req in completed)
         self._record_held()
@@ -144,7 +150,11 @@
 
     def _evict(self, rejection: Rejection) -> None:
         """Take all that is not being served, and close behind the current answer."""
-        if self.is_idle and not self._reader.has_partial_request:
+        if self._hold.is_ending:
+            return
+        self._hold.is_ending = True
+        has_request = self._reader.has_partial_request or self._has_unread_bytes()
+        if self.is_idle and not has_request:
             self._log_rejection(rejection)
             self._shut_down()
             return
@@ -340,3 +350,24 @@
                 "open_ms": round(1000 * (time.monotonic() - self._opened_at)),
             },
         )
+
+
+def refuse_connection(sock: socket.socket) -> None:
+    """Answer that no request of a connection runs, and close it once that was read.
+
+    Closing it at once would reset it, as its request is not read.
+    """
+    reason = RejectionReason.CONNECTIONS.value
+    headers: Headers = ((b"Retry-After", b"%.2f" % RETRY_AFTER_S),)
+    answer = Answer(AnswerHead(503, headers), f"full: {reason}\n".encode())
+    deadline = time.monotonic() + LINGER_S
+    try:
+        sock.settimeout(LINGER_S)
+        sock.sendall(format_answer(answer, close=True))
+        sock.shutdown(socket.SHUT_WR)
+        while time.monotonic() < deadline and sock.recv(READ_BYTES):
+            gevent.sleep(0)
+    except OSError as exc:
+        logger.debug("caller disconnected before it was refused: %s", exc)
+    finally:
+        sock.close()
--- a/waxwingpitch/forwarding/listener.py
+++ b/waxwingpitch/forwarding/listener.py
@@ -13,7 +13,7 @@
 
 from ..configuration.routes import CallerLimits
 from ..memory import CallerAccount, CallerBounds
-from .connection import CallerConnection
+from .connection import CallerConnection, refuse_connection
 from .responder import Handler
 
 BACKLOG = 1024
@@ -130,10 +130,10 @@
         conn = CallerConnection(sock, self)
         if not conn.is_accepted:
             logger.info(
-                "connection closed at once, too many are open",
+                "connection refused, too many are open",
                 extra={"connections": self.account.connections},
             )
-            sock.close()
+            gevent.spawn(refuse_connection, sock)
             return None
         self._conns.add(conn)
         return conn
--- a/waxwingpitch/forwarding/parsing.py
+++ b/waxwingpitch/forwarding/parsing.py
@@ -103,6 +103,7 @@
         self._completed: deque[CallerRequest] = deque()
         self.has_partial_request = False
         self.error: MalformedRequestError | None = None
+        self._has_begun = False
         self._reset()
 
     def feed(self, data: bytes) -> list[CallerRequest]:
@@ -126,6 +127,7 @@
 
     def _parse(self, data: bytes) -> None:
         self._unframed_bytes += len(data)
+        self._has_begun = False
         try:
             self._parser.feed_data(data)
         except MalformedRequestError:
@@ -142,9 +144,16 @@
         if self._in_body:
             self._check_head_size(self._unframed_bytes - LAST_CHUNK_BYTES, "trailers")
         else:
-            self._head_size += len(data)
+            # Bytes in front of the head, of the request before it, do not count.
+            added = self._count_head_bytes() if self._has_begun else len(data)
+            self._head_size += added
             self._check_head_size(self._head_size)
 
+    def _count_head_bytes(self) -> int:
+        return len(self._target) + sum(
+            len(name) + len(value) + 4 for name, value in self._headers
+        )
+
     def close(self) -> None:
         """Release what is held, which else is only freed by a garbage collection."""
         self._reset()
@@ -184,7 +193,7 @@
 
     def on_message_begin(self) -> None:
         self._reset()
-        self.has_partial_request = True
+        self.has_partial_request = self._has_begun = True
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -199,9 +208,7 @@
     def on_headers_complete(self) -> None:
         self._in_body = True
         self._unframed_bytes = 0
-        self._head_size = len(self._target) + sum(
-            len(name) + len(value) + 4 for name, value in self._headers
-        )
+        self._head_size = self._count_head_bytes()
         self._check_head_size(self._head_size)
         if not self._target.startswith(b"/"):
             raise MalformedRequestError(400, "the request target is not a path")
