Queue, memory, zones: what a review of the owner of slots found

A token count of 400 digits closed the links of the hosts that it was sent over; a request whose host must not use the free replicas kept all others waiting; one that fits nowhere made all memory look small; idle replicas and last slots were refused by the half of a new owner and by rounding; a request that another zone declined was refused for newcomers; a zone without a replica refused in place of declining, and a request could be passed back to the zone it came from.

--- a/waxwingpitch/admission/fresh.py
+++ b/waxwingpitch/admission/fresh.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
 from .queue import QUEUED_PER_PRIORITY, FairQueue, Ticket
 
@@ -51,21 +51,29 @@
         self._next_move_at = min(self._next_move_at, ticket.latest_start_at)
         return self._on_time.push(ticket)
 
-    def peek(self, now: float, per_s: float = math.inf) -> Ticket | None:
+    def peek(
+        self,
+        now: float,
+        per_s: float = math.inf,
+        passed_over: Container[str] = (),
+    ) -> Ticket | None:
         """Return the ticket to serve next at a monotonic time.
 
         Parameters
         ----------
         per_s
             Requests that are served in a second.
+        passed_over
+            Names of tickets that are left out.
         """
         self._move_late(now)
-        on_time, late = self._on_time.peek(), self._late.peek()
+        on_time = self._on_time.peek(passed_over)
+        late = self._late.peek(passed_over)
         if late is None or (on_time is not None and on_time.priority < late.priority):
             return on_time
-        urgent = self._list_urgent(late.priority, now, per_s)
-        if urgent:
-            return urgent[0]
+        for ticket in self._list_urgent(late.priority, now, per_s):
+            if ticket.request not in passed_over:
+                return ticket
         if on_time is not None and on_time.priority == late.priority:
             return on_time
         return late
--- a/waxwingpitch/admission/queue.py
+++ b/waxwingpitch/admission/queue.py
@@ -5,7 +5,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Container, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -137,10 +137,16 @@
         queue.push(ticket, next(self._order))
         return True
 
-    def peek(self) -> Ticket | None:
-        """Return the ticket to serve next."""
-        queue = self._find_first()
-        return queue.heap[0][2] if queue is not None else None
+    def peek(self, passed_over: Container[str] = ()) -> Ticket | None:
+        """Return the ticket to serve next; those passed over are left out."""
+        if not passed_over:
+            queue = self._find_first()
+            return queue.heap[0][2] if queue is not None else None
+        for _, queue in sorted(self._queues.items()):
+            for _, _, ticket in sorted(queue.heap, key=lambda item: item[:2]):
+                if ticket.request not in passed_over:
+                    return ticket
+        return None
 
     def pop(self) -> Ticket | None:
         """Remove and return the ticket to serve next."""
--- a/waxwingpitch/gateway/passed_on.py
+++ b/waxwingpitch/gateway/passed_on.py
@@ -26,6 +26,8 @@
         Target that was granted, and the monotonic time of it; empty and 0 before.
     may_wait
         Whether the request may wait at the other owner.
+    is_passed_on
+        Whether a third zone's owner had passed it on.
     """
 
     client: str
@@ -36,6 +38,7 @@
     target: str = ""
     since: float = 0.0
     may_wait: bool = False
+    is_passed_on: bool = False
 
 
 class PassedOnTable:
--- a/waxwingpitch/gateway/routed.py
+++ b/waxwingpitch/gateway/routed.py
@@ -202,9 +202,11 @@
     value = req.find(HeaderNames.TOKEN_COUNTS) or b""
     prompt, _, answer = value.partition(b",")
     try:
-        return max(0, int(prompt)), max(0, int(answer))
+        counts = max(0, int(prompt)), max(0, int(answer))
     except ValueError:
         return 0, 0
+    # Larger numbers can't be sent to peers.
+    return min(counts[0], MAX_TOKENS), min(counts[1], MAX_TOKENS)
 
 
 def _read_shared_parts(req: CallerRequest, service: str) -> tuple[str, ...]:
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -476,6 +476,7 @@
             decision.request,
             self._roster.find_owner(key) or "",
             may_wait=decision.may_wait,
+            is_passed_on=decision.is_passed_on,
         )
         if not self._passed_on.ask(number, item):
             gevent.spawn(self._take_back, number)
@@ -508,6 +509,7 @@
             item.key.zone,
             now,
             has_waited=item.may_wait,
+            is_passed_on=item.is_passed_on,
         )
         self._carry_out(owner, decisions)
 
--- a/waxwingpitch/slots/common.py
+++ b/waxwingpitch/slots/common.py
@@ -167,6 +167,8 @@
     reason, gain, report_age_s
         Why, the expected gain, and the age of the report that it rests on; see
         ``routing.common.Leave``.
+    is_passed_on
+        Whether it had come from a third zone's owner.
     """
 
     client: str
@@ -177,6 +179,7 @@
     reason: str = ""
     gain: float = 0.0
     report_age_s: float = 0.0
+    is_passed_on: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -47,6 +47,8 @@
 REFUSED_WINDOW_S = 1.0
 # Time after which a request is asked to come back whose retry was not covered.
 NEXT_RETRY_S = 0.5
+# Requests whose hosts must not use the free replicas that are passed over for others.
+MAX_PASSED_OVER = 8
 # Retries of which it is remembered what they were paid from.
 MAX_PERMITS = 4096
 # Latency objective assumed at least for a request whose objective is not known.
@@ -110,6 +112,7 @@
         """
         self._offers = {offer.id: offer for offer in offers}
         self._cold.per_s = cold_per_s
+        self.room.set_offers(self._offers.values())
         self.rates.keep(self._offers.keys())
         self._speeds.keep(self._offers.keys())
 
@@ -148,6 +151,8 @@
         The retry that it may be was taken from that owner's budget.
         """
         self.room.record(req, now)
+        if not any(self._is_usable(item, now) for item in self._offers.values()):
+            return [Declined(client, number)]
         waiting = Waiting(client, number, req, is_passed_on=True)
         offer = None if len(self._queue) else self._choose(req, now)
         if offer is not None:
@@ -193,18 +198,25 @@
         now: float,
         *,
         has_waited: bool = False,
+        is_passed_on: bool = False,
     ) -> list[Decision]:
         """Decide on a request that another zone declined, or did not answer.
 
+        It was accepted here, so that it is not refused for those that came since.
+
         Parameters
         ----------
         has_waited
             Whether it waited there until the owner was gone.
+        is_passed_on
+            Whether a third zone's owner had passed it on to this one.
         """
         self.zones.record_declined(zone, has_waited=has_waited)
-        waiting = Waiting(client, number, req)
+        waiting = Waiting(client, number, req, is_passed_on)
         decision = self._place(waiting, now)
-        return [decision] if decision else self._queue_or_refuse(waiting, now)
+        if decision is not None:
+            return [decision]
+        return self._queue_or_refuse(waiting, now, is_accepted=True)
 
     def reconcile_sends(
         self, client: str, reports: Iterable[ReportedSends], now: float
@@ -283,12 +295,18 @@
             for item in self._queue.drop_expired(now)
         ]
         per_s = self._find_served_per_s(now)
-        while (waiting := self._queue.peek(now, per_s)) is not None:
+        paused: set[str] = set()
+        while (ticket := self._queue.peek(now, per_s, paused)) is not None:
+            waiting = ticket.payload
             decision = self._place(waiting, now, is_queued=True)
-            if decision is None:
+            if decision is not None:
+                self._queue.take(ticket)
+                decisions.append(decision)
+            elif waiting.is_paused(now) and len(paused) < MAX_PASSED_OVER:
+                # Its host must not use the replicas that are free; others may.
+                paused.add(ticket.request)
+            else:
                 break
-            self._queue.take(now, per_s)
-            decisions.append(decision)
         return decisions + self._evict(now)
 
     def summarize(self, now: float) -> KeySummary:
@@ -375,6 +393,7 @@
             str(leave.reason),
             leave.gain,
             leave.report_age_s,
+            waiting.is_passed_on,
         )
 
     def _measure_load(
@@ -471,11 +490,18 @@
             for offer in offers
         )
 
-    def _queue_or_refuse(self, waiting: Waiting, now: float) -> list[Decision]:
+    def _queue_or_refuse(
+        self, waiting: Waiting, now: float, *, is_accepted: bool = False
+    ) -> list[Decision]:
         client, number, req = waiting.client, waiting.number, waiting.request
         if not self.room.can_ever_fit(self._offers.values(), req):
             return [self._refuse(client, number, NEXT_RETRY_S, TOO_LARGE, now)]
-        refusal = self._queue.add(waiting, self._measure_pressure(waiting, now), now)
+        pressure = self._measure_pressure(waiting, now)
+        is_accepted = is_accepted and pressure.slots > 0
+        refusal = self._queue.add(waiting, pressure, now, is_accepted=is_accepted)
+        if refusal is None and self._choose(req, now) is not None:
+            # Those ahead can't use the slots that are free.
+            return self.assign(now)
         if refusal is None:
             return self._evict(now)
         retry_after_s = refusal.retry_after_s
--- a/waxwingpitch/slots/room.py
+++ b/waxwingpitch/slots/room.py
@@ -26,6 +26,10 @@
 TAKEOVER_S = REPORT_DELAY_S + 0.7
 # Share of the memory that a new owner uses until then.
 TAKEOVER_SHARE = 0.5
+# Time without a request after which an owner knows of no other one's grants.
+IDLE_S = 5.0
+# What sums of shares may be above the memory by rounding.
+ROUNDING_TOKENS = 0.5
 
 
 class MemoryRoom:
@@ -43,13 +47,23 @@
     def __init__(self, ledger: SlotLedger):
         self._ledger = ledger
         self._mean_tokens = 0.0
-        self._started_at: float | None = None
+        self._started_at = self._asked_at = -math.inf
+        self._largest: int | None = None
+
+    def set_offers(self, offers: Iterable[SlotOffer]) -> None:
+        """Take note of the replicas whose memory is counted."""
+        known = [item.kv_capacity for item in offers if item.kv_capacity is not None]
+        self._largest = max(known, default=None)
 
     def record(self, req: SlotRequest, now: float) -> None:
-        """Take note of a request; the first one starts the owner's time."""
-        if self._started_at is None:
+        """Take note of a request; the first one for long starts the owner's time.
+
+        One that fits nowhere does not count for the mean of those that do.
+        """
+        if now - self._asked_at > IDLE_S:
             self._started_at = now
-        if req.tokens:
+        self._asked_at = now
+        if 0 < req.tokens <= (self._largest or 0):
             known = self._mean_tokens or req.tokens
             self._mean_tokens = known + NEWEST_SAMPLE_WEIGHT * (req.tokens - known)
 
@@ -65,16 +79,19 @@
         """Whether a request fits into what is free of a replica's memory."""
         if offer.kv_capacity is None:
             return True
+        held = self._count_held(offer)
         need = req.tokens or self._find_share(offer)
-        is_new = self._started_at is None or now - self._started_at < TAKEOVER_S
+        if not held:
+            return need <= offer.kv_capacity + ROUNDING_TOKENS
+        is_new = now - self._started_at < TAKEOVER_S
         usable = offer.kv_capacity * (TAKEOVER_SHARE if is_new else 1.0)
-        return self._count_held(offer) + need <= usable
+        return held + need <= usable + ROUNDING_TOKENS
 
     def limit_slots(self, offer: SlotOffer, slots: float) -> float:
         """Return the slots of a replica that requests of the mean size can use."""
         if offer.kv_capacity is None or not self._mean_tokens:
             return slots
-        return min(slots, offer.kv_capacity / self._mean_tokens)
+        return min(slots, max(1.0, offer.kv_capacity / self._mean_tokens))
 
     def count_free(self, offer: SlotOffer, now: float) -> float:
         """Return the number of requests of the mean size that a replica may get now."""
--- a/waxwingpitch/slots/waiting.py
+++ b/waxwingpitch/slots/waiting.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from dataclasses import dataclass, replace
 
 from ..admission import OnTimeFirstQueue, Ticket
@@ -60,6 +60,10 @@
         has_run = self.request.resume_deadline is not None
         return RESUME_PRIORITY if has_run else self.request.priority
 
+    def is_paused(self, now: float) -> bool:
+        """Whether its host must not use some replicas now."""
+        return bool(self.request.excluded) and now < self.request.excluded_until
+
 
 class WaitingRequests:
     """Queue of one owner, with what it knows of service times and of its load."""
@@ -86,8 +90,22 @@
         """Return the number of requests of a request's priority and higher ones."""
         return self._queue.count_ahead(waiting.priority)
 
-    def add(self, waiting: Waiting, pressure: Pressure, now: float) -> Refuse | None:
-        """Queue a request, or return its refusal if it can't be served in time."""
+    def add(
+        self,
+        waiting: Waiting,
+        pressure: Pressure,
+        now: float,
+        *,
+        is_accepted: bool = False,
+    ) -> Refuse | None:
+        """Queue a request, or return its refusal if it can't be served in time.
+
+        Parameters
+        ----------
+        is_accepted
+            Whether it was accepted before, so that it is only refused once others leave
+            it no time.
+        """
         req = waiting.request
         known_cost = self._mean_cost or req.cost
         self._mean_cost = known_cost + NEWEST_SAMPLE_WEIGHT * (req.cost - known_cost)
@@ -108,7 +126,7 @@
             latest_start_at=self._find_latest_on_time_start(req, now),
         )
         is_on_time = self._can_be_on_time(ticket, pressure, now)
-        if not is_on_time:
+        if not is_on_time and not is_accepted:
             decision = decide_admission(
                 pressure,
                 now=now,
@@ -124,14 +142,21 @@
         wait_s = forecast_wait_s(pressure)
         return Refuse(limit_retry_after(wait_s, req.deadline - now))
 
-    def peek(self, now: float, per_s: float) -> Waiting | None:
-        """Return the request to serve next, if so many are served in a second."""
-        ticket = self._queue.peek(now, per_s)
-        return None if ticket is None else ticket.payload
+    def peek(
+        self, now: float, per_s: float, passed_over: Container[str] = ()
+    ) -> Ticket | None:
+        """Return the ticket to serve next, if so many are served in a second.
+
+        Parameters
+        ----------
+        passed_over
+            Names of tickets that are left out.
+        """
+        return self._queue.peek(now, per_s, passed_over)
 
-    def take(self, now: float, per_s: float) -> None:
-        """Remove the request to serve next, as served."""
-        self._queue.pop(now, per_s)
+    def take(self, ticket: Ticket) -> None:
+        """Remove a ticket, as served."""
+        self._queue.take(ticket)
 
     def drop(self, client: str, number: int) -> None:
         """Forget a request, if it waits."""
--- a/waxwingpitch/tests/test_room.py
+++ b/waxwingpitch/tests/test_room.py
@@ -14,6 +14,10 @@
 
 import pytest
 
+from ..forwarding import CallerRequest
+from ..gateway.routed import _read_token_counts
+from ..gateway.slot_wire import encode_request
+from ..mesh.messages import decode_message, encode_message
 from ..platform.documents import decode_routed_configuration
 from ..slots import Granted, Refused, SlotKey, SlotOffer, SlotOwner, SlotRequest
 from ..slots.budget import SharedRetryBudget
@@ -227,3 +231,67 @@
     document = {"version": 1, "routes": [], "services": services}
     configuration = decode_routed_configuration(json.dumps(document).encode())
     assert configuration.services["models"].engine.kv_capacity == expected
+
+
+def build_room_owner(kv_capacity: int, capacity: int, replicas: int = 1) -> SlotOwner:
+    budget = SharedRetryBudget(ratio=0.2, slack=100.0, window_s=10.0, owners=1)
+    owner = SlotOwner(KEY, budget)
+    offers = (
+        SlotOffer(f"t{n}", "", "a", "models", "m", capacity, 1, kv_capacity=kv_capacity)
+        for n in range(replicas)
+    )
+    owner.set_offers(tuple(offers), 100)
+    return owner
+
+
+def ask_for(owner: SlotOwner, number: int, tokens: int, now: float):
+    req = SlotRequest(
+        f"r{number}", "models", "m", "w", 1, 10.0, now + 6.0, tokens=tokens
+    )
+    return owner.request("h", number, req, now)
+
+
+# Guards against one oversized request after which all memory looks too small.
+def test_request_that_fits_nowhere_leaves_the_slots_of_others():
+    owner = build_room_owner(20_000, 17, replicas=3)
+    assert isinstance(ask_for(owner, 1, 100_000_000, 0.0)[0], Refused)
+    assert owner.summarize(0.0).slots >= 3
+    for number in range(2, 40):
+        ask_for(owner, number, 1000, 0.0)
+    assert owner.summarize(5.0).slots > 20
+
+
+def test_idle_replica_takes_a_request_that_needs_all_of_it():
+    owner = build_room_owner(10_000, 1)
+    assert isinstance(ask_for(owner, 1, 0, 0.0)[0], Granted)
+
+
+@pytest.mark.parametrize(
+    ("kv_capacity", "capacity"), [(50_000, 6), (100_000, 24), (10_000, 12)]
+)
+def test_requests_that_tell_no_tokens_can_use_all_slots(kv_capacity, capacity):
+    owner = build_room_owner(kv_capacity, capacity)
+    ask_for(owner, 0, 0, 0.0)
+    taken = [ask_for(owner, number, 0, 3.0) for number in range(1, capacity)]
+    assert all(isinstance(item[0], Granted) for item in taken)
+
+
+# Guards against an owner that once had a request and takes over much later.
+def test_owner_without_requests_for_long_begins_with_half_of_the_memory():
+    owner = build_room_owner(20_000, 17, replicas=3)
+    ask_for(owner, 0, 1000, 0.0)
+    granted = [ask_for(owner, number, 1000, 3600.0) for number in range(1, 60)]
+    count = sum(bool(item) and isinstance(item[0], Granted) for item in granted)
+    assert count * 1000 <= 0.5 * 3 * 20_000
+
+
+# Guards against a number that closes the links of the hosts that it is sent over.
+def test_token_counts_of_any_length_can_be_sent_to_a_peer():
+    headers = ((b"Token-Counts", b"9" * 400 + b"," + b"9" * 400),)
+    req = CallerRequest(b"POST", b"/x", headers, b"", True)
+    prompt, answer = _read_token_counts(req)
+    asked = SlotRequest(
+        "r", "pool", "m", "w", 1, prompt + 10 * answer, 9.0, tokens=prompt + answer
+    )
+    message = decode_message(encode_message(encode_request(1, KEY, asked, 0.0)))
+    assert message.cost == prompt + 10 * answer
--- a/waxwingpitch/tests/test_slot_owner.py
+++ b/waxwingpitch/tests/test_slot_owner.py
@@ -515,3 +515,35 @@
     max_examples=150, stateful_step_count=30, deadline=None
 )
 TestOwners = OwnerMachine.TestCase
+
+
+# Guards against a request that can't use the free slots and keeps all others waiting.
+def test_request_whose_host_pauses_all_replicas_is_passed_over():
+    owner = build_owner()
+    fill(owner)
+    paused = build_request(priority=0, excluded=frozenset(TARGETS), excluded_until=2.0)
+    owner.request("h2", 10, paused, 0.0)
+    owner.request("h1", 11, build_request(), 0.0)
+    (granted,) = owner.release("h1", 0, 0.1)
+    assert isinstance(granted, Granted) and granted.number == 11
+    assert owner.release("h1", 1, 0.1) == []
+    (granted,) = owner.request("h3", 12, build_request(0.2), 0.2)
+    assert isinstance(granted, Granted) and granted.number == 12
+    assert owner.count_waiting() == 1
+
+
+# Guards against a refusal of what was accepted and another zone declined meanwhile.
+def test_request_that_another_zone_declined_is_not_refused_for_newcomers():
+    owner = build_measured_owner()
+    waiting = 0
+    while not owner.request("h2", 100 + waiting, build_request(), 0.0):
+        waiting += 1
+    decisions = owner.take_back("h3", 999, build_request(), "b", 0.0)
+    refused = {item.number for item in decisions if isinstance(item, Refused)}
+    assert len(refused) <= 1
+
+
+def test_zone_without_a_replica_declines_what_is_passed_on_to_it():
+    owner = build_owner(accepts=lambda target, epoch, now: False)
+    (declined,) = owner.request_passed_on("b-owner", 1, build_request(), 0.0)
+    assert isinstance(declined, Declined)
