--- a/waxwingpitch/tests/test_room.py
+++ b/waxwingpitch/tests/test_room.py
@@ -17,7 +17,7 @@
 from ..forwarding import CallerRequest
 from ..gateway.routed import _read_token_counts
 from ..gateway.slot_wire import encode_request
-from ..mesh.messages import decode_message, encode_message
+from ..mesh import decode_message, encode_message
 from ..platform.documents import decode_routed_configuration
 from ..slots import Granted, Refused, SlotKey, SlotOffer, SlotOwner, SlotRequest
 from ..slots.budget import SharedRetryBudget
