--- a/waxwingpitch/gateway/slot_use.py
+++ b/waxwingpitch/gateway/slot_use.py
@@ -26,6 +26,7 @@
         is_retry=attempts.sends > 0,
         is_repeated=attempts.has_asked,
         tokens=ctx.tokens,
+        objective_s=ctx.route.latency_objective_s,
     )
 
 
--- a/waxwingpitch/gateway/slot_wire.py
+++ b/waxwingpitch/gateway/slot_wire.py
@@ -61,6 +61,7 @@
         may_wait=may_wait,
         is_repeated=req.is_repeated,
         tokens=req.tokens,
+        objective_s=req.objective_s,
     )
 
 
@@ -83,6 +84,7 @@
         is_retry=message.is_retry,
         is_repeated=message.is_repeated,
         tokens=max(0, message.tokens),
+        objective_s=message.objective_s,
     )
 
 
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -31,6 +31,8 @@
         Whether an owner was asked for the same attempt before.
     tokens
         Tokens of the prompt and the expected answer; 0 if they are not told.
+    objective_s
+        Latency objective of the route; 0 if not known.
     """
 
     number: int
@@ -52,6 +54,7 @@
     may_wait: bool = False
     is_repeated: bool = False
     tokens: int = 0
+    objective_s: float = 0.0
 
 
 class SlotGrant(MeshMessage, tag=31):
--- a/waxwingpitch/platform/documents.py
+++ b/waxwingpitch/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from ..configuration.routes import (
@@ -15,6 +17,7 @@
     ServiceShare,
     ServiceSpec,
 )
+from ..configuration.zone_delays import read_zone_delays
 from ..decoding import MAX_NUMBER, Count, DurationMs, Number, decode_json, parse_address
 from ..errors import ConfigurationError
 from ..targets.records import Membership, MemberState, TargetRecord
@@ -79,6 +82,7 @@
     form_ms: float = 0.0
     usual: _UsualRequest = msgspec.field(default_factory=_UsualRequest)
     kv_capacity: float | None = None
+    delays: Any = None
 
 
 class _Service(msgspec.Struct):
@@ -257,6 +261,7 @@
             ModelSpec(*msgspec.structs.astuple(model)) for model in item.models
         ),
         kv_capacity=int(min(max(0, item.kv_capacity or 0), MAX_NUMBER)) or None,
+        zone_delays=read_zone_delays(item.delays),
     )
 
 
--- a/waxwingpitch/platform/settings.py
+++ b/waxwingpitch/platform/settings.py
@@ -61,4 +61,5 @@
         memory_mb=reader.number("limits", "memory_mb"),
         max_fds=int(reader.number("limits", "max_fds", default=DEFAULT_MAX_FDS)),
         is_first_start=fields.get("bootstrap") is True,
+        may_leave_zone=reader.flag("zone_spillover", default=True),
     )
--- a/waxwingpitch/settings/fields.py
+++ b/waxwingpitch/settings/fields.py
@@ -33,6 +33,11 @@
             )
         )
 
+    def flag(self, *names: str, default: bool) -> bool:
+        return self._read(
+            names, lambda value: isinstance(value, bool), "true or false", default
+        )
+
     def table(self, *names: str) -> Mapping[str, Any]:
         return self._read(names, lambda value: isinstance(value, dict), "a table")
 
--- a/waxwingpitch/settings/gateway.py
+++ b/waxwingpitch/settings/gateway.py
@@ -89,6 +89,8 @@
         Descriptors that the process may have open, those reserved for files included.
     is_first_start
         Whether the whole system starts for the first time.
+    may_leave_zone
+        Whether requests may leave a zone that has a usable replica.
     """
 
     name: str
@@ -107,3 +109,4 @@
     memory_mb: float
     max_fds: int
     is_first_start: bool = False
+    may_leave_zone: bool = True
--- a/waxwingpitch/slots/common.py
+++ b/waxwingpitch/slots/common.py
@@ -101,6 +101,8 @@
         attempt is not counted again.
     tokens
         Tokens of its prompt and its expected answer; 0 if they are not told.
+    objective_s
+        Latency objective of the route; 0 if not known.
     """
 
     request: str
@@ -118,6 +120,7 @@
     is_retry: bool = False
     is_repeated: bool = False
     tokens: int = 0
+    objective_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +164,11 @@
     ----------
     may_wait
         Whether it may wait there; otherwise that owner grants a slot or declines.
+    reason, gain, report_age_s
+        Why, the expected gain, and the age of the report that it rests on; see
+        ``routing.common.Leave``.
+    is_passed_on
+        Whether it had come from a third zone's owner.
     """
 
     client: str
@@ -168,6 +176,10 @@
     zone: str
     request: SlotRequest
     may_wait: bool = False
+    reason: str = ""
+    gain: float = 0.0
+    report_age_s: float = 0.0
+    is_passed_on: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,9 +227,3 @@
     service_s: float = 1.0
     retry_counts: RetryCounts = RetryCounts()
     withheld: int = 0
-
-    def find_wait_s(self, added: int) -> float:
-        """Return the time until the queue, with requests added to it, is served."""
-        if not self.slots:
-            return math.inf
-        return (self.waiting + added) * self.service_s / self.slots
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -14,7 +14,9 @@
 from dataclasses import replace
 
 from ..admission.forecast import Pressure, forecast_wait_s, limit_retry_after
-from ..routing.placement import ZONE_PREFERENCE, ReplicaLoad, choose_replica
+from ..routing.common import LocalLoad, TimeNeed
+from ..routing.placement import ReplicaLoad, choose_replica
+from ..routing.zones import OtherZones
 from .budget import RetryPermit, SharedRetryBudget
 from .cold import ColdRateLimit
 from .common import (
@@ -45,25 +47,14 @@
 REFUSED_WINDOW_S = 1.0
 # Time after which a request is asked to come back whose retry was not covered.
 NEXT_RETRY_S = 0.5
+# Requests whose hosts must not use the free replicas that are passed over for others.
+MAX_PASSED_OVER = 8
 # Retries of which it is remembered what they were paid from.
 MAX_PERMITS = 4096
+# Latency objective assumed at least for a request whose objective is not known.
+MIN_OBJECTIVE_S = 0.1
 # Utilisation that stands for a zone without a free slot.
 NO_FREE_SLOT = 9.0
-# Age at which the summary of another zone is no longer used.
-SUMMARY_TTL_S = 1.0
-# A request waits in another zone if its queue there is served this much sooner.
-QUEUE_RATIO = 1.5
-QUEUE_MARGIN_S = 0.1
-
-
-class _OtherZone:
-    """Another zone's summary, and the requests passed on to it since."""
-
-    def __init__(self, summary: KeySummary, at: float, declined_at: float):
-        self.summary = summary
-        self.at = at
-        self.passed_on = 0
-        self.declined_at = declined_at
 
 
 class SlotOwner:
@@ -73,9 +64,13 @@
     ----------
     accepts
         Returns whether a replica, given its id and epoch, is sound at a monotonic time.
+    zones
+        Choice of other zones.
 
     Attributes
     ----------
+    zones
+        Choice of other zones.
     rates
         Limits of requests a second that replicas state.
     budget
@@ -87,8 +82,11 @@
         key: SlotKey,
         budget: SharedRetryBudget,
         accepts: Callable[[str, int, float], bool] = lambda target, epoch, now: True,
+        *,
+        zones: OtherZones | None = None,
     ):
         self.key = key
+        self.zones = zones or OtherZones(key.zone)
         self.ledger = SlotLedger()
         self.room = MemoryRoom(self.ledger)
         self.rates = StatedRates()
@@ -101,8 +99,8 @@
         self._queue = WaitingRequests()
         self._speeds = ReplicaSpeeds()
         self._refused: deque[float] = deque()
-        self._other_zones: dict[str, _OtherZone] = {}
         self._service_s = INITIAL_SERVICE_S
+        self._first_event_s = 0.0
 
     def set_offers(self, offers: tuple[SlotOffer, ...], cold_per_s: int) -> None:
         """Replace the replicas whose slots are owned.
@@ -114,6 +112,7 @@
         """
         self._offers = {offer.id: offer for offer in offers}
         self._cold.per_s = cold_per_s
+        self.room.set_offers(self._offers.values())
         self.rates.keep(self._offers.keys())
         self._speeds.keep(self._offers.keys())
 
@@ -139,9 +138,9 @@
             decision = self._place(waiting, now)
             if decision is not None:
                 return [decision]
-        zone = self._find_shorter_queue(now)
-        if zone is not None:
-            return [self._pass_on(waiting, zone, may_wait=True)]
+        passed_on = self._pass_on(waiting, None, now)
+        if passed_on is not None:
+            return [passed_on]
         return self._queue_or_refuse(waiting, now)
 
     def request_passed_on(
@@ -152,7 +151,9 @@
         The retry that it may be was taken from that owner's budget.
         """
         self.room.record(req, now)
-        waiting = Waiting(client, number, req)
+        if not any(self._is_usable(item, now) for item in self._offers.values()):
+            return [Declined(client, number)]
+        waiting = Waiting(client, number, req, is_passed_on=True)
         offer = None if len(self._queue) else self._choose(req, now)
         if offer is not None:
             return [self._grant(waiting, offer, now)]
@@ -189,15 +190,33 @@
             self.budget.use(permit, now)
 
     def take_back(
-        self, client: str, number: int, req: SlotRequest, zone: str, now: float
+        self,
+        client: str,
+        number: int,
+        req: SlotRequest,
+        zone: str,
+        now: float,
+        *,
+        has_waited: bool = False,
+        is_passed_on: bool = False,
     ) -> list[Decision]:
-        """Decide on a request that another zone declined, or did not answer."""
-        other = self._other_zones.get(zone)
-        if other is not None:
-            other.declined_at = now
-        waiting = Waiting(client, number, req)
+        """Decide on a request that another zone declined, or did not answer.
+
+        It was accepted here, so that it is not refused for those that came since.
+
+        Parameters
+        ----------
+        has_waited
+            Whether it waited there until the owner was gone.
+        is_passed_on
+            Whether a third zone's owner had passed it on to this one.
+        """
+        self.zones.record_declined(zone, has_waited=has_waited)
+        waiting = Waiting(client, number, req, is_passed_on)
         decision = self._place(waiting, now)
-        return [decision] if decision else self._queue_or_refuse(waiting, now)
+        if decision is not None:
+            return [decision]
+        return self._queue_or_refuse(waiting, now, is_accepted=True)
 
     def reconcile_sends(
         self, client: str, reports: Iterable[ReportedSends], now: float
@@ -252,6 +271,8 @@
         The client and the number name the request whose slot was used.
         """
         self._service_s += NEWEST_SAMPLE_WEIGHT * (service_s - self._service_s)
+        known_s = self._first_event_s or first_event_s
+        self._first_event_s = known_s + NEWEST_SAMPLE_WEIGHT * (first_event_s - known_s)
         ratio = self._queue.record_times(client, number, service_s, first_event_s)
         target = self.ledger.find_target(client, number)
         if ratio is not None and target is not None:
@@ -264,9 +285,7 @@
 
     def update_zone(self, zone: str, summary: KeySummary, now: float) -> list[Decision]:
         """Take note of another zone's summary, and pass waiting requests on to it."""
-        known = self._other_zones.get(zone)
-        declined_at = -1.0 if known is None else known.declined_at
-        self._other_zones[zone] = _OtherZone(summary, now, declined_at)
+        self.zones.update(zone, summary, now)
         return self.assign(now)
 
     def assign(self, now: float) -> list[Decision]:
@@ -276,12 +295,18 @@
             for item in self._queue.drop_expired(now)
         ]
         per_s = self._find_served_per_s(now)
-        while (waiting := self._queue.peek(now, per_s)) is not None:
-            decision = self._place(waiting, now)
-            if decision is None:
+        paused: set[str] = set()
+        while (ticket := self._queue.peek(now, per_s, paused)) is not None:
+            waiting = ticket.payload
+            decision = self._place(waiting, now, is_queued=True)
+            if decision is not None:
+                self._queue.take(ticket)
+                decisions.append(decision)
+            elif waiting.is_paused(now) and len(paused) < MAX_PASSED_OVER:
+                # Its host must not use the replicas that are free; others may.
+                paused.add(ticket.request)
+            else:
                 break
-            self._queue.take(now, per_s)
-            decisions.append(decision)
         return decisions + self._evict(now)
 
     def summarize(self, now: float) -> KeySummary:
@@ -321,39 +346,94 @@
         """Return the number of requests that wait."""
         return len(self._queue)
 
-    def _place(self, waiting: Waiting, now: float) -> Decision | None:
+    def _place(
+        self, waiting: Waiting, now: float, *, is_queued: bool = False
+    ) -> Decision | None:
         """Grant a slot here or pass the request on; None if no slot is free."""
         offer = self._choose(waiting.request, now)
-        here = NO_FREE_SLOT
-        if offer is not None:
-            here = (self.ledger.count(offer.id) + 1) / offer.capacity
-        zone = self._choose_zone(here, now)
-        if zone is not None:
-            return self._pass_on(waiting, zone, may_wait=False)
-        return None if offer is None else self._grant(waiting, offer, now)
+        passed_on = self._pass_on(waiting, offer, now, is_queued=is_queued)
+        if passed_on is not None or offer is None:
+            return passed_on
+        return self._grant(waiting, offer, now)
 
-    def _pass_on(self, waiting: Waiting, zone: str, *, may_wait: bool) -> Forwarded:
-        client, number = waiting.client, waiting.number
-        self._other_zones[zone].passed_on += 1
-        return Forwarded(client, number, zone, waiting.request, may_wait)
+    def _pass_on(
+        self,
+        waiting: Waiting,
+        offer: SlotOffer | None,
+        now: float,
+        *,
+        is_queued: bool = False,
+    ) -> Forwarded | None:
+        """Pass a request on if another zone serves it better.
 
-    def _find_shorter_queue(self, now: float) -> str | None:
-        """Return the zone whose queue is served clearly sooner than this one's."""
-        slots = self._count_slots(
-            item for item in self._offers.values() if self._is_usable(item, now)
-        )
-        here_s = math.inf
-        if slots:
-            here_s = (len(self._queue) + 1) * self._service_s / slots
-        waits = {
-            zone: other.summary.find_wait_s(other.passed_on + 1)
-            for zone, other in self._other_zones.items()
-            if now - other.at < SUMMARY_TTL_S
-        }
-        zone = min(waits, key=waits.get, default=None)
-        if zone is None or waits[zone] * QUEUE_RATIO + QUEUE_MARGIN_S > here_s:
+        Parameters
+        ----------
+        offer
+            Replica of this zone that has a free slot for it.
+        """
+        req = waiting.request
+        due_at = min(req.due_at, req.deadline)
+        objective_s = req.objective_s or max(due_at - now, MIN_OBJECTIVE_S)
+        need = TimeNeed(due_at, objective_s)
+        if offer and not self.zones.may_gain(self._first_event_s, need, now):
             return None
-        return zone
+        load = self._measure_load(waiting, offer, now, is_queued=is_queued)
+        if waiting.is_passed_on and load.slots:
+            return None  # Nothing is sent on or back while it can be served here.
+        leave = self.zones.choose(load, need, now)
+        if leave is None:
+            return None
+        self.zones.record_sent(leave.zone, now)
+        return Forwarded(
+            waiting.client,
+            waiting.number,
+            leave.zone,
+            req,
+            leave.may_wait,
+            str(leave.reason),
+            leave.gain,
+            leave.report_age_s,
+            waiting.is_passed_on,
+        )
+
+    def _measure_load(
+        self,
+        waiting: Waiting,
+        offer: SlotOffer | None,
+        now: float,
+        *,
+        is_queued: bool,
+    ) -> LocalLoad:
+        req = waiting.request
+        usable = [
+            item
+            for item in self._offers.values()
+            if self._is_usable_for(item, req, now)
+        ]
+        # Cold replicas count with the requests that they may get.
+        cold_slots = self._cold.per_s * self._service_s
+        cold = [item for item in usable if item.cold_until > now]
+        warm = [item for item in usable if item.cold_until <= now]
+        slots = self._count_slots(warm)
+        slots += sum(min(self._count_slots([item]), cold_slots) for item in cold)
+        capacity = sum(item.capacity for item in usable)
+        in_flight = sum(self.ledger.count(item.id) for item in usable)
+        utilisation = 1.0
+        if offer is not None:
+            utilisation = (self.ledger.count(offer.id) + 1) / offer.capacity
+        has_paused = now < req.excluded_until < math.inf
+        queue = self._queue
+        return LocalLoad(
+            slots=slots,
+            waiting=len(queue) - 1 if is_queued else queue.count_ahead(waiting),
+            utilisation=utilisation,
+            mean_utilisation=in_flight / max(1, capacity),
+            service_s=self._service_s,
+            first_event_s=self._first_event_s,
+            has_free=offer is not None,
+            is_queued=is_queued,
+            pause_s=req.excluded_until - now if has_paused else None,
+        )
 
     def _grant(
         self, waiting: Waiting, offer: SlotOffer, now: float
@@ -393,27 +473,6 @@
             chosen = choose_replica(loads, zone="", tie_break=self._rng.random())
         return None if chosen is None else self._offers[chosen.id]
 
-    def _choose_zone(self, here: float, now: float) -> str | None:
-        """Return the zone with the least loaded replica, if it is clearly below ours.
-
-        Parameters
-        ----------
-        here
-            Utilisation of this zone's least loaded replica after one more request.
-        """
-        costs = {}
-        for zone, other in self._other_zones.items():
-            summary = other.summary
-            is_recent = now - other.at < SUMMARY_TTL_S
-            if not is_recent or other.declined_at >= other.at:
-                continue
-            if summary.free - other.passed_on <= 0 or summary.waiting:
-                continue
-            share = other.passed_on / max(1, summary.slots)
-            costs[zone] = summary.lowest_utilisation + share + ZONE_PREFERENCE
-        zone = min(costs, key=costs.get, default=None)
-        return zone if zone is not None and costs[zone] < here else None
-
     def _is_usable_for(self, offer: SlotOffer, req: SlotRequest, now: float) -> bool:
         is_excluded = offer.id in req.excluded and now < req.excluded_until
         return not is_excluded and self._is_usable(offer, now)
@@ -431,11 +490,18 @@
             for offer in offers
         )
 
-    def _queue_or_refuse(self, waiting: Waiting, now: float) -> list[Decision]:
+    def _queue_or_refuse(
+        self, waiting: Waiting, now: float, *, is_accepted: bool = False
+    ) -> list[Decision]:
         client, number, req = waiting.client, waiting.number, waiting.request
         if not self.room.can_ever_fit(self._offers.values(), req):
             return [self._refuse(client, number, NEXT_RETRY_S, TOO_LARGE, now)]
-        refusal = self._queue.add(waiting, self._measure_pressure(waiting, now), now)
+        pressure = self._measure_pressure(waiting, now)
+        is_accepted = is_accepted and pressure.slots > 0
+        refusal = self._queue.add(waiting, pressure, now, is_accepted=is_accepted)
+        if refusal is None and self._choose(req, now) is not None:
+            # Those ahead can't use the slots that are free.
+            return self.assign(now)
         if refusal is None:
             return self._evict(now)
         retry_after_s = refusal.retry_after_s
--- a/waxwingpitch/tests/test_slot_owner.py
+++ b/waxwingpitch/tests/test_slot_owner.py
@@ -263,7 +263,6 @@
     owner = build_owner()
     fill(owner)
     owner.update_zone("b", KeySummary(40, 40, 0, 1.1, 4, 0.0), 0.0)
-    owner.update_zone("c", KeySummary(4, 4, 0, 1.1, 9, 0.0), 0.0)
     decisions = [owner.request("h2", 20 + n, build_request(), 0.0) for n in range(8)]
     passed_on = [item for items in decisions for item in items]
     assert {item.zone for item in passed_on} == {"b"}
@@ -271,6 +270,37 @@
     assert 1 <= owner.count_waiting() <= 3
 
 
+def test_zones_that_are_short_at_the_same_time_share_a_shorter_queue():
+    """Zone c, whose queue is longer, is taken to send to b as many as this zone.
+
+    The queue of b, with 4 requests and 40 slots, may then get 3 of each, as the last of
+    them waits 0.28 s there and its callers have an objective of 0.3 s.
+    """
+    owner = build_owner()
+    fill(owner)
+    owner.update_zone("b", KeySummary(40, 40, 0, 1.1, 4, 0.0), 0.0)
+    owner.update_zone("c", KeySummary(4, 4, 0, 1.1, 9, 0.0), 0.0)
+    decisions = [owner.request("h2", 20 + n, build_request(), 0.0) for n in range(8)]
+    passed_on = [item for items in decisions for item in items]
+    assert [item.zone for item in passed_on] == ["b", "b", "b"]
+    assert all(item.may_wait for item in passed_on)
+    assert owner.count_waiting() == 5
+
+
+# Guards against requests that queue for cold replicas, which take few, as the forecast
+# counts all of their slots.
+def test_request_leaves_a_zone_whose_replicas_are_cold():
+    owner = build_owner()
+    owner.set_offers(
+        tuple(replace(offer, capacity=90) for offer in build_offers(9.0)), 1
+    )
+    owner.update_zone("b", KeySummary(100, 10, 90, 0.2, 0, 0.0), 0.0)
+    first = [owner.request("h1", n, build_request(), 0.0)[0] for n in range(2)]
+    assert all(isinstance(item, Granted) for item in first)
+    (passed_on,) = owner.request("h1", 2, build_request(), 0.0)
+    assert isinstance(passed_on, Forwarded) and not passed_on.may_wait
+
+
 def test_zone_without_replicas_waits_elsewhere_instead_of_refusing():
     owner = build_owner()
     owner.set_offers((), 1)
@@ -287,6 +317,20 @@
     assert (granted.client, granted.number) == ("b-owner", 7)
 
 
+# Guards against requests that are sent on from zone to zone, or back.
+def test_request_that_waits_for_another_zone_stays_until_no_replica_is_left():
+    owner = build_owner()
+    fill(owner)
+    for number in range(5):
+        assert owner.request_passed_on("b-owner", number, build_request(), 0.0) == []
+    free = KeySummary(100, 10, 90, 0.2, 0, 0.0)
+    assert owner.update_zone("c", free, 0.1) == []
+    owner.set_offers((), 1)
+    decisions = owner.update_zone("c", free, 0.2)
+    assert [item.number for item in decisions] == [0, 1, 2, 3, 4]
+    assert all(isinstance(item, Forwarded) for item in decisions)
+
+
 def test_no_more_are_passed_on_than_another_zone_has_free_slots():
     owner = build_owner()
     fill(owner)
@@ -326,6 +370,7 @@
         excluded_until=2.0,
         resume_deadline=1.0,
         tokens=1234,
+        objective_s=0.3,
     )
     message = encode_request(7, KEY, req, 0.0, for_other_zone=True)
     decoded = decode_message(encode_message(message))
@@ -470,3 +515,35 @@
     max_examples=150, stateful_step_count=30, deadline=None
 )
 TestOwners = OwnerMachine.TestCase
+
+
+# Guards against a request that can't use the free slots and keeps all others waiting.
+def test_request_whose_host_pauses_all_replicas_is_passed_over():
+    owner = build_owner()
+    fill(owner)
+    paused = build_request(priority=0, excluded=frozenset(TARGETS), excluded_until=2.0)
+    owner.request("h2", 10, paused, 0.0)
+    owner.request("h1", 11, build_request(), 0.0)
+    (granted,) = owner.release("h1", 0, 0.1)
+    assert isinstance(granted, Granted) and granted.number == 11
+    assert owner.release("h1", 1, 0.1) == []
+    (granted,) = owner.request("h3", 12, build_request(0.2), 0.2)
+    assert isinstance(granted, Granted) and granted.number == 12
+    assert owner.count_waiting() == 1
+
+
+# Guards against a refusal of what was accepted and another zone declined meanwhile.
+def test_request_that_another_zone_declined_is_not_refused_for_newcomers():
+    owner = build_measured_owner()
+    waiting = 0
+    while not owner.request("h2", 100 + waiting, build_request(), 0.0):
+        waiting += 1
+    decisions = owner.take_back("h3", 999, build_request(), "b", 0.0)
+    refused = {item.number for item in decisions if isinstance(item, Refused)}
+    assert len(refused) <= 1
+
+
+def test_zone_without_a_replica_declines_what_is_passed_on_to_it():
+    owner = build_owner(accepts=lambda target, epoch, now: False)
+    (declined,) = owner.request_passed_on("b-owner", 1, build_request(), 0.0)
+    assert isinstance(declined, Declined)
