--- a/waxwingpitch/admission/service_times.py
+++ b/waxwingpitch/admission/service_times.py
@@ -8,7 +8,6 @@
 
 import math
 from collections import OrderedDict
-from dataclasses import dataclass
 
 # Weight of the newest sample in an exponentially weighted moving average.
 NEWEST_SAMPLE_WEIGHT = 0.05
@@ -21,11 +20,10 @@
 MAX_SIZES = 32
 
 
-@dataclass(slots=True)
 class _Moments:
-    mean_s: float = 0.0
-    variance: float = 0.0
-    samples: int = 0
+    def __init__(self):
+        self.mean_s = self.variance = 0.0
+        self.samples = 0
 
     def add(self, sample_s: float) -> None:
         self.samples += 1
--- a/waxwingpitch/admission/taken.py
+++ b/waxwingpitch/admission/taken.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from dataclasses import dataclass, field
 
 # Time over which grants are counted: longer than a burst, so that a burst does not look
 # like the load that follows it, and as long as most callers wait.
@@ -17,11 +16,11 @@
 BUCKET_S = 0.5
 
 
-@dataclass(slots=True)
 class _Bucket:
-    start: float
-    all: Counter[int] = field(default_factory=Counter)
-    not_left_over: Counter[int] = field(default_factory=Counter)
+    def __init__(self, start: float):
+        self.start = start
+        self.all: Counter[int] = Counter()
+        self.not_left_over: Counter[int] = Counter()
 
 
 class TakenCapacity:
