Queue: a late request is accepted where no other waits

Cause: a late request, such as a retry, counts on what others left over in the last 10 s, also if it is the only one that waits; in a zone of one or two groups that is often nothing.

Why it works: the next slot that is freed is its own, unless one comes that can be on time.

--- a/waxwingpitch/slots/waiting.py
+++ b/waxwingpitch/slots/waiting.py
@@ -132,7 +132,7 @@
                 now=now,
                 deadline=req.deadline,
                 latest_start_at=latest_start_at,
-                taken_per_s=self._taken.find_per_s(ticket.priority, now),
+                taken_per_s=self._find_taken_per_s(ticket.priority, pressure, now),
                 resume_deadline=req.resume_deadline,
             )
             if isinstance(decision, Refuse):
@@ -142,6 +142,15 @@
         wait_s = forecast_wait_s(pressure)
         return Refuse(limit_retry_after(wait_s, req.deadline - now))
 
+    def _find_taken_per_s(self, priority: int, pressure: Pressure, now: float) -> float:
+        """Return what others will take before a late request.
+
+        Nothing if none waits: the next slot that is freed is then its own.
+        """
+        if not pressure.waiting:
+            return 0.0
+        return self._taken.find_per_s(priority, now)
+
     def peek(
         self, now: float, per_s: float, passed_over: Container[str] = ()
     ) -> Ticket | None:
--- a/waxwingpitch/tests/test_slot_owner.py
+++ b/waxwingpitch/tests/test_slot_owner.py
@@ -547,3 +547,13 @@
     owner = build_owner(accepts=lambda target, epoch, now: False)
     (declined,) = owner.request_passed_on("b-owner", 1, build_request(), 0.0)
     assert isinstance(declined, Declined)
+
+
+# Guards against a refusal of a request that the next free slot would serve.
+def test_late_request_is_not_refused_where_no_other_waits():
+    owner = build_measured_owner()
+    for number in range(60):
+        now = 0.1 * number
+        owner.release("h1", number, now)
+        owner.request("h1", number + 4, build_request(now), now)
+    assert owner.request("h2", 999, build_request(6.0, due_at=5.0), 6.0) == []
