Slots: requests wait for a group that is about to open

The first request after a start was refused now and then with "no slot in time". The gateway that reads the store knows a group that has opened 7 to 14 ms before its followers do, as changes are collected for PUSH_DELAY_S before they are sent. A request that it sent in this time reached an owner of slots that is ready, but had no replica of the model yet, and was refused at once. When a request was sent as soon as the first gateway knew the groups, 12 of 12 were refused; in each, the owner had 0 replicas where the sender had 3, and 3 about 10 ms later. No target was suspected and no link was cut before the refusal.

Sending changes without the delay would leave the same race between two followers. The owner itself knows the members of a group that are ready, from their entries, before the group opens. It now keeps requests meanwhile, up to their latest start, unless another zone serves them.

--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -28,7 +28,13 @@
 from ..targets.records import MembershipReport, TargetRecord
 from .host_records import HOST_PREFIX, decode_host
 from .leaving import LeavingBook
-from .replicas import KnownTarget, Replica, ReplicaIndex, affects_replicas
+from .replicas import (
+    GroupEpoch,
+    KnownTarget,
+    Replica,
+    ReplicaIndex,
+    affects_replicas,
+)
 
 GATEWAY_PREFIX = "waxwingpitch/"
 PLANNER_PREFIX = "waxwingpitch/planners/"
@@ -138,6 +144,12 @@
         """Return the replicas to which requests may be sent."""
         return self._replicas.find(service, model)
 
+    def find_opening(
+        self, service: str, model: str, zones: Iterable[str]
+    ) -> frozenset[GroupEpoch]:
+        """Return the groups in some zones that are ready and have not opened yet."""
+        return self._replicas.find_opening(service, model, zones)
+
     def iter_replicas(self) -> Iterable[Replica]:
         """Yield all replicas."""
         return self._replicas.iter_all()
--- a/waxwingpitch/gateway/replicas.py
+++ b/waxwingpitch/gateway/replicas.py
@@ -9,6 +9,11 @@
 from ..configuration.routes import ServiceSpec
 from ..targets.records import MemberState, TargetRecord
 
+# Name of a group and its epoch.
+GroupEpoch = tuple[str, int]
+# Members of a group by rank.
+_Members = dict[int, "KnownTarget"]
+
 
 @dataclass(frozen=True, slots=True)
 class KnownTarget:
@@ -78,6 +83,8 @@
         self._get_evacuated = get_evacuated
         self._by_zone: dict[str, dict[tuple[str, str], tuple[Replica, ...]]] = {}
         self._replicas: dict[tuple[str, str], tuple[Replica, ...]] = {}
+        self._opening: dict[str, dict[tuple[str, str], frozenset[GroupEpoch]]] = {}
+        self._opened: dict[str, frozenset[GroupEpoch]] = {}
         self._dirty_zones: set[str] | None = set()
         self._generation = 0
 
@@ -86,6 +93,18 @@
         self.refresh()
         return self._replicas.get((service, model), ())
 
+    def find_opening(
+        self, service: str, model: str, zones: Iterable[str]
+    ) -> frozenset[GroupEpoch]:
+        """Return the groups in some zones that are ready and have not opened yet."""
+        self.refresh()
+        return frozenset().union(
+            *(
+                self._opening.get(zone, {}).get((service, model), frozenset())
+                for zone in zones
+            )
+        )
+
     def iter_all(self) -> Iterable[Replica]:
         """Yield all replicas."""
         self.refresh()
@@ -113,8 +132,11 @@
                 targets[zone].append(known)
         for zone in list(self._by_zone) if dirty is None else dirty:
             self._by_zone.pop(zone, None)
+            self._opening.pop(zone, None)
         for zone, known in targets.items():
-            self._by_zone[zone] = self._build_zone(known)
+            groups = self._list_groups(known)
+            self._by_zone[zone] = self._build_zone(known, groups)
+            self._opening[zone] = self._find_opening(zone, groups)
         merged: dict[tuple[str, str], list[Replica]] = defaultdict(list)
         for by_key in self._by_zone.values():
             for key, replicas in by_key.items():
@@ -122,28 +144,66 @@
         self._replicas = {key: tuple(replicas) for key, replicas in merged.items()}
         return self._generation
 
-    def _build_zone(self, targets: Iterable[KnownTarget]) -> dict:
+    def _build_zone(
+        self, targets: Iterable[KnownTarget], groups: dict[GroupEpoch, _Members]
+    ) -> dict[tuple[str, str], tuple[Replica, ...]]:
         found: dict[tuple[str, str], list[Replica]] = defaultdict(list)
-        groups: dict[tuple[str, int], dict[int, KnownTarget]] = defaultdict(dict)
         for known in targets:
             record = known.record
             service = self._find_service(record.service)
             if service is None or service.engine is None:
                 if not record.leaving and record.zone not in self._get_evacuated():
                     found[(record.service, "")].append(_build_replica(known, (known,)))
-            elif record.membership is not None:
-                place = record.membership
-                groups[(place.group, place.epoch)][place.rank] = known
         for members in groups.values():
             replica = self._build_group(members)
             if replica is not None:
                 found[(replica.service, replica.model)].append(replica)
         return {key: tuple(replicas) for key, replicas in found.items()}
 
-    def _build_group(self, members: dict[int, KnownTarget]) -> Replica | None:
+    def _list_groups(
+        self, targets: Iterable[KnownTarget]
+    ) -> dict[GroupEpoch, _Members]:
+        groups: dict[GroupEpoch, _Members] = defaultdict(dict)
+        for known in targets:
+            service = self._find_service(known.record.service)
+            place = known.record.membership
+            if service is not None and service.engine is not None and place is not None:
+                groups[(place.group, place.epoch)][place.rank] = known
+        return groups
+
+    def _find_opening(
+        self, zone: str, groups: dict[GroupEpoch, _Members]
+    ) -> dict[tuple[str, str], frozenset[GroupEpoch]]:
+        """Return the groups that are ready, without those that were closed."""
+        opened = self._opened.get(zone, frozenset())
+        self._opened[zone] = frozenset(
+            group
+            for group, members in groups.items()
+            if group in opened or _has_opened(members)
+        )
+        found: dict[tuple[str, str], set[GroupEpoch]] = defaultdict(set)
+        for group, members in groups.items():
+            is_ready = all(
+                known.record.membership.state is MemberState.READY
+                for known in members.values()
+            )
+            if is_ready and group not in opened:
+                replica = self._build_complete_group(members)
+                if replica is not None:
+                    found[(replica.service, replica.model)].add(group)
+        return {key: frozenset(names) for key, names in found.items()}
+
+    def _build_group(self, members: _Members) -> Replica | None:
         head = members.get(0)
         if head is None or head.record.membership.state is not MemberState.OPEN:
             return None
+        return self._build_complete_group(members)
+
+    def _build_complete_group(self, members: _Members) -> Replica | None:
+        """Return the replica of a group that has all its members."""
+        head = members.get(0)
+        if head is None:
+            return None
         record = head.record
         engine = self._find_service(record.service).engine
         model = engine.find_model(record.model)
@@ -174,6 +234,13 @@
     )
 
 
+def _has_opened(members: _Members) -> bool:
+    """Return whether a group's head takes requests, or did so."""
+    head = members.get(0)
+    opened = (MemberState.OPEN, MemberState.CLOSING)
+    return head is not None and head.record.membership.state in opened
+
+
 def affects_replicas(before: TargetRecord, after: TargetRecord) -> bool:
     """Return whether a change of a target's record may change the replicas."""
     return (
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -417,6 +417,10 @@
         owner.set_offers(offers, max(1, int(limit * COLD_SHARE)))
         engine = None if service is None else service.engine
         if engine is not None:
+            opening = self._view.find_opening(
+                key.service, key.model, self._served_zones
+            )
+            owner.opening.update(opening, time.monotonic(), open_s=engine.open_s)
             owner.zones.delays_s = engine.find_delays_s(self._zone)
             owner.zones.batch_slowdown = engine.batch_slowdown
         self._budgets.update_part(owner)
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -32,6 +32,7 @@
     SlotRequest,
 )
 from .ledger import SlotLedger
+from .opening import OpeningGroups
 from .rates import ReportedSends, StatedRates
 from .room import MemoryRoom
 from .speeds import ReplicaSpeeds
@@ -75,6 +76,8 @@
         Limits of requests a second that replicas state.
     budget
         This owner's part of the retry budget.
+    opening
+        Groups that are about to serve requests.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         self.room = MemoryRoom(self.ledger)
         self.rates = StatedRates()
         self.budget = budget
+        self.opening = OpeningGroups()
         self._permits: dict[tuple[str, int], RetryPermit] = {}
         self._accepts = accepts
         self._cold = ColdRateLimit(1)
@@ -571,6 +575,7 @@
             waiting=self._queue.count_ahead(waiting),
             service_s=self._service_s,
             pause_s=req.excluded_until - now if has_paused else None,
+            is_opening=self.opening.has_any(now),
         )
 
     def _estimate_unmet(self, now: float) -> float:
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -65,6 +65,7 @@
     view = SimpleNamespace(
         find_service=lambda name: service,
         find_replicas=lambda service, model: replicas,
+        find_opening=lambda service, model, zones: frozenset(),
         refresh=lambda: 0,
         list_slot_keys=lambda zone: [SlotKey(zone, "pool", "m")],
     )
@@ -362,6 +363,7 @@
             find_delays_s=lambda zone: {"b": 0.001},
             batch_slowdown=0.4,
             kv_capacity=None,
+            open_s=0.3,
         ),
         may_leave_zone=False,
     )
