--- a/waxwingpitch/slots/load.py
+++ b/waxwingpitch/slots/load.py
@@ -11,6 +11,7 @@
 from .cold import ColdRateLimit
 from .common import KeySummary, SlotOffer, SlotRequest
 from .ledger import SlotLedger
+from .opening import OpeningGroups
 from .replicas import OwnedReplicas
 from .waiting import Waiting, WaitingRequests
 
@@ -40,11 +41,13 @@
         queue: WaitingRequests,
         ledger: SlotLedger,
         cold: ColdRateLimit,
+        opening: OpeningGroups,
     ):
         self._replicas = replicas
         self._queue = queue
         self._ledger = ledger
         self._cold = cold
+        self._opening = opening
         self._refused: deque[float] = deque()
         self.service_s = INITIAL_SERVICE_S
         self.first_event_s = 0.0
@@ -76,6 +79,7 @@
             waiting=self._queue.count_ahead(waiting),
             service_s=self.service_s,
             pause_s=_find_pause_s(req, now),
+            is_opening=self._opening.has_any(now),
         )
 
     def measure_local(
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -29,6 +29,7 @@
 )
 from .ledger import SlotLedger
 from .load import OwnerLoad
+from .opening import OpeningGroups
 from .permits import RetryPermits
 from .rates import ReportedSends, StatedRates
 from .replicas import OwnedReplicas
@@ -63,6 +64,8 @@
         Limits of requests a second that replicas state.
     budget
         This owner's part of the retry budget.
+    opening
+        Groups that are about to serve requests.
     """
 
     def __init__(
@@ -79,13 +82,16 @@
         self.room = MemoryRoom(self.ledger)
         self.rates = StatedRates()
         self.budget = budget
+        self.opening = OpeningGroups()
         self._permits = RetryPermits(budget)
         self._cold = ColdRateLimit(1)
         self._queue = WaitingRequests()
         self._replicas = OwnedReplicas(
             self.ledger, self.room, self.rates, self._cold, accepts, str(key)
         )
-        self._load = OwnerLoad(self._replicas, self._queue, self.ledger, self._cold)
+        self._load = OwnerLoad(
+            self._replicas, self._queue, self.ledger, self._cold, self.opening
+        )
 
     def set_offers(self, offers: tuple[SlotOffer, ...], cold_per_s: int) -> None:
         """Replace the replicas whose slots are owned.
