Retry budget: a retry of a lost gateway is not given back by its next process

Cause: an owner keeps what a client's retries were paid from by the client's number of the request. A gateway that starts again counts from 1. The permits of its process before stayed where the next one was heard within LOST_CLIENT_S, so that a request of the same number that was withdrawn, or refused, gave a retry back that had been sent.

Evidence: test_retry_of_a_lost_gateway_is_not_given_back_by_its_next_process fails without the change. Found by reading.

Why this change: the client's permits are counted as used when its link is lost, as they are when it stays lost. A client that only lost its link loses the retries that it did not use.

--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -345,7 +345,7 @@
         """
         self._lost_clients[peer] = now + LOST_CLIENT_S
         for owner in self:
-            owner.drop_waiting(peer)
+            owner.drop_waiting(peer, now)
         self._give_back(self._passed_on.list_waiting_of(peer), now)
         for number, item in self._passed_on.iter_at(peer):
             if not item.target and not self._passed_on.ask_next_owner(number):
--- a/waxwingpitch/slots/owner.py
+++ b/waxwingpitch/slots/owner.py
@@ -246,17 +246,21 @@
 
     def drop_client(self, client: str, now: float) -> list[Decision]:
         """Forget a client that is gone, and what it waits for or holds."""
-        self.drop_waiting(client)
+        self.drop_waiting(client, now)
         self.ledger.drop_client(client)
-        for _, number in [key for key in self._permits if key[0] == client]:
-            self.settle_retry(client, number, now)
         return self.assign(now)
 
-    def drop_waiting(self, client: str) -> None:
-        """Forget what a client waits for."""
+    def drop_waiting(self, client: str, now: float) -> None:
+        """Forget what a client waits for, and count the retries that it may have sent.
+
+        Its next process numbers its requests anew, so that none of them may stand for a
+        retry of this one.
+        """
         for item in [item for item in self._queue if item.client == client]:
             self._queue.drop(client, item.number)
             self._cancel_permit(client, item.number)
+        for _, number in [key for key in self._permits if key[0] == client]:
+            self.settle_retry(client, number, now)
 
     def record_times(
         self,
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -4,12 +4,14 @@
 
 import itertools
 import time
+from dataclasses import replace
 from types import SimpleNamespace
 
 import gevent
 import pytest
 from msgspec import structs
 
+from ..gateway.passed_on import build_unused
 from ..gateway.slot_owners import LOST_CLIENT_S, SlotOwners
 from ..gateway.slot_wire import encode_request
 from ..gateway.stall_checks import NO_PROGRESS_AGE_S, STALL_FORWARD_TIMEOUT_S
@@ -265,6 +267,27 @@
     assert sent == []
 
 
+# Guards against a retry that is given back because the next process of its client,
+# which counts its requests from 1 again, leaves one of the same number unused.
+def test_retry_of_a_lost_gateway_is_not_given_back_by_its_next_process(
+    owners, sent, replicas
+):
+    now = time.monotonic()
+    replicas.append(SlotOffer("t", "x:1", "a", "pool", "m", 4, 1, 0.0))
+    first = SlotRequest("r", "pool", "m", "w", 1, 1.0, now + 5.0)
+    retry = replace(first, is_retry=True)
+    owners.handle_request("h1", encode_request(7, KEY, retry, now), now)
+    assert isinstance(sent[-1][1], SlotGrant)
+    budget = owners.find(KEY).budget
+    while budget.reserve(now) is not None:
+        pass
+    owners.handle_lost_peer("h1", now)
+    owners.reconcile("h1", (), now)
+    owners.handle_request("h1", encode_request(7, KEY, first, now), now)
+    owners.handle_release("h1", build_unused(7, KEY), now)
+    assert not budget.has_left(now)
+
+
 def test_place_in_another_zones_queue_ends_with_the_link_of_its_client(owners, sent):
     waiting = wait_at_b(owners, sent)
     owners.handle_lost_peer("h1", time.monotonic())
