Mesh: the link of a process that was replaced is reported lost

Cause: where a gateway that started again was linked before the loss of its old link was noticed (its host lost power, or the reader of the old link was busy), the new link took the place of the old one without LinkDown. Peers kept the state of the process before, among it that it stops: they went on as owners of its keys, while it owned them as well, as long as the link stood. Both used their whole part of the retry budget, as each heard the other, so that all of them together could exceed it. Requests that waited at the process before were not asked for elsewhere.

Evidence: test_link_of_a_process_that_has_been_replaced_is_reported_lost fails without the change. Found by reading; not seen in the logs of process tests, whose closed sockets are noticed at once, and so not shown to be the cause of the excess there.

Why this change: LinkDown of the process before is delivered in front of LinkUp, and nothing that was still read from its link is delivered behind that.

--- a/waxwingpitch/mesh/node.py
+++ b/waxwingpitch/mesh/node.py
@@ -72,6 +72,8 @@
     ----------
     initiator
         Id of the side that connected.
+    is_removed
+        Whether it has ended for this node, so that nothing from it is delivered.
     """
 
     def __init__(self, conn: WebSocket, peer: Identity, initiator: str):
@@ -82,6 +84,7 @@
         self.sent_bytes = 0
         self.sent_messages = 0
         self.unknown_tags: set[int] = set()
+        self.is_removed = False
 
     def knows(self, message: Message) -> bool:
         """Return whether the peer's version knows a message."""
@@ -357,6 +360,9 @@
             if not _is_replaced(previous, link):
                 return
             previous.conn.shut_down()
+            if previous.peer.incarnation != peer.incarnation:
+                # What is known of the process before does not hold for this one.
+                self._remove_link(previous)
         self._links[peer.id] = link
         sender = gevent.spawn(self._send_until_closed, link)
         self._deliver(LinkUp(peer))
@@ -376,6 +382,8 @@
         try:
             while True:
                 data = link.conn.recv(RECEIVE_TIMEOUT_S)
+                if link.is_removed:
+                    return
                 try:
                     message = decode_message(data)
                 except UnknownMessageError as exc:
@@ -408,6 +416,9 @@
             )
 
     def _remove_link(self, link: _Link) -> None:
+        if link.is_removed:
+            return
+        link.is_removed = True
         self._sent_on_closed_links[0] += link.sent_messages
         self._sent_on_closed_links[1] += link.sent_bytes
         if self._links.get(link.peer.id) is link:
--- a/waxwingpitch/tests/test_mesh.py
+++ b/waxwingpitch/tests/test_mesh.py
@@ -18,7 +18,15 @@
 from ..entry.evidence_sets import OBSERVED_SET, IncomingSets, OutgoingSets
 from ..entry.evidence_wire import ClockOffsets
 from ..errors import PeerError, ResultCode
-from ..mesh import Identity, LinkUp, MeshNode, Received, decode_message, encode_message
+from ..mesh import (
+    Identity,
+    LinkDown,
+    LinkUp,
+    MeshNode,
+    Received,
+    decode_message,
+    encode_message,
+)
 from ..mesh.fleet_messages import TargetRate
 from ..mesh.handshake import accept_handshake, connect_handshake, prove
 from ..mesh.messages import (
@@ -259,15 +267,15 @@
 class RawPeer:
     """A peer of a given version, which sends and receives encoded messages."""
 
-    def __init__(self, address: str, version: int):
+    def __init__(self, address: str, version: int, incarnation: str = "i"):
         self._conn = WebSocket.connect(
             address, frame_bytes=1 << 16, open_timeout_s=2.0, timeout_s=5.0
         )
-        hello = Hello(version, 1, "raw", "i", "dar-a", b"n" * 16)
+        hello = Hello(version, 1, "raw", incarnation, "dar-a", b"n" * 16)
         self._conn.send(encode_message(hello))
         challenge = decode_message(self._conn.recv(2.0))
         peer = Identity(challenge.id, challenge.incarnation, challenge.zone)
-        local = Identity("raw", "i", "dar-a")
+        local = Identity("raw", incarnation, "dar-a")
         proof = prove("k" * 16, b"connect", hello.nonce, challenge.nonce, local)
         assert challenge.proof == prove(
             "k" * 16, b"accept", hello.nonce, challenge.nonce, peer
@@ -333,3 +341,19 @@
     peer.send_plain([RATE.__struct_config__.tag, "malformed"])
     wait_until(lambda: not bob.peers, 5.0)
     peer.close()
+
+
+# Guards against a peer that is taken for its process before, which stopped, as long as
+# the new link stands.
+def test_link_of_a_process_that_has_been_replaced_is_reported_lost(bob):
+    before = RawPeer(bob.address, MESH_VERSION, "before")
+    wait_until(lambda: bob.peers, 5.0)
+    after = RawPeer(bob.address, MESH_VERSION, "after")
+    wait_until(lambda: len(bob.events) == 3, 5.0)
+    kinds = [(type(event), event.peer.incarnation) for event in bob.events]
+    assert kinds == [(LinkUp, "before"), (LinkDown, "before"), (LinkUp, "after")]
+    before.close()
+    gevent.sleep(0.1)
+    assert len(bob.events) == 3
+    assert bob.peers == {"raw"}
+    after.close()
