Gateway: offers, outcomes, replies and requests passed on apart from the slot owners

gateway/slot_owners.py mixed the owners in a process with four other concerns. They move to modules of their own, as classes that SlotOwners is composed of: building offers from the view (offers.py), learning from how slots were used (slot_outcomes.py), answering clients (slot_replies.py) and requests passed on to other zones (passing_on.py). No change in behaviour; SlotOwners keeps its interface.

--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -8,7 +8,6 @@
 from dataclasses import replace
 
 import gevent
-from msgspec import structs
 
 from ..mesh.fleet_messages import (
     HeldSlotItem,
@@ -31,38 +30,29 @@
     Forwarded,
     Granted,
     KeySummary,
-    Outcome,
     Refused,
     SlotKey,
-    SlotOffer,
     SlotOwner,
 )
-from ..slots.ledger import REPORT_DELAY_S
-from ..slots.rates import RecentSends, ReportedSends
+from ..slots.common import Decision
+from ..slots.rates import ReportedSends
 from ..targets.progress import ProgressBook
 from .beliefs import GatewayView
-from .passed_on import PassedOn, PassedOnTable, build_unused
+from .offers import OfferSource
+from .passed_on import PassedOnTable
+from .passing_on import PassedOnRequests
 from .retry_budgets import RetryBudgets
 from .roster import Roster
 from .slot_client import UNUSED, SlotClient
-from .slot_wire import (
-    decode_grant,
-    decode_rate,
-    decode_refusal,
-    decode_request,
-    encode_grant,
-    encode_refusal,
-)
+from .slot_outcomes import REFUSING_TTL_S, SlotOutcomes
+from .slot_replies import SlotReplies
+from .slot_wire import decode_rate, decode_request
 from .stall_checks import StallChecks
 
-# Time in which the owner of another zone's slots answers a request passed on to it.
-FORWARD_TIMEOUT_S = 0.1
+__all__ = ["LOST_CLIENT_S", "REFUSING_TTL_S", "SlotOwners"]
+
 # Time for which a retry waits for what other owners lend.
 LOAN_WAIT_S = 0.01
-# Time after which a plain target that refused a connection is tried again.
-REFUSING_TTL_S = 0.5
-# Share of a cold target's limit that one owner uses, as two may own its key.
-COLD_SHARE = 0.5
 # Time after its link is lost for which a client's slots are still counted.
 LOST_CLIENT_S = 1.0
 
@@ -114,24 +104,31 @@
         self._roster = roster
         self._view = view
         self._progress = progress
-        self._bounds = bounds
-        self._numbers = numbers
-        self._client = client
-        self._deliver = deliver
         self._zone, self._name = roster.local.zone, roster.local.name
         self._owners: dict[tuple[str, str], SlotOwner] = {}
-        self._passed_on = PassedOnTable(roster, deliver)
+        self._offers = OfferSource(view, bounds, self._zone)
+        self._outcomes = SlotOutcomes(progress)
+        self._replies = SlotReplies(self._name, client, deliver)
+        passed_on = PassedOnTable(roster, deliver)
+        self._passed_on = PassedOnRequests(
+            roster,
+            passed_on,
+            numbers,
+            self._replies,
+            deliver,
+            find=self.find,
+            carry_out=self._carry_out,
+            release=self.handle_release,
+            on_taken_back=lambda zone: self.on_taken_back(zone),
+        )
         self._stall_checks = StallChecks(
             progress,
-            self._passed_on,
+            passed_on,
             self._has_retry_left,
             deliver,
         )
-        self._sends_of_zones: dict[str, RecentSends] = {}
         self._lost_clients: dict[str, float] = {}
         self._service_s: dict[tuple[str, str], float] = {}
-        self._new_suspicions: list[tuple[str, int]] = []
-        self._served_zones = (self._zone,)
         self._budgets = RetryBudgets(
             roster,
             view,
@@ -153,7 +150,9 @@
         if owner is None:
             key = replace(key, zone=self._zone)
             zones = OtherZones(self._zone, is_on=self._may_leave_zone)
-            owner = SlotOwner(key, self._budgets.build(), self._accepts, zones=zones)
+            owner = SlotOwner(
+                key, self._budgets.build(), self._outcomes.accepts, zones=zones
+            )
             self._owners[key.service, key.model] = owner
             if (key.service, key.model) in self._service_s:
                 owner.adopt_service_s(self._service_s[key.service, key.model])
@@ -215,60 +214,28 @@
 
     def handle_grant(self, peer: str, message: SlotGrant, now: float) -> None:
         """Pass a slot of another zone on to the client that asked for one."""
-        item = self._passed_on.grant(message.number, message.target, now)
-        if item is None:
-            self._passed_on.withdraw(
-                peer, message.number, SlotKey(message.zone, "", "")
-            )
-            return
-        offer = decode_grant(message, item.key.service, item.key.model, now)
-        owner = self.find(item.key)
-        refused = owner.use_elsewhere(item.client, item.number, now)
-        if refused is not None:
-            self._carry_out(owner, [refused])
-            self.handle_release(item.client, build_unused(item.number, item.key), now)
-            return
-        sends = self._sends_of_zones.setdefault(item.key.zone, RecentSends())
-        sends.record(offer.id, offer.rate_per_s, now)
-        granted = Granted(item.client, item.number, offer, message.in_flight)
-        if not self._give(granted, now):
-            self.handle_release(item.client, build_unused(item.number, item.key), now)
+        self._passed_on.handle_grant(peer, message, now)
 
     def handle_refusal(self, message: SlotRefusal) -> None:
         """Decide on a request that another zone declined, or pass its refusal on."""
-        if message.declined:
-            self._take_back(message.number)
-            return
-        item = self._passed_on.pop(message.number)
-        if item is None:
-            return
-        self.find(item.key).end_elsewhere(item.client, item.number)
-        refusal = structs.replace(message, number=item.number)
-        if item.client == self._name:
-            refused = decode_refusal(self._name, refusal)
-            self._client.finish_refused(item.number, refused)
-        else:
-            self._deliver(item.client, refusal)
+        self._passed_on.handle_refusal(message)
 
     def handle_release(self, peer: str, message: SlotRelease, now: float) -> None:
         """Free a slot, and learn from how it was used."""
-        is_passed_on = self._release_passed_on(peer, message)
+        is_passed_on = self._passed_on.pass_release(peer, message)
         for key, owner in list(self._owners.items()):
             if message.service and key != (message.service, message.model):
                 continue
             if message.outcome != UNUSED and not is_passed_on:
-                self._note_outcome(owner, peer, message, now)
+                self.on_used(message, now)
+                self._outcomes.record(owner, peer, message, now)
             was_used = message.outcome != UNUSED
             decisions = owner.cancel(peer, message.number, now, was_used=was_used)
             self._carry_out(owner, decisions)
 
     def handle_rate(self, peer: str, message: TargetRate, now: float) -> None:
         """Adopt a limit that a target states, or tell the zone that granted a slot."""
-        number = self._passed_on.find_number(peer, message.number)
-        item = None if number is None else self._passed_on.find(number)
-        if item is not None:
-            passed_on = structs.replace(message, number=number, zone=item.key.zone)
-            self._deliver(item.owner, passed_on)
+        if self._passed_on.pass_rate(peer, message):
             return
         owner = self.find(SlotKey(self._zone, message.service, message.model))
         per_s = decode_rate(message.per_s)
@@ -297,8 +264,7 @@
 
     def list_sends_to(self, zone: str, now: float) -> list[ReportedSends]:
         """Return what was passed on to another zone's targets with a limit."""
-        sends = self._sends_of_zones.get(zone)
-        return [] if sends is None else sends.list_reports(now)
+        return self._passed_on.list_sends_to(zone, now)
 
     def handle_stall_check(self, peer: str, message: StallCheck, now: float) -> None:
         """Answer whether a silent stream may be resumed on another target."""
@@ -333,9 +299,7 @@
             self.find(SlotKey(self._zone, service, model))
         for key, owner in self._owners.items():
             owner.ledger.reconcile(peer, by_key.get(key, {}), now, tokens=tokens)
-        numbers = {item.number for item in held}
-        gone = self._passed_on.list_gone(peer, numbers, now - REPORT_DELAY_S)
-        self._give_back(gone, now)
+        self._passed_on.reconcile(peer, {item.number for item in held}, now)
 
     def handle_lost_peer(self, peer: str, now: float) -> None:
         """Take back what was passed on to a lost peer; drop what it holds soon.
@@ -346,10 +310,7 @@
         self._lost_clients[peer] = now + LOST_CLIENT_S
         for owner in self:
             owner.drop_waiting(peer)
-        self._give_back(self._passed_on.list_waiting_of(peer), now)
-        for number, item in self._passed_on.iter_at(peer):
-            if not item.target and not self._passed_on.ask_next_owner(number):
-                self._take_back(number)
+        self._passed_on.handle_lost_peer(peer, now)
 
     def tick(self, served_zones: tuple[str, ...], now: float) -> None:
         """Expire what has waited too long, and forget clients that are gone.
@@ -359,13 +320,13 @@
         served_zones
             Zones whose targets this zone's owners are responsible for.
         """
-        if served_zones != self._served_zones:
+        if served_zones != self._offers.served_zones:
             logger.info("zones served", extra={"zones": list(served_zones)})
-            self._served_zones = served_zones
+            self._offers.served_zones = served_zones
             self.handle_view_change(force=True)
         for client in [item for item, at in self._lost_clients.items() if at <= now]:
             del self._lost_clients[client]
-            self._give_back(self._passed_on.list_of(client), now)
+            self._passed_on.drop_client(client, now)
             for owner in self:
                 self._carry_out(owner, owner.drop_client(client, now))
         share = self._roster.measure_heard_share()
@@ -376,189 +337,36 @@
 
     def iter_passed_on(self, peer: str) -> Iterable[tuple[int, SlotKey, str, int]]:
         """Yield number, key, target and tokens of slots that a peer granted here."""
-        for number, item in self._passed_on.iter_at(peer):
-            if item.target:
-                yield number, item.key, item.target, item.request.tokens
+        return self._passed_on.iter_granted(peer)
 
     def take_new_suspicions(self) -> tuple[tuple[str, int], ...]:
         """Return the targets suspected since the last call, with their epochs."""
-        suspicions, self._new_suspicions = tuple(self._new_suspicions), []
-        return suspicions
+        return self._outcomes.take_new_suspicions()
+
+    def suspect(self, target: str, epoch: int, now: float) -> None:
+        """Give a replica no new requests for a while, and tell the peers."""
+        self._outcomes.suspect(target, epoch, now)
 
     def _has_retry_left(self, service: str, model: str, now: float) -> bool:
         owner = self.find(SlotKey(self._zone, service, model))
         return self._budgets.has_left(owner, now)
 
-    def _accepts(self, target: str, epoch: int, now: float) -> bool:
-        return not self._progress.is_suspected(target, epoch, now)
-
     def _update_offers(self, owner: SlotOwner) -> None:
-        key = owner.key
-        service = self._view.find_service(key.service)
-        cold_per_s = 0.0 if service is None else service.cold_per_s
-        engine = None if service is None else service.engine
-        kv_capacity = None if engine is None else engine.kv_capacity
-        limit = cold_per_s * self._bounds.cold_factor + self._bounds.cold_slack
-        offers = tuple(
-            SlotOffer(
-                item.id,
-                item.address,
-                item.zone,
-                item.service,
-                item.model,
-                item.capacity,
-                item.epoch,
-                item.cold_until if cold_per_s else 0.0,
-                kv_capacity=kv_capacity,
-            )
-            for item in self._view.find_replicas(key.service, key.model)
-            if item.zone in self._served_zones
-        )
-        owner.set_offers(offers, max(1, int(limit * COLD_SHARE)))
-        engine = None if service is None else service.engine
-        if engine is not None:
-            owner.zones.delays_s = engine.find_delays_s(self._zone)
-            owner.zones.batch_slowdown = engine.batch_slowdown
+        self._offers.update(owner)
         self._budgets.update_part(owner)
 
-    def _carry_out(self, owner: SlotOwner, decisions) -> None:
+    def _carry_out(self, owner: SlotOwner, decisions: Iterable[Decision]) -> None:
         now = time.monotonic()
         for decision in decisions:
             match decision:
                 case Granted(client=client, number=number):
-                    if not self._give(decision, now):
+                    if not self._replies.give(decision, now):
                         unused = owner.release(client, number, now, was_used=False)
                         self._carry_out(owner, unused)
-                case Refused(client=client, number=number):
-                    if client == self._name:
-                        self._client.finish_refused(number, decision)
-                    else:
-                        self._deliver(client, encode_refusal(number, decision))
+                case Refused():
+                    self._replies.refuse(decision)
                 case Declined(client=client, number=number):
-                    refusal = SlotRefusal(number, 0.0, "no free slot", 0, 0, 0.0, True)
-                    self._deliver(client, refusal)
+                    self._replies.decline(client, number)
                 case Forwarded():
-                    self._pass_on(owner, decision)
-
-    def _give(self, granted: Granted, now: float) -> bool:
-        """Give a slot to its client; return False if the client is gone."""
-        if granted.client != self._name:
-            message = encode_grant(granted.number, granted, now)
-            return self._deliver(granted.client, message)
-        if not self._client.has_pending(granted.number):
-            return False
-        self._client.resolve(
-            self._name, granted.number, granted.offer, granted.in_flight
-        )
-        return True
-
-    def _pass_on(self, owner: SlotOwner, decision: Forwarded) -> None:
-        key = replace(owner.key, zone=decision.zone)
-        number = next(self._numbers)
-        self.on_passed_on(decision)
-        logger.info(
-            "request passed on to another zone",
-            extra={
-                "request": decision.request.request,
-                "key": str(owner.key),
-                "zone": decision.zone,
-                "reason": decision.reason,
-                "gain": round(decision.gain, 3),
-                "may_wait": decision.may_wait,
-                "waiting": owner.count_waiting(),
-                "report_age_ms": round(1000 * decision.report_age_s),
-            },
-        )
-        item = PassedOn(
-            decision.client,
-            decision.number,
-            key,
-            decision.request,
-            self._roster.find_owner(key) or "",
-            may_wait=decision.may_wait,
-            is_passed_on=decision.is_passed_on,
-        )
-        if not self._passed_on.ask(number, item):
-            gevent.spawn(self._take_back, number)
-        elif not decision.may_wait:
-            gevent.spawn_later(FORWARD_TIMEOUT_S, self._take_back, number)
-
-    def _take_back(self, number: int) -> None:
-        """Decide here on a request that another zone declined or did not answer."""
-        item = self._passed_on.find(number)
-        if item is None or item.target:
-            return
-        self._passed_on.pop(number)
-        self._passed_on.withdraw(item.owner, number, item.key)
-        owner = self.find(item.key)
-        now = time.monotonic()
-        self.on_taken_back(item.key.zone)
-        logger.info(
-            "request not taken by another zone",
-            extra={
-                "request": item.request.request,
-                "key": str(owner.key),
-                "zone": item.key.zone,
-                "may_wait": item.may_wait,
-            },
-        )
-        decisions = owner.take_back(
-            item.client,
-            item.number,
-            item.request,
-            item.key.zone,
-            now,
-            has_waited=item.may_wait,
-            is_passed_on=item.is_passed_on,
-        )
-        self._carry_out(owner, decisions)
-
-    def _give_back(self, items: Iterable[PassedOn], now: float) -> None:
-        """Give back the slots of other zones, or the places in their queues."""
-        for item in items:
-            self.find(item.key).settle_retry(item.client, item.number, now)
-            self.handle_release(item.client, build_unused(item.number, item.key), now)
-
-    def _release_passed_on(self, client: str, message: SlotRelease) -> bool:
-        """Pass a release on to the zone that granted the slot, if another did."""
-        number = self._passed_on.find_number(client, message.number)
-        item = None if number is None else self._passed_on.pop(number)
-        if item is None:
-            return False
-        self._deliver(
-            item.owner, structs.replace(message, number=number, zone=item.key.zone)
-        )
-        return True
-
-    def _note_outcome(
-        self, owner: SlotOwner, peer: str, message: SlotRelease, now: float
-    ) -> None:
-        self.on_used(message, now)
-        match Outcome(message.outcome):
-            case Outcome.SERVED:
-                owner.record_times(
-                    message.service_s,
-                    message.first_s,
-                    client=peer,
-                    number=message.number,
-                )
-                self._progress.record_progress(message.target, message.epoch, now)
-            case Outcome.UNREACHABLE if not message.epoch:
-                self._pause_refusing(message.target, now)
-            case Outcome.MISDIRECTED | Outcome.STALLED | Outcome.UNREACHABLE:
-                self.suspect(message.target, message.epoch, now)
-
-    def _pause_refusing(self, target: str, now: float) -> None:
-        """Give a plain target that refuses connections nothing for a moment.
-
-        It answers faster than those that work, and would get most requests as the
-        least loaded one. The other zones' owners find out by their own requests.
-        """
-        if self._progress.suspect(target, 0, now, is_local=True, ttl_s=REFUSING_TTL_S):
-            logger.info("plain target refuses connections", extra={"target": target})
-
-    def suspect(self, target: str, epoch: int, now: float) -> None:
-        """Give a replica no new requests for a while, and tell the peers."""
-        if self._progress.suspect(target, epoch, now):
-            self._new_suspicions.append((target, epoch))
-            logger.info("target suspected", extra={"target": target, "epoch": epoch})
+                    self.on_passed_on(decision)
+                    self._passed_on.pass_on(owner, decision)
