Retry budget: owners log what retries were paid from

Change: each owner counts the retries by what they were paid from, and logs the counts at most once a second while there are any. No decision depends on them.

--- a/waxwingpitch/gateway/retry_budgets.py
+++ b/waxwingpitch/gateway/retry_budgets.py
@@ -6,6 +6,7 @@
 import math
 import time
 from collections.abc import Callable, Iterator
+from dataclasses import asdict
 
 from ..mesh.fleet_messages import RetryHandover, RetryLoan, RetryLoanRequest
 from ..mesh.messages import Message
@@ -19,6 +20,8 @@
 ASK_INTERVAL_S = 0.1
 # Time after the first start of the whole system in which owners have no predecessor.
 FIRST_START_S = 10.0
+# Interval at which it is logged what retries were paid from.
+LOG_INTERVAL_S = 1.0
 # Share of the fleet's retry slack and ratio that its owners use.
 OWNER_BUDGET_SHARE = 0.9
 
@@ -63,6 +66,7 @@
         self._owned: set[SlotKey] = set()
         self._asked_at: dict[SlotKey, float] = {}
         self._asked: dict[int, tuple[SlotOwner, float]] = {}
+        self._logged: dict[SlotKey, tuple[float, dict[str, int]]] = {}
         self._first_owners_until = -math.inf
         if is_first_start:
             self._first_owners_until = time.monotonic() + FIRST_START_S
@@ -113,6 +117,19 @@
             },
         )
 
+    def log_payments(self, owner: SlotOwner, now: float) -> None:
+        """Log what the retries since the last time were paid from, if there are any."""
+        logged_at, logged = self._logged.get(owner.key, (-math.inf, {}))
+        if now - logged_at < LOG_INTERVAL_S:
+            return
+        paid = asdict(owner.budget.payments)
+        new = {name: count - logged.get(name, 0) for name, count in paid.items()}
+        self._logged[owner.key] = now, paid
+        if any(new.values()):
+            is_owned = owner.key in self._owned
+            extra = {"key": str(owner.key), "is_owned": is_owned, **new}
+            logger.info("retries paid", extra=extra)
+
     def has_left(self, owner: SlotOwner, now: float) -> bool:
         """Return whether a retry is left; ask other owners if few are."""
         self.note_ownership(owner, now)
--- a/waxwingpitch/gateway/slot_owners.py
+++ b/waxwingpitch/gateway/slot_owners.py
@@ -371,6 +371,7 @@
         share = self._roster.measure_heard_share()
         for owner in self:
             self._budgets.note_ownership(owner, now)
+            self._budgets.log_payments(owner, now)
             owner.rates.share = owner.budget.share = share
             self._carry_out(owner, owner.assign(now))
 
--- a/waxwingpitch/slots/budget.py
+++ b/waxwingpitch/slots/budget.py
@@ -34,6 +34,25 @@
     retries: int = 0
 
 
+@dataclass(slots=True)
+class RetryPayments:
+    """Retries used since the owner was created, by what they were paid from.
+
+    Attributes
+    ----------
+    before
+        Used at an owner that had handed the key over, and counted by the next one.
+    returned
+        Given back after they were used, as the slot was not.
+    """
+
+    earned: int = 0
+    slack: int = 0
+    loan: int = 0
+    before: int = 0
+    returned: int = 0
+
+
 class RetrySource(enum.Enum):
     """What a retry is paid from."""
 
@@ -109,6 +128,8 @@
     ----------
     share
         Share of this owner's part that it uses, from 0 to 1.
+    payments
+        What the retries were paid from.
 
     Examples
     --------
@@ -136,6 +157,7 @@
         self._old_permits: dict[int, float] = {}
         self._inherited: tuple[float, RetryState] | None = None
         self.share = 1.0
+        self.payments = RetryPayments()
         self.set_part(slack / max(1, owners))
 
     def set_part(self, slack: float) -> None:
@@ -224,7 +246,9 @@
     def use(self, permit: RetryPermit, now: float) -> bool:
         """Count a reserved retry, whose slot is granted; return False if it is void."""
         if permit.era != self._era:
-            return now < self._old_permits.pop(permit.number, -math.inf)
+            is_valid = now < self._old_permits.pop(permit.number, -math.inf)
+            self.payments.before += is_valid
+            return is_valid
         if self._reserved.pop(permit.number, None) is None:
             return True
         if permit.expires_at <= now:
@@ -232,13 +256,21 @@
         if permit.source is RetrySource.SLACK:
             self._slack_used[permit.number] = now
         self._find_bucket(now).retries += 1
+        match permit.source:
+            case RetrySource.EARNED:
+                self.payments.earned += 1
+            case RetrySource.SLACK:
+                self.payments.slack += 1
+            case RetrySource.LOAN:
+                self.payments.loan += 1
         return True
 
     def cancel(self, permit: RetryPermit) -> None:
         """Return a retry whose request got no slot, or did not use it."""
         if permit.era != self._era:
             return
-        self._reserved.pop(permit.number, None)
+        was_reserved = self._reserved.pop(permit.number, None) is not None
+        self.payments.returned += not was_reserved
         self._slack_used.pop(permit.number, None)
         match permit.source:
             case RetrySource.EARNED:
--- a/waxwingpitch/tests/test_retry_budget.py
+++ b/waxwingpitch/tests/test_retry_budget.py
@@ -12,7 +12,7 @@
 from hypothesis import given, strategies as st
 
 from ..slots import Forwarded, Granted, KeySummary, Refused, SlotKey, SlotOffer
-from ..slots.budget import ARRIVAL_S, LOAN_TTL_S, SharedRetryBudget
+from ..slots.budget import ARRIVAL_S, LOAN_TTL_S, RetryPayments, SharedRetryBudget
 from ..slots.owner import SlotOwner
 from .test_slot_owner import build_request
 
@@ -202,6 +202,24 @@
     assert not budget.spend(4.0)
 
 
+# Guards against an excess of retries whose logs don't show how they were paid.
+def test_each_retry_is_counted_with_what_it_was_paid_from():
+    budget = SharedRetryBudget(ratio=1.0, slack=2.0, window_s=10.0, owners=1)
+    budget.earn(0.0)
+    budget.borrow(1, 0.0)
+    permits = [budget.reserve(0.0) for _ in range(3)]
+    for permit in permits:
+        assert budget.use(permit, 0.0)
+        assert budget.use(permit, 0.0), "it is not counted again"
+    assert budget.payments == RetryPayments(earned=1, slack=1, loan=1)
+    budget.cancel(permits[0])
+    again = budget.reserve(0.0)
+    budget.hand_over(0.0)
+    assert budget.use(again, 0.0)
+    expected = RetryPayments(earned=1, slack=1, loan=1, before=1, returned=1)
+    assert budget.payments == expected
+
+
 def test_loan_that_was_not_used_in_time_is_void():
     budget = SharedRetryBudget(ratio=0.0, slack=0.0, window_s=10.0, owners=1)
     budget.borrow(1, 0.0)
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -342,6 +342,22 @@
     assert sent[-1] == ("h1", StallReply(CHECK.number, NO_PROGRESS_AGE_S, True))
 
 
+def test_owner_logs_what_its_retries_were_paid_from(owners, replicas, caplog):
+    now = time.monotonic()
+    replicas.append(SlotOffer("t", "x:1", "a", "pool", "m", 4, 1, 0.0))
+    req = SlotRequest("r", "pool", "m", "w", 1, 1.0, now + 5.0, is_retry=True)
+    with caplog.at_level("INFO"):
+        owners.handle_request("h1", encode_request(7, KEY, req, now), now)
+        for pause_s in (0.0, 0.1, 2.0):
+            owners.tick(("a",), now + pause_s)
+        owners.handle_request("h1", encode_request(8, KEY, req, now), now)
+        owners.tick(("a",), now + 4.0)
+    paid = [item for item in caplog.records if item.message == "retries paid"]
+    assert [(item.key, item.slack, item.earned) for item in paid] == 2 * [
+        ("a pool m", 1, 0)
+    ]
+
+
 def test_request_that_is_passed_on_is_logged_and_counted_with_its_reason(
     owners, sent, caplog
 ):
