--- a/waxwingpitch/tests/test_process_retry_budget.py
+++ b/waxwingpitch/tests/test_process_retry_budget.py
@@ -22,6 +22,8 @@
 RUN_S = 22.0
 REQUESTS_PER_S = 50
 PAUSE_S = 1.0
+# Log lines that show how an excess of retries was paid.
+LOGGED = ("retries paid", "slots owned", "gateway started", "process stood still")
 
 pytestmark = pytest.mark.processes
 
@@ -136,6 +138,14 @@
     return worst
 
 
+def print_budgets(gateways) -> None:
+    """Print who owned slots and what retries were paid from, to trace an excess."""
+    for item in gateways:
+        for line in item.log.read_text().splitlines():
+            if any(text in line for text in LOGGED):
+                print(f"{item.name} {line}")
+
+
 # Guards against a budget that starts anew with each owner of slots.
 @pytest.mark.parametrize("how", ["none", "kill", "stop"])
 def test_replaced_gateways_do_not_exceed_the_retry_budget(targets, gateways, how):
@@ -157,5 +167,7 @@
     repeats = targets.list_repeats()
     count, allowed = count_most_over(repeats, asked)
     print(f"{len(asked)} asked, {len(repeats)} repeats; {count} where {allowed:.0f}")
+    if count > allowed:
+        print_budgets(gateways)
     assert repeats
     assert count <= allowed
