--- a/waxwingpitch/admission/forecast.py
+++ b/waxwingpitch/admission/forecast.py
@@ -41,15 +41,12 @@
     pause_s
         Time until the first replica that asked for a pause takes requests again, in
         seconds; None if there is none.
-    is_opening
-        Whether a further replica is about to take requests.
     """
 
     slots: float
     waiting: int
     service_s: float
     pause_s: float | None = None
-    is_opening: bool = False
 
     @property
     def served_per_s(self) -> float:
@@ -134,8 +131,6 @@
         return Wait(max(now, resume_deadline))
     if latest_start_at is None:
         latest_start_at = find_latest_start(now, deadline, None)
-    if pressure.slots == 0 and pressure.is_opening and now < latest_start_at:
-        return Wait(latest_start_at)
     if pressure.slots == 0:
         until_s = REPLICA_REPLACEMENT_S
         if pressure.pause_s is not None:
--- a/waxwingpitch/gateway/offers.py
+++ b/waxwingpitch/gateway/offers.py
@@ -53,6 +53,11 @@
         owner.set_offers(offers, max(1, int(limit * COLD_SHARE)))
         if engine is not None:
             opening = self._view.find_opening(key.service, key.model, self.served_zones)
-            owner.opening.update(opening, time.monotonic(), open_s=engine.open_s)
+            owner.opening.update(
+                opening,
+                time.monotonic(),
+                open_s=engine.open_s,
+                capacity=engine.capacity,
+            )
             owner.zones.delays_s = engine.find_delays_s(self._zone)
             owner.zones.batch_slowdown = engine.batch_slowdown
--- a/waxwingpitch/slots/load.py
+++ b/waxwingpitch/slots/load.py
@@ -74,12 +74,12 @@
         """Return the pressure on the replicas that a request's host may use."""
         req = waiting.request
         usable = self._replicas.iter_usable_for(req, now)
+        slots = self._replicas.count_slots(usable, self.service_s)
         return Pressure(
-            slots=self._replicas.count_slots(usable, self.service_s),
+            slots=slots or self._opening.count_slots(now),
             waiting=self._queue.count_ahead(waiting),
             service_s=self.service_s,
             pause_s=_find_pause_s(req, now),
-            is_opening=self._opening.has_any(now),
         )
 
     def measure_local(
@@ -130,6 +130,7 @@
         """Return the requests served a second; infinite if no replica is usable."""
         usable = self._replicas.iter_usable(now)
         slots = self._replicas.count_slots(usable, self.service_s)
+        slots = slots or self._opening.count_slots(now)
         return Pressure(slots, 0, self.service_s).served_per_s or math.inf
 
     def summarize(self, retry_counts: RetryCounts, now: float) -> KeySummary:
--- a/waxwingpitch/slots/opening.py
+++ b/waxwingpitch/slots/opening.py
@@ -16,16 +16,22 @@
     Examples
     --------
     >>> opening = OpeningGroups()
-    >>> opening.update([("g1", 7)], 10.0, open_s=0.3)
-    >>> opening.has_any(11.0), opening.has_any(13.0)
-    (True, False)
+    >>> opening.update([("g1", 7)], 10.0, open_s=0.3, capacity=9)
+    >>> opening.count_slots(11.0), opening.count_slots(13.0)
+    (9, 0)
     """
 
     def __init__(self):
         self._until: dict[tuple[str, int], float] = {}
+        self._capacity = 0
 
     def update(
-        self, groups: Iterable[tuple[str, int]], now: float, *, open_s: float
+        self,
+        groups: Iterable[tuple[str, int]],
+        now: float,
+        *,
+        open_s: float,
+        capacity: int,
     ) -> None:
         """Replace the groups, given their names and epochs.
 
@@ -33,10 +39,13 @@
         ----------
         open_s
             Time to open a group, in seconds.
+        capacity
+            Requests that a group runs concurrently.
         """
+        self._capacity = capacity
         until = now + open_s + OPENING_MARGIN_S
         self._until = {group: self._until.get(group, until) for group in groups}
 
-    def has_any(self, now: float) -> bool:
-        """Return whether a group is expected to open soon."""
-        return any(now < until for until in self._until.values())
+    def count_slots(self, now: float) -> int:
+        """Return the slots of the groups that are expected to open soon."""
+        return self._capacity * sum(now < until for until in self._until.values())
--- a/waxwingpitch/tests/test_slot_owners.py
+++ b/waxwingpitch/tests/test_slot_owners.py
@@ -402,6 +402,7 @@
             find_delays_s=lambda zone: {"b": 0.001},
             batch_slowdown=0.4,
             kv_capacity=None,
+            capacity=9,
             open_s=0.3,
         ),
         may_leave_zone=False,
