Gateways: a target without an entry stays in use while a gateway reaches it

Cause: the deletion of an entry ended a target at once, in every gateway, on this evidence alone; and a peer relayed to listed targets only. When all targets are cut off from the store, owners have no replica from then on, and refuse all requests ("no slot in time") until the entries are back.

Ruled out: lost links (none refused alone), groups closed or orders refused (none), suspicions of targets (none logged).

Now targets without an entry are probed twice a second, and judged by targets/liveness.py. One that answers stays in use if entries of many targets of its service and zone are missing; a single one leaves without having said so, as at planned changes, and gets no new request as before. Targets are reported as lost, for the tracker of crashes, once they are gone, not once their entries are. Peers relay to targets that are not gone.

--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -26,6 +26,7 @@
 from ..routing.routes import RouteTable
 from ..slots import EntryHost, SlotKey
 from ..targets.records import MembershipReport, TargetRecord
+from .expired_targets import ExpiredTargets
 from .host_records import HOST_PREFIX, decode_host
 from .leaving import LeavingBook
 from .replicas import KnownTarget, Replica, ReplicaIndex, affects_replicas
@@ -41,9 +42,6 @@
 # still give orders under a planner's key of before: its lease's time to live.
 OLDER_KEYS_S = 3.0
 
-# Time for which the removal of a target from the list is remembered, for the planner.
-REMOVED_RETENTION_S = 20.0
-
 logger = logging.getLogger(__name__)
 
 
@@ -61,9 +59,8 @@
     ----------
     configured
         Set once a configuration is in force.
-    removed
-        Targets that were recently removed from the list, each with its last record
-        and the monotonic time of its removal.
+    expired
+        Targets whose entries were deleted, and which of them are in use.
     retained
         Removed targets that are still treated as listed, each with its last record
         and the monotonic time until which it is; see ``RELIST_GRACE_S``.
@@ -82,8 +79,8 @@
         Called when the store is found to have been restored from an older copy.
     on_target_lost
         Called with the id of a target that restarted, and its new start time in Unix
-        milliseconds, or that was removed from the list without announcing that it
-        leaves, and None.
+        milliseconds, or that is gone without having announced that it leaves, and
+        None.
     """
 
     def __init__(self, clock: Callable[[], float], on_change: Callable[[], None]):
@@ -91,7 +88,8 @@
         self.route_table: RouteTable | None = None
         self.configured = Event()
         self.targets: dict[str, KnownTarget] = {}
-        self.removed: dict[str, tuple[KnownTarget, float]] = {}
+        self.expired = ExpiredTargets(self.targets)
+        self.expired.on_gone = lambda target: self.on_target_lost(target, None)
         self.retained: dict[str, tuple[KnownTarget, float]] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.relist_deadline = 0.0
@@ -112,6 +110,11 @@
             self.iter_targets, self.find_service, lambda: self.evacuated
         )
 
+    @property
+    def removed(self) -> dict[str, tuple[KnownTarget, float]]:
+        """Targets that were recently removed from the list, and the times of that."""
+        return self.expired.removed
+
     @property
     def cfg(self) -> RoutedConfiguration | None:
         """Configuration in force."""
@@ -151,11 +154,39 @@
         entry = self.mirror.get(PLANNER_PREFIX + zone)
         return None if entry is None else entry.value.decode()
 
+    def find_target(self, target: str) -> KnownTarget | None:
+        """Return a target that is listed or in use without an entry."""
+        return self.targets.get(target) or self.expired.in_use.get(target)
+
     def iter_targets(self) -> Iterator[KnownTarget]:
-        """Yield all listed targets, and the removed ones that are retained."""
+        """Yield all listed targets, and the removed ones in use or retained."""
         yield from self.targets.values()
-        for known, _ in self.retained.values():
-            yield known
+        yield from self.expired.in_use.values()
+        for target, (known, _) in self.retained.items():
+            if target not in self.expired.in_use:
+                yield known
+
+    def may_relay_to(self, address: str) -> bool:
+        """Return whether a target at an address may be reached for a peer."""
+        return self.expired.may_relay_to(address) or any(
+            known.record.address == address for known in self.targets.values()
+        )
+
+    def judge_expired(self) -> None:
+        """Judge the targets without entries by the evidence of now."""
+        zones = self.expired.update(self._clock())
+        for zone in zones:
+            self._replicas.mark_dirty(zone)
+        if zones:
+            self._on_change()
+
+    def record_answer(self, target: str, report: MembershipReport) -> None:
+        """Apply the answer of a target without an entry to a probe."""
+        zone = self.expired.record_answer(target, report, self._clock())
+        self.judge_expired()
+        if zone is not None:
+            self._replicas.mark_dirty(zone)
+            self._on_change()
 
     def start_relist_grace_period(self) -> None:
         """Start the grace period, as the store answers again after a failure."""
@@ -213,6 +244,8 @@
         known = self.targets.get(target)
         if known is None and target in self.retained:
             known, _ = self.retained[target]
+        if known is None and target in self.removed:
+            known, _ = self.removed[target]
         if started_ms is None:
             if known is None:
                 return None
@@ -220,6 +253,8 @@
         if not self.leaving.add(target, started_ms):
             return None
         self.retained.pop(target, None)
+        if known is not None and known.record.started_ms == started_ms:
+            self.expired.drop(target)
         if target in self.targets and known.record.started_ms == started_ms:
             record = replace(known.record, leaving=True)
             self.targets[target] = replace(known, record=record)
@@ -230,9 +265,7 @@
     def expire_removed(self) -> None:
         """Forget removed targets whose retention or grace period is over."""
         now = self._clock()
-        for target, (_, removed_at) in list(self.removed.items()):
-            if now - removed_at > REMOVED_RETENTION_S:
-                del self.removed[target]
+        self.expired.expire(now)
         self.leaving.expire()
         expired = [key for key, (_, until) in self.retained.items() if until <= now]
         for target in expired:
@@ -271,6 +304,8 @@
                 self._apply_changed_key(key)
             except Exception:
                 logger.exception("changed key not applied", extra={"key": key})
+        for zone in self.expired.update(self._clock()):
+            self._replicas.mark_dirty(zone)
         self._on_change()
 
     def _apply_changed_key(self, key: str) -> None:
@@ -343,9 +378,7 @@
             if known is None:
                 return
             del self.targets[target]
-            self.removed[target] = (known, now)
-            if not known.record.leaving and now >= self.restore_deadline:
-                self.on_target_lost(target, None)
+            self.expired.add(known, now, is_blamed=now >= self.restore_deadline)
             if now < self.relist_deadline and not known.record.leaving:
                 self.retained[target] = (known, self.relist_deadline)
             logger.info("target gone from the list", extra={"target": target})
@@ -369,7 +402,6 @@
                 self.targets[target] = replace(known, version=entry.version)
             return
         self.retained.pop(target, None)
-        self.removed.pop(target, None)
         record = record.keep_model(None if known is None else known.record)
         self.targets[target] = KnownTarget(
             record,
@@ -381,6 +413,7 @@
                 else known.membership_since
             ),
         )
+        self.expired.handle_listed(self.targets[target], now, is_new=known is None)
         if known is not None and known.record.started_ms != record.started_ms:
             self.on_target_lost(target, record.started_ms)
         if known is None or affects_replicas(known.record, record):
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -31,6 +31,7 @@
 from ..telemetry import GatewayMetrics
 from .beliefs import GatewayView
 from .exchange import TargetExchange
+from .expired_probes import ExpiredProbes
 from .following import StoreFollower
 from .host_bounds import find_answer_bytes, find_caller_bounds, find_max_relayed
 from .notices import TargetNotices
@@ -93,6 +94,10 @@
         self.progress = ProgressBook()
         self._silences = SilenceBook()
         self.view = GatewayView(time.monotonic, self._on_view_change)
+        self.view.expired.find_responses = self.progress.list_responses
+        self.view.expired.is_cut = lambda: self.pool.links.is_cut
+        self.view.expired.on_verdict = self.metrics.count_verdict
+        self._expired_probes = ExpiredProbes(self.pool, self.view)
         self._store_health = StoreHealth(self._on_store_recovery)
         local = EntryHost(
             settings.name,
@@ -351,6 +356,7 @@
             "waiting": self.slots.client.count_pending(),
             "store_answered_s_ago": boot_time() - self._store_health.answered_at,
             "lost_links": self.pool.links.list_lost(),
+            "verdicts": self.view.expired.describe(now),
             "relayed_connections": self._relay.relayed,
             "store_era": self.view.mirror.era,
         }
@@ -383,10 +389,8 @@
         return False
 
     def _may_relay(self, address: str) -> bool:
-        """Return whether an address is that of a listed target."""
-        return any(
-            known.record.address == address for known in self.view.targets.values()
-        )
+        """Return whether an address is that of a target that may be alive."""
+        return self.view.may_relay_to(address)
 
     def _find_target_watch_pause(self) -> float:
         if any(planner.is_busy for planner in self._planners):
@@ -445,6 +449,7 @@
         now = time.monotonic()
         self._ticked_before_at, self._ticked_at = self._ticked_at, now
         served_zones = self._roles.tick(now, is_stopping=self._stopping)
+        self._expired_probes.tick(now)
         self.slots.tick(served_zones)
         if now - self._slow_tick_at >= SLOW_TICK_S:
             self._slow_tick_at = now
--- /dev/null
+++ b/waxwingpitch/gateway/expired_probes.py
@@ -0,0 +1,76 @@
+"""Probes of the targets whose entries were deleted."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import gevent
+from gevent.lock import BoundedSemaphore
+
+from ..forwarding import (
+    ConnectionPool,
+    TargetBrokenError,
+    TargetTimeoutError,
+    UnreachableError,
+)
+from ..targets.liveness import EvidenceKind
+from .beliefs import GatewayView
+from .probing import AnotherTargetError, fetch_report
+from .replicas import KnownTarget
+
+# Minimum time between two probes of the same target.
+PROBE_INTERVAL_S = 0.5
+# Targets that are probed at the same time; see ``probing.MAX_CONCURRENT_CONTACTS``.
+MAX_CONCURRENT_PROBES = 8
+
+logger = logging.getLogger(__name__)
+
+
+class ExpiredProbes:
+    """Finds out which targets without an entry still answer, itself or by peers."""
+
+    def __init__(self, pool: ConnectionPool, view: GatewayView):
+        self._pool = pool
+        self._view = view
+        self._probed_at: dict[str, float] = {}
+        self._in_progress: set[str] = set()
+        self._contacts = BoundedSemaphore(MAX_CONCURRENT_PROBES)
+
+    def tick(self, now: float) -> None:
+        """Start the probes that are due, and judge the targets by what is known."""
+        self._view.judge_expired()
+        due = {known.record.id: known for known in self._view.expired.list_probed()}
+        for target in self._probed_at.keys() - due.keys():
+            del self._probed_at[target]
+        for target, known in due.items():
+            probed_at = self._probed_at.get(target, -PROBE_INTERVAL_S)
+            is_due = now - probed_at >= PROBE_INTERVAL_S
+            if is_due and target not in self._in_progress:
+                self._probed_at[target] = now
+                self._in_progress.add(target)
+                gevent.spawn(self._probe, known)
+
+    def _probe(self, known: KnownTarget) -> None:
+        target, address = known.record.id, known.record.address
+        expired = self._view.expired
+        try:
+            with self._contacts:
+                report = fetch_report(self._pool, target, address)
+        except AnotherTargetError:
+            expired.record_failure(target, EvidenceKind.REPLACED, time.monotonic())
+        except TargetTimeoutError:
+            expired.record_failure(target, EvidenceKind.SILENT, time.monotonic())
+        except (UnreachableError, TargetBrokenError):
+            expired.record_failure(target, EvidenceKind.UNREACHED, time.monotonic())
+        except ValueError as exc:
+            logger.info(
+                "report of a target without an entry can't be decoded",
+                extra={"target": target, "reason": str(exc)},
+            )
+        else:
+            self._view.record_answer(target, report)
+            return
+        finally:
+            self._in_progress.discard(target)
+        self._view.judge_expired()
--- a/waxwingpitch/gateway/peers.py
+++ b/waxwingpitch/gateway/peers.py
@@ -280,6 +280,7 @@
             is_cut=self.is_cut(),
             changes=self.follower.list_changes(),
             path=self.statuses.find_path(self.follower.source),
+            reached_ms=self._list_reached(),
         )
         data = encode_message(common)
         is_head = self._roster.find_head(self._local.zone) == self._local.name
@@ -296,6 +297,10 @@
             else:
                 self._node.send_encoded(peer, data)
 
+    def _list_reached(self) -> dict[str, int]:
+        reached = self._view.expired.list_reached(time.monotonic())
+        return {target: to_age_ms(age_s) for target, age_s in reached.items()}
+
     def _dial(self) -> None:
         """Connect to the peers that this host needs."""
         hosts = self._roster.hosts
@@ -392,6 +397,9 @@
         )
         for target, started_ms in message.leaving.items():
             self._view.mark_leaving(target, started_ms or None)
+        if message.reached_ms:
+            ages_s = {key: age / 1000 for key, age in message.reached_ms.items()}
+            self._view.expired.record_reached(peer, ages_s, at)
         for target, epoch in message.suspected:
             self._progress.suspect(target, epoch, at)
         self.slots.handle_status(peer, message.summaries, message.held, message.sent)
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -207,7 +207,9 @@
         targets = {
             known.record.id: known.record
             for known in self._view.iter_targets()
-            if known.record.service == service.name and known.record.zone == self.zone
+            if known.record.service == service.name
+            and known.record.zone == self.zone
+            and not self._is_free_without_entry(known)
         }
         demand, slots = self._measure_demand(service, now)
         self._probes.forget_opened_groups(targets)
@@ -226,7 +228,13 @@
                 for known in self._view.iter_targets()
             },
             absent=self._absent_members.update(
-                [known.record for known, _ in self._view.removed.values()], targets, now
+                [
+                    known.record
+                    for target, (known, _) in self._view.removed.items()
+                    if target not in targets
+                ],
+                targets,
+                now,
             ),
             inactive=self._probes.inactive_heads,
             demand=demand,
@@ -239,6 +247,11 @@
         self._probes.probe_missing_heads(targets, fence, view.close_timeout_s, now)
         return view
 
+    def _is_free_without_entry(self, known: KnownTarget) -> bool:
+        """Return whether a target is in no group and, without an entry, in no plan."""
+        is_expired = known.record.id in self._view.expired.in_use
+        return is_expired and known.record.membership is None
+
     def _measure_demand(self, service, now: float) -> tuple[dict, dict]:
         """Return the smoothed demand for each model, and its slots."""
         demand, slots = {}, {}
--- a/waxwingpitch/gateway/suspect_task.py
+++ b/waxwingpitch/gateway/suspect_task.py
@@ -104,7 +104,7 @@
         at
             Monotonic time of the release's receipt.
         """
-        known = self._view.targets.get(release.target)
+        known = self._view.find_target(release.target)
         if known is None:
             return
         started_ms = known.record.started_ms
--- a/waxwingpitch/mesh/fleet_messages.py
+++ b/waxwingpitch/mesh/fleet_messages.py
@@ -335,6 +335,9 @@
     path
         Gateways by which what the sender knows of the store comes, the one that it
         follows first; empty if it reads the store.
+    reached_ms
+        Targets without an entry that answered the sender's probes lately, with the age
+        of the answers.
     """
 
     store_age_ms: int
@@ -352,6 +355,7 @@
     is_cut: bool = False
     changes: dict[str, int] = {}
     path: tuple[str, ...] = ()
+    reached_ms: dict[str, int] = {}
 
 
 class Subscription(MeshMessage, tag=37):
--- a/waxwingpitch/targets/progress.py
+++ b/waxwingpitch/targets/progress.py
@@ -9,6 +9,8 @@
 
 from dataclasses import dataclass
 
+from .liveness import OWN, PEERS, Evidence, EvidenceKind
+
 # Time for which a stalled target gets no new requests. After that one request may try
 # it again, in case it only paused.
 SUSPICION_TTL_S = 2.5
@@ -76,6 +78,15 @@
         """Return the monotonic time of a target's last progress; 0 if there is none."""
         return max(self._own.get(target, 0.0), self._peers.get(target, 0.0))
 
+    def list_responses(self, target: str) -> list[Evidence]:
+        """Return when a target last made progress, here and at peers, as evidence."""
+        known = ((OWN, self._own.get(target)), (PEERS, self._peers.get(target)))
+        return [
+            Evidence(EvidenceKind.RESPONSE, source, at)
+            for source, at in known
+            if at is not None
+        ]
+
     def suspect(
         self,
         target: str,
--- a/waxwingpitch/telemetry/metrics.py
+++ b/waxwingpitch/telemetry/metrics.py
@@ -13,6 +13,7 @@
 
 from ..memory import CallerAccount
 from ..slots import Forwarded
+from ..targets.liveness import Verdict
 
 GAIN_BUCKETS = (0.3, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0)
 SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0)
@@ -78,6 +79,10 @@
             "waxwingpitch_orders", description="Orders to targets by kind and status"
         )
 
+        self._verdicts = meter.create_counter(
+            "waxwingpitch_target_verdicts",
+            description="Changed judgements of targets without an entry, by state",
+        )
         self._store_restored = meter.create_counter(
             "waxwingpitch_store_restored",
             description="Times that the store came back from an older copy",
@@ -143,6 +148,10 @@
             description="Requests and connections that were rejected, by reason",
         )
 
+    def count_verdict(self, verdict: Verdict) -> None:
+        """Count a changed judgement of a target whose entry is missing."""
+        self._verdicts.add(1, {"state": verdict.state.value})
+
     def count_store_restored(self) -> None:
         """Count that the store came back from an older copy."""
         self._store_restored.add(1)
