Planner: whether a member without an entry serves on is judged as elsewhere

AbsentMembers probed the members that left the list on its own, beside the probes of all targets without an entry, and judged by its last probe alone.

--- a/waxwingpitch/gateway/expired_targets.py
+++ b/waxwingpitch/gateway/expired_targets.py
@@ -158,6 +158,19 @@
         """Return what peers are told: the ages of answers to probes, by target."""
         return self._book.list_reached(now)
 
+    def find_report(self, target: str, address: str) -> MembershipReport | None:
+        """Return what a target reports that answers; None if none was heard lately.
+
+        Only the group and the weights in it are known.
+        """
+        state = self._verdicts.get(target, _UNJUDGED).state
+        if state not in (LivenessState.ALIVE, LivenessState.LEAVING):
+            return None
+        record = self.removed[target][0].record
+        if record.address != address:
+            return None
+        return MembershipReport(0, 1.0, record.membership, record.model, record.staged)
+
     def list_probed(self) -> list[KnownTarget]:
         """Return the targets that are to be probed."""
         return [
--- a/waxwingpitch/tests/test_liveness.py
+++ b/waxwingpitch/tests/test_liveness.py
@@ -416,3 +416,19 @@
     world.expire("t0")
     world.run(1.0)
     assert world.list_in_use() == set(NAMES)
+
+
+def test_member_without_entry_reports_its_group_until_it_does_not_answer(world):
+    place = Membership("g", 7, 1, MemberState.READY)
+    report = replace(PLAIN_REPORT, membership=place)
+    address = "127.0.0.1:1000"
+    world.expire("t0")
+    assert world.view.expired.find_report("t0", address) is None, "not probed yet"
+    world.view.record_answer("t0", report)
+    assert world.view.expired.find_report("t0", address) == report
+    assert world.view.expired.find_report("t0", "127.0.0.1:9") is None
+    world.reached -= {"t0"}
+    world.reached_by_peer -= {"t0"}
+    world.now += TICK_S
+    world.run(TICK_S)
+    assert world.view.expired.find_report("t0", address) is None
