Gateways: only owners and planners probe targets without an entry

Now the owners' zones are probed while entries of many targets are missing, and members of groups by their zone's planner; a target that does not answer is probed less and less often. A target that says in its answer to a probe that it leaves is dropped, as those that leave without having announced it do so too.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -27,6 +27,7 @@
 from ..settings.gateway import GatewaySettings
 from ..slots import EntryHost
 from ..targets.progress import ProgressBook
+from ..targets.records import TargetRecord
 from ..targets.silences import SilenceBook
 from ..telemetry import GatewayMetrics
 from .beliefs import GatewayView
@@ -86,6 +87,7 @@
         self.settings = settings
         self._stopped = Event()
         self._stopping = False
+        self._served_zones: tuple[str, ...] = (settings.zone,)
         self.metrics = GatewayMetrics()
         self._store = store or self._build_store()
         self.pool = ConnectionPool(memory_bytes=find_answer_bytes(settings))
@@ -97,6 +99,7 @@
         self.view.expired.find_responses = self.progress.list_responses
         self.view.expired.is_cut = lambda: self.pool.links.is_cut
         self.view.expired.on_verdict = self.metrics.count_verdict
+        self.view.expired.is_probed = self._is_probed
         self._expired_probes = ExpiredProbes(self.pool, self.view)
         self._store_health = StoreHealth(self._on_store_recovery)
         local = EntryHost(
@@ -366,6 +369,17 @@
         held = {kind.value: size for kind, size in self.callers.by_kind.items()}
         return {**held, "answers": self.pool.memory.held_bytes}
 
+    def _is_probed(self, record: TargetRecord, is_store_cut: bool) -> bool:
+        """Return whether this gateway probes a target without an entry.
+
+        Owners of slots need to know about those that many targets without an entry
+        serve on, and the planner of a zone about the members of groups.
+        """
+        if is_store_cut:
+            return record.zone in self._served_zones
+        planned = self._roles.planned_zones
+        return record.membership is not None and record.zone in planned
+
     def _is_reachable(self, target: str, address: str) -> bool:
         """Return whether a target answers this process."""
         try:
@@ -449,6 +463,7 @@
         now = time.monotonic()
         self._ticked_before_at, self._ticked_at = self._ticked_at, now
         served_zones = self._roles.tick(now, is_stopping=self._stopping)
+        self._served_zones = served_zones
         self._expired_probes.tick(now)
         self.slots.tick(served_zones)
         if now - self._slow_tick_at >= SLOW_TICK_S:
--- a/waxwingpitch/gateway/expired_probes.py
+++ b/waxwingpitch/gateway/expired_probes.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
+from collections import Counter
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -19,8 +21,11 @@
 from .probing import AnotherTargetError, fetch_report
 from .replicas import KnownTarget
 
-# Minimum time between two probes of the same target.
+# Time between two probes of a target that answers, and at most of one that does not:
+# the time doubles with each probe that fails, as all targets of a zone without power
+# would otherwise be probed twice a second.
 PROBE_INTERVAL_S = 0.5
+MAX_PROBE_INTERVAL_S = 4.0
 # Targets that are probed at the same time; see ``probing.MAX_CONCURRENT_CONTACTS``.
 MAX_CONCURRENT_PROBES = 8
 
@@ -34,6 +39,7 @@
         self._pool = pool
         self._view = view
         self._probed_at: dict[str, float] = {}
+        self._failures: Counter[str] = Counter()
         self._in_progress: set[str] = set()
         self._contacts = BoundedSemaphore(MAX_CONCURRENT_PROBES)
 
@@ -43,9 +49,11 @@
         due = {known.record.id: known for known in self._view.expired.list_probed()}
         for target in self._probed_at.keys() - due.keys():
             del self._probed_at[target]
+            del self._failures[target]
         for target, known in due.items():
-            probed_at = self._probed_at.get(target, -PROBE_INTERVAL_S)
-            is_due = now - probed_at >= PROBE_INTERVAL_S
+            is_due = now - self._probed_at.get(target, -math.inf) >= min(
+                MAX_PROBE_INTERVAL_S, PROBE_INTERVAL_S * 2 ** self._failures[target]
+            )
             if is_due and target not in self._in_progress:
                 self._probed_at[target] = now
                 self._in_progress.add(target)
@@ -56,12 +64,19 @@
         expired = self._view.expired
         try:
             with self._contacts:
-                report = fetch_report(self._pool, target, address)
+                report = fetch_report(
+                    self._pool,
+                    target,
+                    address,
+                    on_leaving=lambda: self._view.mark_leaving(target),
+                )
         except AnotherTargetError:
             expired.record_failure(target, EvidenceKind.REPLACED, time.monotonic())
         except TargetTimeoutError:
+            self._failures[target] += 1
             expired.record_failure(target, EvidenceKind.SILENT, time.monotonic())
         except (UnreachableError, TargetBrokenError):
+            self._failures[target] += 1
             expired.record_failure(target, EvidenceKind.UNREACHED, time.monotonic())
         except ValueError as exc:
             logger.info(
@@ -69,6 +84,7 @@
                 extra={"target": target, "reason": str(exc)},
             )
         else:
+            self._failures[target] = 0
             self._view.record_answer(target, report)
             return
         finally:
--- a/waxwingpitch/gateway/expired_targets.py
+++ b/waxwingpitch/gateway/expired_targets.py
@@ -23,7 +23,7 @@
     are_cut_off,
     judge,
 )
-from ..targets.records import MembershipReport
+from ..targets.records import MembershipReport, TargetRecord
 from .replicas import KnownTarget
 
 # Time for which the removal of a target from the list is remembered, for the planner.
@@ -55,6 +55,9 @@
         Returns what is known of a target's responses, given its id.
     is_cut
         Returns whether this gateway's links to all targets are presumed lost.
+    is_probed
+        Returns whether this gateway probes a target, given its record and whether many
+        targets of its service and zone have no entry.
     on_verdict
         Called with each verdict that differs from the one before.
     on_gone
@@ -67,6 +70,9 @@
         self.in_use: dict[str, KnownTarget] = {}
         self.find_responses: Callable[[str], Iterable[Evidence]] = lambda target: ()
         self.is_cut: Callable[[], bool] = lambda: False
+        self.is_probed: Callable[[TargetRecord, bool], bool] = (
+            lambda record, is_store_cut: True
+        )
         self.on_verdict: Callable[[Verdict], None] = lambda verdict: None
         self.on_gone: Callable[[str], None] = lambda target: None
         self._listed = listed
@@ -74,6 +80,7 @@
         self._verdicts: dict[str, Verdict] = {}
         self._added_at: dict[str, float] = {}
         self._unblamed: set[str] = set()
+        self._cut_off: set[tuple[str, str]] = set()
 
     def add(self, known: KnownTarget, now: float, *, is_blamed: bool = True) -> None:
         """Note that a target's entry was deleted.
@@ -176,7 +183,9 @@
         return [
             known
             for target, (known, _) in self.removed.items()
-            if not known.record.leaving and not self._is_replaced(target)
+            if not known.record.leaving
+            and not self._is_replaced(target)
+            and self._is_probed(known.record)
         ]
 
     def may_relay_to(self, address: str) -> bool:
@@ -195,7 +204,7 @@
         addresses = {
             known.record.address: target for target, known in self._listed.items()
         }
-        cut_off = self._find_cut_off(now)
+        self._cut_off = self._find_cut_off(now)
         has_links = self._finds_links(now)
         for target, (known, at) in list(self.removed.items()):
             record = known.record
@@ -205,9 +214,10 @@
             verdict = judge(
                 _build_entry_evidence(at, is_announced=is_announced),
                 [*self._book.list_evidence(target), *self._list_responses(known)],
-                is_store_cut=(record.service, record.zone) in cut_off,
+                is_store_cut=(record.service, record.zone) in self._cut_off,
                 has_links=has_links,
                 now=now,
+                is_probed=self._is_probed(record),
             )
             self._take(known, verdict, changed, now)
         return changed
@@ -303,6 +313,9 @@
             if are_cut_off(listed[key], count, added[key])
         }
 
+    def _is_probed(self, record: TargetRecord) -> bool:
+        return self.is_probed(record, (record.service, record.zone) in self._cut_off)
+
     def _is_replaced(self, target: str) -> bool:
         return any(
             item.kind is EvidenceKind.REPLACED
--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -49,9 +49,20 @@
     """Another target than the expected one answers at an address."""
 
 
-def fetch_report(pool: ConnectionPool, target: str, address: str) -> MembershipReport:
+def fetch_report(
+    pool: ConnectionPool,
+    target: str,
+    address: str,
+    *,
+    on_leaving: Callable[[], None] = lambda: None,
+) -> MembershipReport:
     """Fetch a target's report, with one retry on a new connection.
 
+    Parameters
+    ----------
+    on_leaving
+        Called if the target says in its answer that it leaves.
+
     Raises
     ------
     UnreachableError, TargetTimeoutError, TargetBrokenError
@@ -74,6 +85,8 @@
         )
         if answer.head.status == 421:
             raise AnotherTargetError(f"{address}: not {target}")
+        if answer.head.find(HeaderNames.LEAVING) is not None:
+            on_leaving()
         return decode_report(answer.body)
 
     try:
--- a/waxwingpitch/targets/liveness.py
+++ b/waxwingpitch/targets/liveness.py
@@ -16,6 +16,9 @@
 # Time after its entry was deleted for which a target counts as alive without an answer,
 # while entries of many targets are missing: the first probe is under way.
 FIRST_PROBE_S = 0.6
+# Time after its entry was deleted for which a target that is not probed counts as
+# unknown: entries of others that are cut off as well expire within it.
+SETTLE_S = 0.5
 # Time after which a target is gone that could not be probed, as this gateway has no
 # links.
 UNPROBED_TTL_S = 15.0
@@ -129,6 +132,7 @@
     is_store_cut: bool,
     has_links: bool,
     now: float,
+    is_probed: bool = True,
 ) -> Verdict:
     """Judge a target.
 
@@ -143,6 +147,8 @@
         ``are_cut_off``.
     has_links
         Whether this gateway reaches targets, so that it can tell that one is gone.
+    is_probed
+        Whether this gateway probes it.
 
     Examples
     --------
@@ -168,6 +174,10 @@
             return Verdict(
                 LivenessState.LEAVING, "answers, few entries missing", found.evidence
             )
+        case LivenessState.UNKNOWN if (
+            not is_store_cut and not is_probed and now - entry.at >= SETTLE_S
+        ):
+            return Verdict(LivenessState.GONE, "few entries missing", entry)
         case LivenessState.UNKNOWN if (
             is_store_cut and found.evidence is entry and now - entry.at < FIRST_PROBE_S
         ):
--- a/waxwingpitch/tests/test_liveness.py
+++ b/waxwingpitch/tests/test_liveness.py
@@ -8,16 +8,24 @@
 
 import json
 from dataclasses import replace
+from types import SimpleNamespace
 
+import gevent
 import pytest
 
+from ..forwarding import AnswerHead, UnreachableError
+from ..forwarding.answers import Answer
+from ..gateway import expired_probes, probing
 from ..gateway.beliefs import GatewayView
+from ..gateway.expired_probes import ExpiredProbes
 from ..gateway.expired_targets import REMOVED_RETENTION_S
+from ..platform import HeaderNames
 from ..ports import StoredChange, StoredDeletion, StoredEntry
 from ..targets.liveness import (
     FIRST_PROBE_S,
     OWN,
     REACHED_TTL_S,
+    SETTLE_S,
     STORE,
     UNPROBED_TTL_S,
     Evidence,
@@ -408,6 +416,91 @@
     assert verdict.state is expected
 
 
+# Guards against requests that each gateway sends to each target that ends: only those
+# that own slots, or plan the zone, need to know more than that the entry is missing.
+def test_target_that_is_not_probed_is_gone_unless_many_entries_are_missing(world):
+    probed: list[tuple[str, bool]] = []
+    world.view.expired.is_probed = lambda record, is_store_cut: (
+        probed.append((record.id, is_store_cut)) or is_store_cut
+    )
+    world.expire("t0")
+    world.run(SETTLE_S - TICK_S)
+    assert world.lost == []
+    world.run(2 * TICK_S)
+    assert world.lost == [("t0", None)]
+    world.expire("t1", "t2")
+    world.run(1.0)
+    assert world.list_in_use() == set(NAMES)
+    assert ("t0", False) in probed and ("t2", True) in probed
+
+
+def test_entries_that_expire_one_after_the_other_are_no_loss_of_their_targets(world):
+    world.view.expired.is_probed = lambda record, is_store_cut: is_store_cut
+    for name in NAMES:
+        world.expire(name)
+        world.run(SETTLE_S / 2)
+    assert world.lost == []
+    assert world.list_in_use() == set(NAMES)
+
+
+class _Pool:
+    """Targets by address: whether each answers its probe, and says that it leaves."""
+
+    def __init__(self):
+        self.leaving: set[str] = set()
+        self.silent: set[str] = set()
+        self.probed: list[str] = []
+
+    def call(self, pool, address, *args, headers, **kwargs) -> Answer:
+        self.probed.append(address)
+        if address in self.silent:
+            raise UnreachableError(f"{address}: refused")
+        name = HeaderNames.LEAVING.value
+        found = ((name, b"1"),) if address in self.leaving else ()
+        body = json.dumps({"seq": 1, "born": 1000}).encode()
+        return Answer(AnswerHead(200, found), body)
+
+
+@pytest.fixture
+def targets(monkeypatch):
+    found = _Pool()
+    monkeypatch.setattr(probing, "call_target", found.call)
+    return found
+
+
+def run_probes(world, probes: ExpiredProbes, seconds: float) -> None:
+    for _ in range(round(seconds / TICK_S)):
+        probes.tick(world.now)
+        gevent.sleep(0)
+        world.now += TICK_S
+
+
+# Guards against requests to a target that leaves, whose entry is missing like those of
+# targets that are cut off from the store.
+def test_target_that_says_that_it_leaves_in_its_answer_to_a_probe_is_dropped(
+    world, targets, monkeypatch
+):
+    monkeypatch.setattr(expired_probes.time, "monotonic", lambda: world.now)
+    targets.leaving.add("127.0.0.1:1001")
+    world.expire(*NAMES)
+    probes = ExpiredProbes(SimpleNamespace(drop=lambda address: None), world.view)
+    run_probes(world, probes, 1.0)
+    assert world.list_in_use() == set(NAMES) - {"t1"}
+    assert world.view.leaving.includes("t1", 1000)
+
+
+# Guards against probes without end of all targets of a zone without power.
+def test_target_that_does_not_answer_is_probed_less_and_less_often(
+    world, targets, monkeypatch
+):
+    monkeypatch.setattr(expired_probes.time, "monotonic", lambda: world.now)
+    targets.silent.update(f"127.0.0.1:{1000 + number}" for number in range(4))
+    world.expire(*NAMES)
+    probes = ExpiredProbes(SimpleNamespace(drop=lambda address: None), world.view)
+    run_probes(world, probes, 16.0)
+    assert 5 <= targets.probed.count("127.0.0.1:1000") <= 7
+
+
 def test_probe_that_ends_after_its_target_is_listed_again_is_no_evidence(world):
     world.expire(*NAMES)
     world.list("t0")
