Targets: one that is listed again with a later start was restarted

A target whose entry is deleted is not reported as lost before it is judged gone. If it was started again meanwhile, its new entry ended the judgement, so that the restart was told to nobody: requests that crashed it were not found, and a pause that it had asked for went on. The start is compared with that of the last record now, unless the target was judged gone, which was told.

--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -413,8 +413,9 @@
                 else known.membership_since
             ),
         )
+        earlier = known or self.expired.find_not_gone(target)
         self.expired.handle_listed(self.targets[target], now, is_new=known is None)
-        if known is not None and known.record.started_ms != record.started_ms:
+        if earlier is not None and earlier.record.started_ms != record.started_ms:
             self.on_target_lost(target, record.started_ms)
         if known is None or affects_replicas(known.record, record):
             self._replicas.mark_dirty(record.zone)
--- a/waxwingpitch/gateway/expired_targets.py
+++ b/waxwingpitch/gateway/expired_targets.py
@@ -158,6 +158,13 @@
         """Return what peers are told: the ages of answers to probes, by target."""
         return self._book.list_reached(now)
 
+    def find_not_gone(self, target: str) -> KnownTarget | None:
+        """Return a target without an entry that is not judged gone."""
+        if target not in self.removed:
+            return None
+        state = self._verdicts.get(target, _UNJUDGED).state
+        return None if state is LivenessState.GONE else self.removed[target][0]
+
     def find_report(self, target: str, address: str) -> MembershipReport | None:
         """Return what a target reports that answers; None if none was heard lately.
 
--- a/waxwingpitch/tests/test_liveness.py
+++ b/waxwingpitch/tests/test_liveness.py
@@ -316,6 +316,7 @@
     known = {item.record.id: item.record for item in world.view.iter_targets()}
     assert len(list(world.view.iter_targets())) == len(NAMES)
     assert known["t1"].started_ms == 2000
+    assert world.lost == [("t1", 2000)]
 
 
 def test_group_of_a_target_without_entry_is_that_of_its_report(world):
