Probes of targets without an entry: bounded for large services

Each answer judged all targets anew, and each target was probed twice a second whatever their number.

--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -181,9 +181,11 @@
             self._on_change()
 
     def record_answer(self, target: str, report: MembershipReport) -> None:
-        """Apply the answer of a target without an entry to a probe."""
+        """Apply the answer of a target without an entry to a probe.
+
+        The targets are not judged anew before :meth:`judge_expired` is called.
+        """
         zone = self.expired.record_answer(target, report, self._clock())
-        self.judge_expired()
         if zone is not None:
             self._replicas.mark_dirty(zone)
             self._on_change()
--- a/waxwingpitch/gateway/expired_probes.py
+++ b/waxwingpitch/gateway/expired_probes.py
@@ -14,13 +14,16 @@
     TargetTimeoutError,
     UnreachableError,
 )
-from ..targets.liveness import EvidenceKind
+from ..targets.liveness import REACHED_TTL_S, EvidenceKind
 from .beliefs import GatewayView
 from .probing import AnotherTargetError, fetch_report
 from .replicas import KnownTarget
 
-# Minimum time between two probes of the same target.
+# Time between two probes of the same target. It grows with the number of targets, to
+# bound the processor time, up to half the age at which an answer no longer counts.
 PROBE_INTERVAL_S = 0.5
+MAX_PROBE_INTERVAL_S = REACHED_TTL_S / 2
+PROBES_PER_S = 100.0
 # Targets that are probed at the same time; see ``probing.MAX_CONCURRENT_CONTACTS``.
 MAX_CONCURRENT_PROBES = 8
 
@@ -43,9 +46,9 @@
         due = {known.record.id: known for known in self._view.expired.list_probed()}
         for target in self._probed_at.keys() - due.keys():
             del self._probed_at[target]
+        interval_s = find_probe_interval_s(len(due))
         for target, known in due.items():
-            probed_at = self._probed_at.get(target, -PROBE_INTERVAL_S)
-            is_due = now - probed_at >= PROBE_INTERVAL_S
+            is_due = now - self._probed_at.get(target, -interval_s) >= interval_s
             if is_due and target not in self._in_progress:
                 self._probed_at[target] = now
                 self._in_progress.add(target)
@@ -70,7 +73,17 @@
             )
         else:
             self._view.record_answer(target, report)
-            return
         finally:
             self._in_progress.discard(target)
-        self._view.judge_expired()
+
+
+def find_probe_interval_s(count: int) -> float:
+    """Return the time between two probes of each of a number of targets.
+
+    Examples
+    --------
+    >>> [find_probe_interval_s(count) for count in (12, 80, 400)]
+    [0.5, 0.8, 1.0]
+    """
+    interval_s = max(PROBE_INTERVAL_S, count / PROBES_PER_S)
+    return min(MAX_PROBE_INTERVAL_S, interval_s)
--- a/waxwingpitch/tests/test_liveness.py
+++ b/waxwingpitch/tests/test_liveness.py
@@ -426,6 +426,7 @@
     world.expire("t0")
     assert world.view.expired.find_report("t0", address) is None, "not probed yet"
     world.view.record_answer("t0", report)
+    world.view.judge_expired()
     assert world.view.expired.find_report("t0", address) == report
     assert world.view.expired.find_report("t0", "127.0.0.1:9") is None
     world.reached -= {"t0"}
