--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -193,9 +193,11 @@
             self._on_change()
 
     def record_answer(self, target: str, report: MembershipReport) -> None:
-        """Apply the answer of a target without an entry to a probe."""
+        """Apply the answer of a target without an entry to a probe.
+
+        The targets are not judged anew before :meth:`judge_expired` is called.
+        """
         zone = self.expired.record_answer(target, report, self._clock())
-        self.judge_expired()
         if zone is not None:
             self._replicas.mark_dirty(zone)
             self._on_change()
@@ -425,8 +427,9 @@
                 else known.membership_since
             ),
         )
+        earlier = known or self.expired.find_not_gone(target)
         self.expired.handle_listed(self.targets[target], now, is_new=known is None)
-        if known is not None and known.record.started_ms != record.started_ms:
+        if earlier is not None and earlier.record.started_ms != record.started_ms:
             self.on_target_lost(target, record.started_ms)
         if known is None or affects_replicas(known.record, record):
             self._replicas.mark_dirty(record.zone)
--- a/waxwingpitch/gateway/expired_probes.py
+++ b/waxwingpitch/gateway/expired_probes.py
@@ -16,16 +16,19 @@
     TargetTimeoutError,
     UnreachableError,
 )
-from ..targets.liveness import EvidenceKind
+from ..targets.liveness import REACHED_TTL_S, EvidenceKind
 from .beliefs import GatewayView
 from .probing import AnotherTargetError, fetch_report
 from .replicas import KnownTarget
 
-# Time between two probes of a target that answers, and at most of one that does not:
-# the time doubles with each probe that fails, as all targets of a zone without power
-# would otherwise be probed twice a second.
+# Time between two probes of a target. It grows with the number of targets, to bound the
+# processor time, up to half the age at which an answer no longer counts.
 PROBE_INTERVAL_S = 0.5
-MAX_PROBE_INTERVAL_S = 4.0
+MAX_PROBE_INTERVAL_S = REACHED_TTL_S / 2
+PROBES_PER_S = 100.0
+# Longest time between two probes of a target that does not answer. It doubles with each
+# failure, so that targets of a zone without power are not probed twice a second.
+MAX_RETRY_INTERVAL_S = 4.0
 # Targets that are probed at the same time; see ``probing.MAX_CONCURRENT_CONTACTS``.
 MAX_CONCURRENT_PROBES = 8
 
@@ -50,9 +53,10 @@
         for target in self._probed_at.keys() - due.keys():
             del self._probed_at[target]
             del self._failures[target]
+        interval_s = find_probe_interval_s(len(due))
         for target, known in due.items():
             is_due = now - self._probed_at.get(target, -math.inf) >= min(
-                MAX_PROBE_INTERVAL_S, PROBE_INTERVAL_S * 2 ** self._failures[target]
+                MAX_RETRY_INTERVAL_S, interval_s * 2 ** self._failures[target]
             )
             if is_due and target not in self._in_progress:
                 self._probed_at[target] = now
@@ -86,7 +90,17 @@
         else:
             self._failures[target] = 0
             self._view.record_answer(target, report)
-            return
         finally:
             self._in_progress.discard(target)
-        self._view.judge_expired()
+
+
+def find_probe_interval_s(count: int) -> float:
+    """Return the time between two probes of each of a number of targets.
+
+    Examples
+    --------
+    >>> [find_probe_interval_s(count) for count in (12, 80, 400)]
+    [0.5, 0.8, 1.0]
+    """
+    interval_s = max(PROBE_INTERVAL_S, count / PROBES_PER_S)
+    return min(MAX_PROBE_INTERVAL_S, interval_s)
--- a/waxwingpitch/tests/test_liveness.py
+++ b/waxwingpitch/tests/test_liveness.py
@@ -324,6 +324,7 @@
     known = {item.record.id: item.record for item in world.view.iter_targets()}
     assert len(list(world.view.iter_targets())) == len(NAMES)
     assert known["t1"].started_ms == 2000
+    assert world.lost == [("t1", 2000)]
 
 
 def test_group_of_a_target_without_entry_is_that_of_its_report(world):
@@ -518,6 +519,7 @@
     world.expire("t0")
     assert world.view.expired.find_report("t0", address) is None, "not probed yet"
     world.view.record_answer("t0", report)
+    world.view.judge_expired()
     assert world.view.expired.find_report("t0", address) == report
     assert world.view.expired.find_report("t0", "127.0.0.1:9") is None
     world.reached -= {"t0"}
