Slots: replicas of about the same speed get requests alike

Cause: a replica without samples counts as of usual speed; where another one's mean was some hundredths shorter by chance, that one got all requests while the load was low. Why this change: the factor moves in steps that are larger than the noise of its mean.

--- a/waxwingpitch/slots/speeds.py
+++ b/waxwingpitch/slots/speeds.py
@@ -14,6 +14,9 @@
 MIN_SAMPLES = 8
 # Bounds of the factor, so that no replica is left without requests to be measured by.
 MIN_DELAY, MAX_DELAY = 0.5, 2.0
+# Steps of the factor. Smaller differences are within what the newest samples vary by,
+# and would leave the other replicas without any request while the load is low.
+DELAY_STEP = 0.25
 
 
 class ReplicaSpeeds:
@@ -42,7 +45,8 @@
         known, samples = self._known.get(target, (1.0, 0))
         if samples < MIN_SAMPLES:
             return 1.0
-        return max(MIN_DELAY, min(known, MAX_DELAY))
+        rounded = round(known / DELAY_STEP) * DELAY_STEP
+        return max(MIN_DELAY, min(rounded, MAX_DELAY))
 
     def keep(self, targets: Collection[str]) -> None:
         """Forget all replicas but these."""
--- a/waxwingpitch/tests/test_speeds.py
+++ b/waxwingpitch/tests/test_speeds.py
@@ -67,3 +67,23 @@
     assert speeds.find("t") == 2.0
     speeds.keep({"u"})
     assert speeds.find("t") == 1.0
+
+
+# Guards against a replica that gets no request, as it has not been measured, while the
+# times of another one are some hundredths shorter than usual by chance.
+def test_replicas_of_about_the_same_speed_get_requests_alike_at_low_load():
+    owner = SlotOwner(
+        SlotKey("a", "plain", ""),
+        SharedRetryBudget(ratio=0.2, slack=100.0, window_s=10.0, owners=1),
+    )
+    offers = [SlotOffer(name, "", "a", "plain", "", SLOTS, 1) for name in ("t0", "t1")]
+    owner.set_offers(tuple(offers), 100)
+    counts = Counter()
+    for number in range(100):
+        req = SlotRequest("r", "plain", "", "w", 1, 10.0, number + 6.0)
+        (decision,) = owner.request("h", number, req, float(number))
+        service_s = {"t0": 0.95, "t1": 1.05}[decision.offer.id]
+        counts[decision.offer.id] += 1
+        owner.record_times(service_s, 0.1, client="h", number=number)
+        owner.release("h", number, number + service_s)
+    assert min(counts.values()) >= 25
