Test of a handed-over planner: wait for its key rather than read it at once

The key of the planner that stopped may have ended with its lease when the store answers again; the lookup then raised KeyError in place of waiting for the next planner to acquire it.

--- a/waxwingpitch/tests/test_gateway.py
+++ b/waxwingpitch/tests/test_gateway.py
@@ -476,7 +476,7 @@
         wait_for(lambda: _count_members(platform) >= 8)
         assert platform.invariant_violations == []
         platform.store.down = False
-        wait_for(lambda: platform.store.items["waxwingpitch/planners/z"])
+        wait_for(lambda: platform.store.items.get("waxwingpitch/planners/z"))
         wait_for(lambda: second._planners[0]._key._handover is None)
         wait_for(lambda: second.dump()["plans"] == ["z"])
     finally:
