Targets without an entry: plain ones are out of use with it

Cause: two of the three targets of a plain service in a zone left without having said so. They answered on, and as 0.3 of their service and zone had no entry, they were taken for cut off from the store. Members of groups stay in use as before; a group is closed by its planner's order before its members leave.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -99,6 +99,9 @@
         self.view.expired.find_responses = self.progress.list_responses
         self.view.expired.is_cut = lambda: self.pool.links.is_cut
         self.view.expired.on_verdict = self.metrics.count_verdict
+        # Plain services have so few targets that two which leave without having said so
+        # can't be told from ones that are cut off from the store.
+        self.view.expired.may_stay = lambda record: record.membership is not None
         self.view.expired.is_probed = self._is_probed
         self._expired_probes = ExpiredProbes(self.pool, self.view)
         self._store_health = StoreHealth(self._on_store_recovery)
--- a/waxwingpitch/gateway/expired_targets.py
+++ b/waxwingpitch/gateway/expired_targets.py
@@ -55,6 +55,8 @@
         Returns what is known of a target's responses, given its id.
     is_cut
         Returns whether this gateway's links to all targets are presumed lost.
+    may_stay
+        Returns whether a target, given its record, may be in use without an entry.
     is_probed
         Returns whether this gateway probes a target, given its record and whether many
         targets of its service and zone have no entry.
@@ -70,6 +72,7 @@
         self.in_use: dict[str, KnownTarget] = {}
         self.find_responses: Callable[[str], Iterable[Evidence]] = lambda target: ()
         self.is_cut: Callable[[], bool] = lambda: False
+        self.may_stay: Callable[[TargetRecord], bool] = lambda record: True
         self.is_probed: Callable[[TargetRecord, bool], bool] = (
             lambda record, is_store_cut: True
         )
@@ -221,7 +224,7 @@
             verdict = judge(
                 _build_entry_evidence(at, is_announced=is_announced),
                 [*self._book.list_evidence(target), *self._list_responses(known)],
-                is_store_cut=(record.service, record.zone) in self._cut_off,
+                is_store_cut=self._is_cut_off(record),
                 has_links=has_links,
                 now=now,
                 is_probed=self._is_probed(record),
@@ -321,7 +324,11 @@
         }
 
     def _is_probed(self, record: TargetRecord) -> bool:
-        return self.is_probed(record, (record.service, record.zone) in self._cut_off)
+        return self.is_probed(record, self._is_cut_off(record))
+
+    def _is_cut_off(self, record: TargetRecord) -> bool:
+        key = record.service, record.zone
+        return key in self._cut_off and self.may_stay(record)
 
     def _is_replaced(self, target: str) -> bool:
         return any(
