--- a/waxwingpitch/tests/test_resets_at_living_targets.py
+++ b/waxwingpitch/tests/test_resets_at_living_targets.py
@@ -22,7 +22,7 @@
         record = SimpleNamespace(started_ms=5, address="")
         targets = {name: SimpleNamespace(record=record) for name in ("t1", "t2")}
         self.tracker = SuspectTracker(
-            SimpleNamespace(targets=targets),
+            SimpleNamespace(targets=targets, find_target=targets.get),
             self.news.append,
             lambda peer, news: True,
             lambda target, address: self.is_reachable,
