Planner: a member that says that it leaves counts while it answers

Evidence: the new test fails without the change. Now the report counts by the planner's own probes, whatever the verdict on new requests is.

--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -375,10 +375,10 @@
     def _is_probed(self, record: TargetRecord, is_store_cut: bool) -> bool:
         """Return whether this gateway probes a target without an entry.
 
-        Owners of slots need to know about those that many targets without an entry
-        serve on, and the planner of a zone about the members of groups.
+        Owners of slots need to know which serve on while many have no entry, and the
+        planner of a zone which members of groups do, also of those that leave.
         """
-        if is_store_cut:
+        if is_store_cut and not record.leaving:
             return record.zone in self._served_zones
         planned = self._roles.planned_zones
         return record.membership is not None and record.zone in planned
--- a/waxwingpitch/gateway/expired_targets.py
+++ b/waxwingpitch/gateway/expired_targets.py
@@ -175,13 +175,15 @@
         state = self._verdicts.get(target, _UNJUDGED).state
         return None if state is LivenessState.GONE else self.removed[target][0]
 
-    def find_report(self, target: str, address: str) -> MembershipReport | None:
-        """Return what a target reports that answers; None if none was heard lately.
+    def find_report(
+        self, target: str, address: str, now: float
+    ) -> MembershipReport | None:
+        """Return what a target reports that answers, whether it leaves or not.
 
-        Only the group and the weights in it are known.
+        Only the group and the weights in it are known; None if no answer to a probe of
+        this gateway is recent.
         """
-        state = self._verdicts.get(target, _UNJUDGED).state
-        if state not in (LivenessState.ALIVE, LivenessState.LEAVING):
+        if target not in self.removed or not self._book.answers(target, now):
             return None
         record = self.removed[target][0].record
         if record.address != address:
@@ -193,9 +195,7 @@
         return [
             known
             for target, (known, _) in self.removed.items()
-            if not known.record.leaving
-            and not self._is_replaced(target)
-            and self._is_probed(known.record)
+            if not self._is_replaced(target) and self._is_probed(known.record)
         ]
 
     def may_relay_to(self, address: str) -> bool:
--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -96,7 +96,11 @@
         self._summarized_at = 0.0
         self._planners: dict[str, FormationPlanner] = {}
         self._probes = TargetProbes(pool, view, peers_may_reach)
-        self._absent_members = AbsentMembers(view.expired.find_report)
+        self._absent_members = AbsentMembers(
+            lambda target, address: view.expired.find_report(
+                target, address, time.monotonic()
+            )
+        )
         self._greenlet: gevent.Greenlet | None = None
         self.is_candidate = False
 
--- a/waxwingpitch/targets/liveness.py
+++ b/waxwingpitch/targets/liveness.py
@@ -248,6 +248,21 @@
         """Return the evidence about a target."""
         return list(self._items.get(target, {}).values())
 
+    def answers(self, target: str, now: float) -> bool:
+        """Return whether a target answered this gateway's last probe, not long ago.
+
+        A probe that was not answered in time does not count, as one that is silent for a
+        moment serves on.
+        """
+        known = self._items.get(target, {})
+        answer = known.get((EvidenceKind.ANSWERED, OWN))
+        if answer is None or now - answer.at > REACHED_TTL_S:
+            return False
+        ends = (EvidenceKind.UNREACHED, EvidenceKind.REPLACED)
+        return not any(
+            known[kind, OWN].at >= answer.at for kind in ends if (kind, OWN) in known
+        )
+
     def list_reached(self, now: float) -> dict[str, float]:
         """Return the ages of recent answers to this gateway's probes, by target."""
         key = (EvidenceKind.ANSWERED, OWN)
--- a/waxwingpitch/tests/test_liveness.py
+++ b/waxwingpitch/tests/test_liveness.py
@@ -517,13 +517,31 @@
     report = replace(PLAIN_REPORT, membership=place)
     address = "127.0.0.1:1000"
     world.expire("t0")
-    assert world.view.expired.find_report("t0", address) is None, "not probed yet"
+    assert (
+        world.view.expired.find_report("t0", address, world.now) is None
+    ), "not probed yet"
     world.view.record_answer("t0", report)
     world.view.judge_expired()
-    assert world.view.expired.find_report("t0", address) == report
-    assert world.view.expired.find_report("t0", "127.0.0.1:9") is None
+    assert world.view.expired.find_report("t0", address, world.now) == report
+    assert world.view.expired.find_report("t0", "127.0.0.1:9", world.now) is None
     world.reached -= {"t0"}
     world.reached_by_peer -= {"t0"}
     world.now += TICK_S
     world.run(TICK_S)
-    assert world.view.expired.find_report("t0", address) is None
+    assert world.view.expired.find_report("t0", address, world.now) is None
+
+
+# Guards against a group that is taken for broken, so that its streams are cut, while a
+# member that leaves without having said so serves on: it says so in its answers then.
+def test_member_that_says_that_it_leaves_reports_its_group_while_it_answers(world):
+    place = Membership("g", 7, 1, MemberState.READY)
+    report = replace(PLAIN_REPORT, membership=place)
+    address = "127.0.0.1:1000"
+    world.expire("t0")
+    world.view.record_answer("t0", report)
+    world.view.mark_leaving("t0")
+    world.view.judge_expired()
+    assert world.list_in_use() == set(NAMES) - {"t0"}
+    assert world.view.expired.find_report("t0", address, world.now) == report
+    probed = [known.record.id for known in world.view.expired.list_probed()]
+    assert probed == ["t0"]
