--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 
@@ -392,8 +393,14 @@
             if known is None:
                 return
             del self.targets[target]
-            self.expired.add(known, now, is_blamed=now >= self.restore_deadline)
-            if now < self.relist_deadline and not known.record.leaving:
+            may_be_back = now < self.relist_deadline
+            self.expired.add(
+                known,
+                now,
+                is_blamed=now >= self.restore_deadline,
+                back_until=self.relist_deadline if may_be_back else math.inf,
+            )
+            if may_be_back and not known.record.leaving:
                 self.retained[target] = (known, self.relist_deadline)
             logger.info("target gone from the list", extra={"target": target})
             self._replicas.mark_dirty(known.record.zone)
--- a/waxwingpitch/gateway/expired_targets.py
+++ b/waxwingpitch/gateway/expired_targets.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
@@ -83,18 +84,29 @@
         self._verdicts: dict[str, Verdict] = {}
         self._added_at: dict[str, float] = {}
         self._unblamed: set[str] = set()
+        self._back_until: dict[str, float] = {}
         self._cut_off: set[tuple[str, str]] = set()
 
-    def add(self, known: KnownTarget, now: float, *, is_blamed: bool = True) -> None:
+    def add(
+        self,
+        known: KnownTarget,
+        now: float,
+        *,
+        is_blamed: bool = True,
+        back_until: float = math.inf,
+    ) -> None:
         """Note that a target's entry was deleted.
 
         Parameters
         ----------
         is_blamed
             Whether ``on_gone`` is called for it.
+        back_until
+            Monotonic time by which its entry is written again if it lives.
         """
         target = known.record.id
         self.removed[target] = (known, now)
+        self._back_until[target] = back_until
         if is_blamed:
             self._unblamed.discard(target)
         else:
@@ -110,6 +122,7 @@
         """
         target = known.record.id
         was_removed = self.removed.pop(target, None) is not None
+        self._back_until.pop(target, None)
         if is_new and not was_removed:
             self._added_at[target] = now
         if was_removed:
@@ -220,9 +233,8 @@
             record = known.record
             if addresses.get(record.address, target) != target:
                 self._book.record(target, Evidence(EvidenceKind.REPLACED, STORE, at))
-            is_announced = record.leaving
             verdict = judge(
-                _build_entry_evidence(at, is_announced=is_announced),
+                Evidence(self._find_entry_kind(record, now), STORE, at),
                 [*self._book.list_evidence(target), *self._list_responses(known)],
                 is_store_cut=self._is_cut_off(record),
                 has_links=has_links,
@@ -238,6 +250,7 @@
             is_over = now - removed_at > REMOVED_RETENTION_S
             if is_over and target not in self.in_use:
                 del self.removed[target]
+                del self._back_until[target]
                 self._verdicts.pop(target, None)
                 self._book.forget(target)
         for target, at in list(self._added_at.items()):
@@ -323,6 +336,13 @@
             if are_cut_off(listed[key], count, added[key])
         }
 
+    def _find_entry_kind(self, record: TargetRecord, now: float) -> EvidenceKind:
+        if record.leaving:
+            return EvidenceKind.ENTRY_REMOVED
+        if now >= self._back_until[record.id]:
+            return EvidenceKind.ENTRY_NOT_BACK
+        return EvidenceKind.ENTRY_EXPIRED
+
     def _is_probed(self, record: TargetRecord) -> bool:
         return self.is_probed(record, self._is_cut_off(record))
 
@@ -353,11 +373,6 @@
 _UNJUDGED = Verdict(LivenessState.UNKNOWN, "not judged yet")
 
 
-def _build_entry_evidence(at: float, *, is_announced: bool) -> Evidence:
-    kind = EvidenceKind.ENTRY_REMOVED if is_announced else EvidenceKind.ENTRY_EXPIRED
-    return Evidence(kind, STORE, at)
-
-
 def _describe(verdict: Verdict, now: float) -> dict:
     item = verdict.evidence
     return {
--- a/waxwingpitch/targets/liveness.py
+++ b/waxwingpitch/targets/liveness.py
@@ -45,6 +45,8 @@
         The store has deleted its entry; it had not announced that it leaves.
     ENTRY_REMOVED
         It announced that it leaves, and its entry was deleted.
+    ENTRY_NOT_BACK
+        Its entry expired while the store was away, and was not written again in time.
     ANSWERED
         It answered a probe.
     SILENT
@@ -60,6 +62,7 @@
     ENTRY_PRESENT = "entry present"
     ENTRY_EXPIRED = "entry expired"
     ENTRY_REMOVED = "entry removed"
+    ENTRY_NOT_BACK = "entry not back"
     ANSWERED = "probe answered"
     SILENT = "probe not answered"
     UNREACHED = "not reached"
@@ -168,6 +171,10 @@
             return Verdict(LivenessState.ALIVE, "listed", entry)
         case EvidenceKind.ENTRY_REMOVED:
             return Verdict(LivenessState.GONE, "left as announced", entry)
+        case EvidenceKind.ENTRY_NOT_BACK:
+            return Verdict(
+                LivenessState.GONE, "not listed again after an outage", entry
+            )
     found = _judge_expired(entry, items, has_links=has_links, now=now)
     match found.state:
         case LivenessState.ALIVE if not is_store_cut:
@@ -251,8 +258,8 @@
     def answers(self, target: str, now: float) -> bool:
         """Return whether a target answered this gateway's last probe, not long ago.
 
-        A probe that was not answered in time does not count, as one that is silent for a
-        moment serves on.
+        One that was not answered in time does not count, as a target that is silent for
+        a moment serves on.
         """
         known = self._items.get(target, {})
         answer = known.get((EvidenceKind.ANSWERED, OWN))
--- a/waxwingpitch/tests/test_liveness.py
+++ b/waxwingpitch/tests/test_liveness.py
@@ -16,7 +16,7 @@
 from ..forwarding import AnswerHead, UnreachableError
 from ..forwarding.answers import Answer
 from ..gateway import expired_probes, probing
-from ..gateway.beliefs import GatewayView
+from ..gateway.beliefs import RELIST_GRACE_S, GatewayView
 from ..gateway.expired_probes import ExpiredProbes
 from ..gateway.expired_targets import REMOVED_RETENTION_S
 from ..platform import HeaderNames
@@ -532,7 +532,7 @@
 
 
 # Guards against a group that is taken for broken, so that its streams are cut, while a
-# member that leaves without having said so serves on: it says so in its answers then.
+# member whose entry is gone, and that says in its answers that it leaves, serves on.
 def test_member_that_says_that_it_leaves_reports_its_group_while_it_answers(world):
     place = Membership("g", 7, 1, MemberState.READY)
     report = replace(PLAIN_REPORT, membership=place)
@@ -545,3 +545,16 @@
     assert world.view.expired.find_report("t0", address, world.now) == report
     probed = [known.record.id for known in world.view.expired.list_probed()]
     assert probed == ["t0"]
+
+
+# Guards against requests to targets that are to be taken for gone: their entries expired
+# while the store was away, and are not back within the time after its return.
+def test_target_that_is_not_listed_again_after_an_outage_of_the_store_is_gone(world):
+    world.view.start_relist_grace_period()
+    world.expire(*NAMES)
+    world.run(1.0)
+    world.list("t0")
+    assert world.list_in_use() == set(NAMES)
+    world.run(RELIST_GRACE_S)
+    assert world.list_in_use() == {"t0"}
+    assert sorted(world.lost) == [(name, None) for name in NAMES[1:]]
