--- a/waxwingpitch/tests/test_liveness.py
+++ b/waxwingpitch/tests/test_liveness.py
@@ -547,8 +547,8 @@
     assert probed == ["t0"]
 
 
-# Guards against requests to targets that are to be taken for gone: their entries expired
-# while the store was away, and are not back within the time after its return.
+# Guards against requests to targets that are to be taken for gone, as their entries
+# expired while the store was away, and are not back in time after its return.
 def test_target_that_is_not_listed_again_after_an_outage_of_the_store_is_gone(world):
     world.view.start_relist_grace_period()
     world.expire(*NAMES)
