--- a/waxwingpitch/gateway/beliefs.py
+++ b/waxwingpitch/gateway/beliefs.py
@@ -229,12 +229,7 @@
         known = self.targets.get(target)
         if known is None or known.version != version:
             return False
-        record = replace(
-            known.record,
-            membership=report.membership,
-            model=report.model,
-            staged=report.staged,
-        ).keep_model(known.record)
+        record = known.record.update(report)
         if record == known.record:
             return False
         self.targets[target] = replace(known, record=record)
--- a/waxwingpitch/gateway/expired_targets.py
+++ b/waxwingpitch/gateway/expired_targets.py
@@ -153,12 +153,7 @@
             return None
         self._book.record(target, Evidence(EvidenceKind.ANSWERED, OWN, now))
         known, at = self.removed[target]
-        record = replace(
-            known.record,
-            membership=report.membership,
-            model=report.model,
-            staged=report.staged,
-        ).keep_model(known.record)
+        record = known.record.update(report)
         if record == known.record:
             return None
         known = replace(known, record=record)
--- a/waxwingpitch/targets/records.py
+++ b/waxwingpitch/targets/records.py
@@ -94,6 +94,15 @@
             return self
         return replace(self, model=earlier.model)
 
+    def update(self, report: MembershipReport) -> TargetRecord:
+        """Return this record with what the target itself reports."""
+        return replace(
+            self,
+            membership=report.membership,
+            model=report.model,
+            staged=report.staged,
+        ).keep_model(self)
+
 
 @dataclass(frozen=True, slots=True)
 class MembershipReport:
