--- a/waxwingpitch/slots/budget.py
+++ b/waxwingpitch/slots/budget.py
@@ -13,7 +13,7 @@
 
 import enum
 import math
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 
 BUCKETS = 20
@@ -34,7 +34,7 @@
     retries: int = 0
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class RetryPayments:
     """Retries used since the owner was created, by what they were paid from.
 
@@ -128,8 +128,6 @@
     ----------
     share
         Share of this owner's part that it uses, from 0 to 1.
-    payments
-        What the retries were paid from.
 
     Examples
     --------
@@ -157,7 +155,7 @@
         self._old_permits: dict[int, float] = {}
         self._inherited: tuple[float, RetryState] | None = None
         self.share = 1.0
-        self.payments = RetryPayments()
+        self._paid: Counter[str] = Counter()
         self.set_part(slack / max(1, owners))
 
     def set_part(self, slack: float) -> None:
@@ -247,7 +245,7 @@
         """Count a reserved retry, whose slot is granted; return False if it is void."""
         if permit.era != self._era:
             is_valid = now < self._old_permits.pop(permit.number, -math.inf)
-            self.payments.before += is_valid
+            self._paid["before"] += is_valid
             return is_valid
         if self._reserved.pop(permit.number, None) is None:
             return True
@@ -256,13 +254,7 @@
         if permit.source is RetrySource.SLACK:
             self._slack_used[permit.number] = now
         self._find_bucket(now).retries += 1
-        match permit.source:
-            case RetrySource.EARNED:
-                self.payments.earned += 1
-            case RetrySource.SLACK:
-                self.payments.slack += 1
-            case RetrySource.LOAN:
-                self.payments.loan += 1
+        self._paid[permit.source.value] += 1
         return True
 
     def cancel(self, permit: RetryPermit) -> None:
@@ -270,7 +262,7 @@
         if permit.era != self._era:
             return
         was_reserved = self._reserved.pop(permit.number, None) is not None
-        self.payments.returned += not was_reserved
+        self._paid["returned"] += not was_reserved
         self._slack_used.pop(permit.number, None)
         match permit.source:
             case RetrySource.EARNED:
@@ -315,6 +307,11 @@
         """Take retries that another owner lent since a monotonic time."""
         self._loans.extend([asked_at + LOAN_TTL_S] * lent)
 
+    @property
+    def payments(self) -> RetryPayments:
+        """What the retries were paid from."""
+        return RetryPayments(**self._paid)
+
     def count(self, now: float) -> RetryCounts:
         """Return this owner's counts."""
         self._drop_old(now)
