--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -1,4 +1,4 @@
-"""Processor time of the decisions about slots, zones and callers' memory, by size.
+"""Processor time of the decisions about slots, memory and targets' liveness, by size.
 
 Run with ``python -m benchmarks.decision_cost``.
 """
@@ -8,9 +8,17 @@
 import time
 from collections.abc import Callable
 
+from waxwingpitch.gateway.expired_targets import ExpiredTargets
+from waxwingpitch.gateway.replicas import KnownTarget
 from waxwingpitch.memory import CallerAccount, CallerBounds, HoldKind
 from waxwingpitch.slots import KeySummary, SlotKey, SlotOffer, SlotOwner, SlotRequest
 from waxwingpitch.slots.budget import SharedRetryBudget
+from waxwingpitch.targets.records import (
+    Membership,
+    MembershipReport,
+    MemberState,
+    TargetRecord,
+)
 
 KEY = SlotKey("a", "pool", "m")
 ROUNDS = 400
@@ -18,6 +26,8 @@
 SIZES = ((3, 7, 0), (3, 7, 20), (30, 17, 0), (30, 17, 100), (30, 17, 500))
 CONNECTIONS = (100, 500, 2000)
 HEAD_BYTES = 64_000
+# Targets of all zones, and those of them without an entry.
+TARGETS = ((60, 20), (770, 1), (770, 110), (770, 770))
 
 
 def build_owner(replicas: int, slots: int) -> SlotOwner:
@@ -79,6 +89,34 @@
     return measure_us(admit)
 
 
+def measure_judgement(targets: int, expired: int) -> float:
+    """Return the time to judge the targets without an entry once, all of them alive."""
+    place = Membership("g", 1, 0, MemberState.OPEN)
+    listed = {
+        f"t{number}": KnownTarget(
+            TargetRecord(
+                f"t{number}",
+                "pool",
+                f"h{number}:1",
+                f"z{number * 7 // targets}",
+                9,
+                False,
+                0.0,
+                membership=place,
+            ),
+            1,
+            0.0,
+            0.0,
+        )
+        for number in range(targets)
+    }
+    found = ExpiredTargets(listed)
+    for number in range(expired):
+        found.add(listed.pop(f"t{number}"), 0.0)
+        found.record_answer(f"t{number}", MembershipReport(0, 1.0, place), 0.5)
+    return measure_us(lambda number: found.update(1.0))
+
+
 def main() -> None:
     """Print one line for each size."""
     print("python -m benchmarks.decision_cost")
@@ -89,6 +127,9 @@
     for connections in CONNECTIONS:
         cost_us = measure_account(connections)
         print(f"memory: {connections} connections, full: {cost_us:.0f} us")
+    for targets, expired in TARGETS:
+        cost_us = measure_judgement(targets, expired)
+        print(f"liveness: {targets} targets, {expired} without entry: {cost_us:.0f} us")
 
 
 if __name__ == "__main__":
