Keep review case 8 inside the dose of a release

Cause: it drained two of three workers 0.2 s apart, where a release replaces half of them, one at a time, each second. Change: four workers, of which two are replaced 1 s apart while the machine stands still for 4.5 s; the check and its bound are as they were.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -22,20 +22,23 @@
 FIRST_MACHINE = 2
 DRAIN_S = 2.0
 ROUNDS = 6
-FREEZE_S = 3.5
+FREEZE_S = 4.5
+WORKERS = 4
+# Half of the workers, one at a time.
 DRAINED_A_ROUND = 2
+GAP_S = 1.0
 PER_S = 60.0
 
 
 class PlainStage(Stage):
-    """Three machines of one zone before three plain workers."""
+    """Three machines of one zone before four plain workers."""
 
     def __init__(self, folder: Path):
         super().__init__(folder, StoreFake(), zones=(ZONE,), machines=3)
         self._numbers = itertools.count(1)
         self.live: list[Worker] = []
         self.drained: list[tuple[Worker, float]] = []
-        for _ in range(3):
+        for _ in range(WORKERS):
             self.add_worker()
         self.store.write("op/config", build_configuration(4))
 
@@ -93,7 +96,7 @@
         gevent.sleep(0.6)
         for _ in range(DRAINED_A_ROUND):
             stage.replace_worker()
-            gevent.sleep(0.2)
+            gevent.sleep(GAP_S)
         gevent.sleep(FREEZE_S - (time.monotonic() - frozen_at))
         if has_trouble():
             first.send_signal(signal.SIGCONT)
