--- a/review/lib2/models.py
+++ b/review/lib2/models.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from waxwingpitch.tests import platform_standin
 from waxwingpitch.tests.platform_standin import PlatformFake
 
 from .stage import CannotRunError, Stage, call
@@ -17,6 +18,8 @@
 CONTACT_S = 3.0
 MODELS = ("quad", "pair")
 GROUPS_S = 30.0
+# Time after which a crashed worker is back; the pages say some seconds.
+RESTART_S = 3.0
 # Requests with the part that may arrive after the time in the rule.
 ALLOWED_LATE = 3
 
@@ -27,6 +30,7 @@
     bad_part = "bad0"
 
     def __init__(self, folder: Path):
+        platform_standin.RESTART_S = RESTART_S
         self.platform = PlatformFake(size=40)
         self.platform.configure()
         self.platform.crashing_parts = {self.bad_part}
