Planner: log the evidence by which a target may join another group

Now a join names the group that its target leaves, what released it, and the age or version of that; an order to open names its members' entries and the orders to them without an answer, which may yet be carried out; each names the key's version and the time since it was decided. The judgement moves to a module of its own, its rules are as before.

--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -15,12 +15,12 @@
 from ..groups.fleet import FleetView, summarize
 from ..groups.formation import FormationPlanner
 from ..groups.ledger import TargetOrder
-from ..groups.orders_to_targets import Join
+from ..groups.orders_to_targets import Join, Open, Order
 from ..groups.turns import has_turn
 from ..mesh.fleet_messages import PlannedGroupsItem
 from ..mesh.messages import PlanningHandover
 from ..targets.progress import ProgressBook
-from ..targets.records import MembershipReport
+from ..targets.records import MembershipReport, TargetRecord
 from ..telemetry import GatewayMetrics
 from .absent_members import AbsentMembers
 from .beliefs import GatewayView
@@ -205,7 +205,7 @@
                 summary["planned_elsewhere"] = dict(fleet.planned)
                 logger.info("fleet", extra={"zone": self.zone, **summary})
             for target_order in planner.plan(fleet, now):
-                gevent.spawn(self._send_order, planner, target_order)
+                gevent.spawn(self._send_order, planner, target_order, now)
 
     def _build_fleet_view(self, service, now: float) -> FleetView:
         targets = {
@@ -216,7 +216,7 @@
             and not self._is_free_without_entry(known)
         }
         demand, slots = self._measure_demand(service, now)
-        self._probes.forget_opened_groups(targets)
+        self._probes.releases.forget_opened_groups(targets)
         self._load_limit.drop_ended(targets)
         suspects = self._progress.list_suspicions(now)
         self._probes.probe_suspects(targets, suspects, now)
@@ -288,34 +288,60 @@
         if self._view.apply_report(target, known.version, report):
             self._announce(target, known.version, report)
 
-    def _send_order(self, planner: FormationPlanner, target_order: TargetOrder) -> None:
+    def _send_order(
+        self, planner: FormationPlanner, target_order: TargetOrder, planned_at: float
+    ) -> None:
         known = self._view.targets.get(target_order.target)
         if known is None or not self.is_holder:
             return
-        record = known.record
-        if isinstance(target_order.order, Join) and not self._probes.is_released(
-            record, time.monotonic()
-        ):
+        target, order = target_order.target, target_order.order
+        evidence = self._describe_evidence(planner, order)
+        release = None
+        if isinstance(order, Join):
+            now = time.monotonic()
+            release = self._probes.releases.judge(known.record, now)
+            evidence = {"leaves": _find_group(known.record)} | release.describe(now)
+        waited_ms = round(1000 * (time.monotonic() - planned_at))
+        if release is not None and not release.is_granted:
             status, outcome = 0, "its head still takes requests"
         else:
             status, outcome = self._probes.send_order(
-                target_order.target, record.address, target_order.order, self._key.fence
+                target, known.record.address, order, self._key.fence
             )
         if status not in (200, 202):
             planner.record_refusal(
-                target_order.target,
-                target_order.order,
-                time.monotonic(),
-                is_answered=bool(status),
+                target, order, time.monotonic(), is_answered=bool(status)
             )
-        kind = type(target_order.order).__name__.lower()
+        kind = type(order).__name__.lower()
         self._metrics.count_order(kind, status)
         logger.info(
             "order given",
             extra={
-                "target": target_order.target,
-                "order": repr(target_order.order),
+                "target": target,
+                "order": repr(order),
                 "status": status,
                 "outcome": outcome,
+                "fence": self._key.fence,
+                "waited_ms": waited_ms,
+                **evidence,
             },
         )
+
+    def _describe_evidence(self, planner: FormationPlanner, order: Order) -> dict:
+        """Return what an order to open a group rests on, for the log line."""
+        forming = planner.ledger.forming.get(getattr(order, "group", ""))
+        if not isinstance(order, Open) or forming is None:
+            return {}
+        unanswered = self._probes.list_unanswered(forming.members)
+        return {
+            "members": {
+                member: known.version
+                for member in forming.members
+                if (known := self._view.targets.get(member)) is not None
+            },
+            "unanswered": {member: repr(item) for member, item in unanswered},
+        }
+
+
+def _find_group(record: TargetRecord) -> str | None:
+    return None if record.membership is None else record.membership.group
--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -19,7 +20,6 @@
 from ..groups.absent_heads import choose_release_order
 from ..groups.fleet import MissingHead, find_missing_heads
 from ..groups.formation import RELIST_GRACE_S
-from ..groups.naming import GroupHead, parse_head
 from ..groups.orders_to_targets import Leave, Open, Order
 from ..platform import (
     ORDER_PATH,
@@ -28,14 +28,12 @@
     decode_report,
     encode_order,
 )
-from ..targets.records import Membership, MembershipReport, MemberState, TargetRecord
+from ..targets.records import MembershipReport, MemberState, TargetRecord
 from .beliefs import GatewayView
+from .releases import Releases
 
 ORDER_TIMEOUT_S = 0.6
 REPORT_TIMEOUT_S = 0.25
-# Time for which a head's answer on whether it still accepts requests is reused for the
-# other members of its group.
-RELEASE_CACHE_TTL_S = 0.5
 # Minimum time between two probes of the same target.
 PROBE_INTERVAL_S = 1.0
 # Targets that are contacted at the same time. More of them would take so much processor
@@ -49,6 +47,20 @@
     """Another target than the expected one answers at an address."""
 
 
+@dataclass(frozen=True, slots=True)
+class UnansweredOrder:
+    """An order without an answer.
+
+    Attributes
+    ----------
+    expected_orders
+        Number of orders that the target must have begun for it to be carried out.
+    """
+
+    order: Order
+    expected_orders: int
+
+
 def fetch_report(
     pool: ConnectionPool,
     target: str,
@@ -104,6 +116,11 @@
     may_be_reachable
         Asks the peers whether a target, given its id and address, may answer any of
         them.
+
+    Attributes
+    ----------
+    releases
+        Judges whether targets may join another group.
     """
 
     def __init__(
@@ -119,12 +136,10 @@
         self._inactive_heads: set[str] = set()
         self._order_counts: dict[str, int] = {}
         self._probed_at: dict[str, float] = {}
-        self._release_cache: dict[tuple[str, int, bool], tuple[float, bool]] = {}
         self._missing_since: dict[str, float] = {}
-        self._opening_groups: set[tuple[str, int]] = set()
-        self._verified_targets: set[str] = set()
-        self._fence = 0
+        self._unanswered: dict[str, UnansweredOrder] = {}
         self._contacts = BoundedSemaphore(MAX_CONCURRENT_CONTACTS)
+        self.releases = Releases(view, self.probe, lambda: self._inactive_heads)
 
     @property
     def unreachable(self) -> frozenset[str]:
@@ -142,104 +157,19 @@
         Parameters
         ----------
         fence
-            Version of the planner's key. Entries with a higher version were written
-            after the previous planner's last order, and show the target's group after
-            it, except for orders that were delivered late.
+            Version of the planner's key.
         """
-        self._fence = fence
         self._order_counts.clear()
-        self._opening_groups.clear()
-        self._verified_targets.clear()
-
-    def forget_opened_groups(self, targets: Mapping[str, TargetRecord]) -> None:
-        """Forget pending orders to open groups that the list shows as opened."""
-        for record in targets.values():
-            place = record.membership
-            if place is not None and place.state in (
-                MemberState.OPEN,
-                MemberState.CLOSING,
-            ):
-                self._opening_groups.discard((place.group, place.epoch))
+        self._unanswered.clear()
+        self.releases.reset(fence)
 
-    def is_released(self, record: TargetRecord, now: float) -> bool:
-        """Return whether a target may join another group.
-
-        The list may be stale for targets that can't reach the store. An entry is relied
-        on if it was written since this planner acquired its key; otherwise the target
-        and its head are probed.
-        """
-        if not self._is_membership_confirmed(record):
-            return False
-        place = record.membership
-        head = None if place is None else parse_head(place.group)
-        if (
-            head is None
-            or head.id in self._inactive_heads
-            or self._is_release_listed(record)
-        ):
-            return True
-        key = (place.group, place.epoch, place.rank == 0)
-        known = self._release_cache.get(key)
-        if known is None or now - known[0] > RELEASE_CACHE_TTL_S:
-            known = (now, self._probe_release(head, *key))
-            self._release_cache = {
-                other: item
-                for other, item in self._release_cache.items()
-                if now - item[0] <= RELEASE_CACHE_TTL_S
-            }
-            self._release_cache[key] = known
-        return known[1]
-
-    def _is_membership_confirmed(self, record: TargetRecord) -> bool:
-        """Return whether a target's group in its record is current.
-
-        That is so if the entry is newer than the planner's key, or if the target's own
-        report confirms it.
-        """
-        known = self._view.targets.get(record.id)
-        if known is None:
-            return False
-        if known.version > self._fence or record.id in self._verified_targets:
-            return True
-        report = self.probe(record.id, record.address)
-        if report is None:
-            return False
-        self._verified_targets.add(record.id)
-        self._view.apply_report(record.id, known.version, report)
-        return _get_group_key(report.membership) == _get_group_key(record.membership)
-
-    def _is_release_listed(self, record: TargetRecord) -> bool:
-        """Return whether the list shows that the head of a target's group is not open.
-
-        An entry older than the planner's key is no evidence, nor is any entry while an
-        order to open the group is pending.
-        """
-        key = _get_group_key(record.membership)
-        known = self._view.targets.get(parse_head(record.membership.group).id)
-        if known is None or known.version <= self._fence or key in self._opening_groups:
-            return False
-        place = known.record.membership
-        if _get_group_key(place) != key:
-            return True
-        return record.membership.rank == 0 and place.state is MemberState.READY
-
-    def _probe_release(
-        self, head: GroupHead, group: str, epoch: int, is_head: bool
-    ) -> bool:
-        """Probe a head, and return whether it, or its members, may join another group.
-
-        A head that is ready may still execute a delayed order to open. That order fails
-        once the head has begun another one, so only its members have to wait.
-        """
-        report = self.probe(head.id, head.address)
-        if report is None:
-            return head.id in self._inactive_heads
-        place = report.membership
-        if place is None or (place.group, place.epoch) != (group, epoch):
-            return True
-        if is_head:
-            return place.state not in (MemberState.OPEN, MemberState.CLOSING)
-        return place.state is MemberState.BROKEN
+    def list_unanswered(self, targets: Iterable[str]) -> list[tuple[str, Order]]:
+        """Return orders to targets without an answer, which may yet be carried out."""
+        return [
+            (target, self._unanswered[target].order)
+            for target in targets
+            if target in self._unanswered
+        ]
 
     def probe_unreachable(self, now: float) -> None:
         """Repeat the probes of targets that did not answer while they are listed."""
@@ -368,6 +298,7 @@
             )
             return None
         self._order_counts[target] = report.orders
+        self._forget_unanswered(target, report.orders)
         self._unreachable.discard(target)
         return report
 
@@ -390,7 +321,7 @@
         if expected is None:
             return 0, "another order is on its way"
         if isinstance(order, Open):
-            self._opening_groups.add((order.group, order.epoch))
+            self.releases.expect_open(order)
         body = encode_order(order, fence=fence, expected_orders=expected)
         try:
             with self._contacts:
@@ -408,20 +339,24 @@
                     is_foreign=_names_request,
                 )
         except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
+            self._unanswered[target] = UnansweredOrder(order, expected)
             gevent.spawn(self.probe, target, address)
             return 0, str(exc)
         status = answer.head.status
         if status == 202 or (status == 200 and isinstance(order, Leave)):
             self._order_counts[target] = expected + 1
+            self._forget_unanswered(target, expected + 1)
         elif status == 200:
             self._order_counts[target] = expected
         return status, f"expected {expected} orders"
 
+    def _forget_unanswered(self, target: str, orders: int) -> None:
+        """Forget an order that can't be carried out, as the target began another."""
+        known = self._unanswered.get(target)
+        if known is not None and known.expected_orders < orders:
+            del self._unanswered[target]
+
 
 def _names_request(head: AnswerHead) -> bool:
     """Return whether an answer is to a caller's request; reports have no id."""
     return bool(head.find(HeaderNames.REQUEST_ID))
-
-
-def _get_group_key(membership: Membership | None) -> tuple[str, int] | None:
-    return None if membership is None else (membership.group, membership.epoch)
