Planner: a target leaves its group before it joins another

An order to join was carried out while the head of the target's former group served.

Cause: an order is conditioned on the number of orders that its target has begun, which shows only that nothing else was begun there. Whether it is safe depends on another target, the head of the former group, whose state was known from entries, reports up to 0.7 s old, or from its silence, and which may change until the order arrives, up to 12 s later. No evidence about the head can be current at that time.

Change: a target that is in a group is ordered to leave it, and gets the order to join with the number of orders begun after that. The target then refuses to join unless the last thing that it began was to leave, whatever its former head does, however late the order arrives and whoever else gives orders. The state on which orders are conditioned is kept as one value, the number of orders with the group of the same report. The evidence about heads still decides when a group is given up.

--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -20,7 +20,7 @@
 from ..groups.absent_heads import choose_release_order
 from ..groups.fleet import MissingHead, find_missing_heads
 from ..groups.formation import RELIST_GRACE_S
-from ..groups.orders_to_targets import Leave, Open, Order
+from ..groups.orders_to_targets import Join, Leave, Open, Order
 from ..platform import (
     ORDER_PATH,
     REPORT_PATH,
@@ -30,7 +30,8 @@
 )
 from ..targets.records import MembershipReport, MemberState, TargetRecord
 from .beliefs import GatewayView
-from .releases import Releases
+from .releases import Releases, get_group_epoch
+from .replicas import GroupEpoch
 
 ORDER_TIMEOUT_S = 0.6
 REPORT_TIMEOUT_S = 0.25
@@ -47,6 +48,22 @@
     """Another target than the expected one answers at an address."""
 
 
+@dataclass(frozen=True, slots=True)
+class TargetState:
+    """State of a target at one moment, on which orders to it are conditioned.
+
+    Attributes
+    ----------
+    orders
+        Number of orders that it has begun.
+    group
+        Group that it is a member of, and its epoch.
+    """
+
+    orders: int
+    group: GroupEpoch | None
+
+
 @dataclass(frozen=True, slots=True)
 class UnansweredOrder:
     """An order without an answer.
@@ -134,7 +151,7 @@
         self._may_be_reachable = may_be_reachable
         self._unreachable: set[str] = set()
         self._inactive_heads: set[str] = set()
-        self._order_counts: dict[str, int] = {}
+        self._states: dict[str, TargetState] = {}
         self._probed_at: dict[str, float] = {}
         self._missing_since: dict[str, float] = {}
         self._unanswered: dict[str, UnansweredOrder] = {}
@@ -159,7 +176,7 @@
         fence
             Version of the planner's key.
         """
-        self._order_counts.clear()
+        self._states.clear()
         self._unanswered.clear()
         self.releases.reset(fence)
 
@@ -297,7 +314,9 @@
                 extra={"target": target, "reason": str(exc)},
             )
             return None
-        self._order_counts[target] = report.orders
+        self._states[target] = TargetState(
+            report.orders, get_group_epoch(report.membership)
+        )
         self._forget_unanswered(target, report.orders)
         self._unreachable.discard(target)
         return report
@@ -307,22 +326,40 @@
     ) -> tuple[int, str]:
         """Send an order; return the status, 0 if there was no answer, and the details.
 
+        A target leaves its group before it joins another one. The order to join is
+        conditioned on the number of orders that it had begun then, so that it is not
+        carried out while the target is in a group, however late it arrives.
+
         Parameters
         ----------
         fence
             Fencing token of the planner that sends it.
         """
+        state = self._states.get(target)
+        if state is None:
+            if self.probe(target, address) is None:
+                return 0, "target does not answer"
+            state = self._states.get(target)
         if (
-            self._order_counts.get(target) is None
-            and self.probe(target, address) is None
+            isinstance(order, Join)
+            and state is not None
+            and state.group not in (None, (order.group, order.epoch))
         ):
-            return 0, "target does not answer"
-        expected = self._order_counts.pop(target, None)
-        if expected is None:
+            status, outcome = self._send(target, address, Leave(*state.group), fence)
+            if status != 200:
+                return status, f"its group is not left: {outcome}"
+        return self._send(target, address, order, fence)
+
+    def _send(
+        self, target: str, address: str, order: Order, fence: int
+    ) -> tuple[int, str]:
+        """Send an order that is refused if the target has begun another one since."""
+        state = self._states.pop(target, None)
+        if state is None:
             return 0, "another order is on its way"
         if isinstance(order, Open):
             self.releases.expect_open(order)
-        body = encode_order(order, fence=fence, expected_orders=expected)
+        body = encode_order(order, fence=fence, expected_orders=state.orders)
         try:
             with self._contacts:
                 answer = call_target(
@@ -339,16 +376,15 @@
                     is_foreign=_names_request,
                 )
         except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
-            self._unanswered[target] = UnansweredOrder(order, expected)
+            self._unanswered[target] = UnansweredOrder(order, state.orders)
             gevent.spawn(self.probe, target, address)
             return 0, str(exc)
         status = answer.head.status
-        if status == 202 or (status == 200 and isinstance(order, Leave)):
-            self._order_counts[target] = expected + 1
-            self._forget_unanswered(target, expected + 1)
-        elif status == 200:
-            self._order_counts[target] = expected
-        return status, f"expected {expected} orders"
+        after = _find_state_after(state, order, status)
+        if after is not None:
+            self._states[target] = after
+            self._forget_unanswered(target, after.orders)
+        return status, f"expected {state.orders} orders"
 
     def _forget_unanswered(self, target: str, orders: int) -> None:
         """Forget an order that can't be carried out, as the target began another."""
@@ -357,6 +393,23 @@
             del self._unanswered[target]
 
 
+def _find_state_after(
+    state: TargetState, order: Order, status: int
+) -> TargetState | None:
+    """Return the state of a target after an order; None if that is not known."""
+    match order, status:
+        case Leave(), 200 | 202:
+            return TargetState(state.orders + 1, None)
+        case Join(), 202:
+            return TargetState(state.orders + 1, (order.group, order.epoch))
+        case _, 202:
+            return replace(state, orders=state.orders + 1)
+        case _, 200:
+            return state
+        case _:
+            return None
+
+
 def _names_request(head: AnswerHead) -> bool:
     """Return whether an answer is to a caller's request; reports have no id."""
     return bool(head.find(HeaderNames.REQUEST_ID))
--- a/waxwingpitch/gateway/releases.py
+++ b/waxwingpitch/gateway/releases.py
@@ -9,6 +9,7 @@
 from ..groups.orders_to_targets import Open
 from ..targets.records import Membership, MembershipReport, MemberState, TargetRecord
 from .beliefs import GatewayView
+from .replicas import GroupEpoch
 
 # Time for which a head's answer on whether it still accepts requests is reused for the
 # other members of its group.
@@ -145,7 +146,7 @@
             return Release(False, "no own report", now)
         self._verified_targets.add(record.id)
         self._view.apply_report(record.id, known.version, report)
-        is_current = _get_group_key(report.membership) == _get_group_key(
+        is_current = get_group_epoch(report.membership) == get_group_epoch(
             record.membership
         )
         return Release(is_current, "own report", now)
@@ -156,12 +157,12 @@
         An entry older than the planner's key is no evidence, nor is any entry while an
         order to open the group is pending.
         """
-        key = _get_group_key(record.membership)
+        key = get_group_epoch(record.membership)
         known = self._view.targets.get(parse_head(record.membership.group).id)
         if known is None or known.version <= self._fence or key in self._opening_groups:
             return None
         place = known.record.membership
-        if _get_group_key(place) != key:
+        if get_group_epoch(place) != key:
             return Release(True, "head's entry, not a member", version=known.version)
         if record.membership.rank == 0 and place.state is MemberState.READY:
             return Release(True, "own entry, ready", version=known.version)
@@ -189,5 +190,6 @@
         return Release(is_broken, f"head's report, {place.state}", now)
 
 
-def _get_group_key(membership: Membership | None) -> tuple[str, int] | None:
+def get_group_epoch(membership: Membership | None) -> GroupEpoch | None:
+    """Return the group of a target and its epoch, or None without a group."""
     return None if membership is None else (membership.group, membership.epoch)
