Planner: a group is not opened while a member may yet join another

The head of a group joined late, after its member had been ordered to join another group and had not answered. The records then showed a complete group that was ready, and it was opened; the order to the member was carried out after that.

Cause: whether a group may be opened was read from the records of its members. Orders to them that got no answer were forgotten after 1.5 s, and are carried out up to 12 s later.

Change: the planner remembers the group that it last ordered each target to join. A group with a member that was ordered elsewhere since is not opened; its head leaves, and the members are ordered to join again, which makes the earlier orders fail.

--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -251,6 +251,7 @@
                 and model is not None
                 and all(
                     record.membership.state is MemberState.READY
+                    and not self.ledger.may_change_group(record.id, key)
                     for record in group.members.values()
                 )
             ):
--- a/waxwingpitch/groups/ledger.py
+++ b/waxwingpitch/groups/ledger.py
@@ -73,6 +73,7 @@
         self.forming: dict[str, FormingGroup] = {}
         self._pending: dict[str, PendingOrder] = {}
         self._loads: dict[str, PendingOrder] = {}
+        self._assigned: dict[str, tuple[str, int]] = {}
 
     @property
     def is_busy(self) -> bool:
@@ -104,6 +105,14 @@
         pending = self._loads.get(target)
         return None if pending is None else pending.order
 
+    def may_change_group(self, target: str, key: tuple[str, int]) -> bool:
+        """Return whether a member of a group was ordered to join another since.
+
+        It may yet do so, whatever became of the order: one that gets no answer may be
+        carried out seconds later.
+        """
+        return self._assigned.get(target, key) != key
+
     def issue(
         self, record: TargetRecord, order: Order, effect_timeout_s: float, now: float
     ) -> Iterator[TargetOrder]:
@@ -113,6 +122,8 @@
         """
         pending = self._find_pending(order)
         if record.id not in pending:
+            if isinstance(order, Join):
+                self._assigned[record.id] = (order.group, order.epoch)
             pending[record.id] = PendingOrder(
                 order, now + effect_timeout_s, record.started_ms
             )
@@ -146,6 +157,9 @@
                     )
                 ):
                     del pending[target]
+        for target in self._assigned.keys() - view.targets.keys():
+            if target not in view.removed_at:
+                del self._assigned[target]
 
     def _find_pending(self, order: Order) -> dict[str, PendingOrder]:
         return self._loads if isinstance(order, Stage) else self._pending
