Planner: a head that is silent for a moment is not taken for gone

Cause: a head without an entry counted as gone after one round of probes of a quarter of a second that it and the peers did not answer. Heads that are cut from the store, or leave unannounced, have no entry and serve on, and sound targets may be silent for over a second.

Change: the first probe that a target leaves unanswered starts its silence, also while it is listed; a head is gone after 2 s of it. A head that ends under load is probed as its streams stall, some 3 s before its entry expires, so its members wait no longer than before.

Evidence: test_head_that_is_silent_for_a_moment_is_not_taken_for_gone fails without the change, as the head is in inactive_heads.

--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
@@ -37,6 +38,9 @@
 REPORT_TIMEOUT_S = 0.25
 # Minimum time between two probes of the same target.
 PROBE_INTERVAL_S = 1.0
+# Silence after which a head that no entry host reaches counts as gone. A sound target
+# may be silent for over a second.
+HEAD_SILENCE_S = 2.0
 # Targets that are contacted at the same time. More of them would take so much processor
 # time that sound ones seem not to answer within the timeouts.
 MAX_CONCURRENT_CONTACTS = 8
@@ -145,11 +149,14 @@
         pool: ConnectionPool,
         view: GatewayView,
         may_be_reachable: Callable[[str, str], bool],
+        clock: Callable[[], float] = time.monotonic,
     ):
+        self._clock = clock
         self._pool = pool
         self._view = view
         self._may_be_reachable = may_be_reachable
         self._unreachable: set[str] = set()
+        self._silent_since: dict[str, float] = {}
         self._inactive_heads: set[str] = set()
         self._states: dict[str, TargetState] = {}
         self._probed_at: dict[str, float] = {}
@@ -216,6 +223,8 @@
         """
         missing = find_missing_heads(targets)
         self._inactive_heads &= missing.keys()
+        for target in self._silent_since.keys() - targets.keys() - missing.keys():
+            del self._silent_since[target]
         self._missing_since = {
             target: self._missing_since.get(target, now) for target in missing
         }
@@ -263,17 +272,22 @@
         """Find out whether a head missing from the list still serves its group.
 
         A head that answers is ordered to close or leave the group. One that no entry
-        host can reach counts as inactive only if a surviving member answers: otherwise
-        the whole zone may be partitioned from this process.
+        host can reach for a while counts as inactive only if a surviving member
+        answers: otherwise the whole zone may be partitioned from this process.
         """
         survivor = head.survivors[0]
         if self.probe(survivor.id, survivor.address) is None:
             return
         report = self.probe(head.id, head.address)
         if report is None:
-            if not self._may_be_reachable(head.id, head.address):
+            silent_s = self._measure_silence(head.id)
+            if silent_s >= HEAD_SILENCE_S and not self._may_be_reachable(
+                head.id, head.address
+            ):
                 self._inactive_heads.add(head.id)
-                logger.info("head is gone", extra={"target": head.id})
+                logger.info(
+                    "head is gone", extra={"target": head.id, "silent_s": silent_s}
+                )
             return
         place = report.membership
         if (
@@ -303,6 +317,7 @@
                 report = fetch_report(self._pool, target, address)
         except (UnreachableError, TargetTimeoutError, TargetBrokenError) as exc:
             self._unreachable.add(target)
+            self._silent_since.setdefault(target, self._clock())
             logger.info(
                 "target does not answer",
                 extra={"target": target, "reason": str(exc)},
@@ -319,8 +334,14 @@
         )
         self._forget_unanswered(target, report.orders)
         self._unreachable.discard(target)
+        self._silent_since.pop(target, None)
         return report
 
+    def _measure_silence(self, target: str) -> float:
+        """Return the time since a target first left a probe unanswered."""
+        now = self._clock()
+        return now - self._silent_since.get(target, now)
+
     def send_order(
         self, target: str, address: str, order: Order, fence: int
     ) -> tuple[int, str]:
--- a/waxwingpitch/tests/group_targets.py
+++ b/waxwingpitch/tests/group_targets.py
@@ -55,17 +55,22 @@
     ----------
     lost
         Kinds of orders that get no answer; :meth:`deliver` carries them out.
+    silent
+        Addresses at which nothing answers.
     begun
         Orders that were carried out, as target and kind.
     """
 
     targets: dict[str, GroupTarget]
     lost: set[str] = field(default_factory=set)
+    silent: set[str] = field(default_factory=set)
     begun: list[tuple[str, str]] = field(default_factory=list)
     _late: list[tuple[str, dict]] = field(default_factory=list)
 
     def call(self, pool, address, method, path, *, body=b"", **options) -> Answer:
         """Answer a call, in place of ``call_target``."""
+        if address in self.silent:
+            raise TargetTimeoutError(f"{address}: silent")
         target = self.targets[address]
         if path == REPORT_PATH.encode():
             return Answer(AnswerHead(200, ()), json.dumps(target.report()).encode())
--- /dev/null
+++ b/waxwingpitch/tests/test_silent_heads.py
@@ -0,0 +1,81 @@
+"""Heads without an entry that no entry host reaches for a moment, or for good."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from types import SimpleNamespace
+
+import gevent
+import pytest
+
+from ..gateway import probing
+from ..gateway.probing import HEAD_SILENCE_S, PROBE_INTERVAL_S, TargetProbes
+from .group_targets import GroupTarget, GroupTargets
+from .test_absent_heads import CLOSE_TIMEOUT_S, GROUP, MEMBER
+
+HEAD_ADDRESS = "10.0.0.1:1"
+# Longest time for which a sound target is silent.
+SILENCE_S = 1.4
+
+
+class Play:
+    """A planner's probes of a head that is missing from the list."""
+
+    def __init__(self, monkeypatch):
+        members = ("head", "member")
+        self.targets = GroupTargets(
+            {
+                HEAD_ADDRESS: GroupTarget("head", 2, GROUP, 5, 0, "open", members, 5),
+                MEMBER.address: GroupTarget(
+                    "member", 1, GROUP, 5, 1, "ready", members, 5
+                ),
+            }
+        )
+        monkeypatch.setattr(probing, "call_target", self.targets.call)
+        self.now = 0.0
+        pool = SimpleNamespace(drop=lambda address: None)
+        self.probes = TargetProbes(
+            pool,
+            SimpleNamespace(targets={"member": MEMBER}),
+            lambda *target: False,
+            lambda: self.now,
+        )
+
+    def run(self, seconds: float, listed=("member",)) -> None:
+        head = replace(MEMBER, id="head", address=HEAD_ADDRESS)
+        records = {"member": MEMBER, "head": head}
+        end = self.now + seconds
+        while self.now < end:
+            view = {target: records[target] for target in listed}
+            self.probes.probe_missing_heads(view, 0, CLOSE_TIMEOUT_S, self.now)
+            gevent.sleep(0)
+            self.now += 0.1
+
+
+@pytest.fixture
+def play(monkeypatch):
+    return Play(monkeypatch)
+
+
+@pytest.mark.parametrize("starts_at", [0.2, 0.6, 1.0])
+def test_head_that_is_silent_for_a_moment_is_not_taken_for_gone(play, starts_at):
+    play.run(starts_at)
+    play.targets.silent.add(HEAD_ADDRESS)
+    play.run(SILENCE_S)
+    play.targets.silent.clear()
+    play.run(3.0)
+    assert play.probes.inactive_heads == set()
+
+
+def test_head_that_stays_silent_is_gone(play):
+    play.targets.silent.add(HEAD_ADDRESS)
+    play.run(HEAD_SILENCE_S + 2 * PROBE_INTERVAL_S)
+    assert play.probes.inactive_heads == {"head"}
+
+
+def test_silence_of_a_listed_head_counts_when_it_leaves_the_list(play):
+    play.targets.silent.add(HEAD_ADDRESS)
+    play.probes.probe("head", HEAD_ADDRESS)
+    play.run(HEAD_SILENCE_S, listed=("head", "member"))
+    play.run(0.3)
+    assert play.probes.inactive_heads == {"head"}
