Planner: a head is inactive for one group, not for all that it will have

A head without an entry whose report named another group than the listed members did was taken for inactive by its id, and was not asked again while it had no entry. Members of its present group that were listed later were then moved, which ends the streams of a sound group.

Change: the planner keeps the groups whose heads accept no more requests, not the heads. Tests that named the head name its group now.

Evidence: test_head_of_another_group_by_now_is_not_taken_for_gone_in_that_one; without the change 'head' itself is inactive. test_formation, test_formation_machine and test_idle_hosts pass.

--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -240,7 +240,7 @@
                 targets,
                 now,
             ),
-            inactive=self._probes.inactive_heads,
+            headless=self._probes.headless_groups,
             demand=demand,
             slots=slots,
             planned=self._plans.count_other_groups(self.zone, service.name),
--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -157,13 +157,13 @@
         self._may_be_reachable = may_be_reachable
         self._unreachable: set[str] = set()
         self._silent_since: dict[str, float] = {}
-        self._inactive_heads: set[str] = set()
+        self._headless_groups: set[str] = set()
         self._states: dict[str, TargetState] = {}
         self._probed_at: dict[str, float] = {}
         self._missing_since: dict[str, float] = {}
         self._unanswered: dict[str, UnansweredOrder] = {}
         self._contacts = BoundedSemaphore(MAX_CONCURRENT_CONTACTS)
-        self.releases = Releases(view, self.probe, lambda: self._inactive_heads)
+        self.releases = Releases(view, self.probe, lambda: self._headless_groups)
 
     @property
     def unreachable(self) -> frozenset[str]:
@@ -171,9 +171,9 @@
         return frozenset(self._unreachable)
 
     @property
-    def inactive_heads(self) -> frozenset[str]:
-        """Heads missing from the list that are known to accept no more requests."""
-        return frozenset(self._inactive_heads)
+    def headless_groups(self) -> frozenset[str]:
+        """Groups whose heads are not listed and accept no more requests for them."""
+        return frozenset(self._headless_groups)
 
     def reset(self, fence: int) -> None:
         """Discard cached states of targets, as another planner has sent them orders.
@@ -222,7 +222,9 @@
             Time that requests in flight at a head have since it left the list.
         """
         missing = find_missing_heads(targets)
-        self._inactive_heads &= missing.keys()
+        self._headless_groups &= {
+            group for head in missing.values() for group in head.groups
+        }
         for target in self._silent_since.keys() - targets.keys() - missing.keys():
             del self._silent_since[target]
         self._missing_since = {
@@ -230,7 +232,7 @@
         }
         for target, head in missing.items():
             if (
-                target not in self._inactive_heads
+                not head.groups <= self._headless_groups
                 and now - self._probed_at.get(target, 0.0) >= PROBE_INTERVAL_S
             ):
                 self._probed_at[target] = now
@@ -284,18 +286,17 @@
             if silent_s >= HEAD_SILENCE_S and not self._may_be_reachable(
                 head.id, head.address
             ):
-                self._inactive_heads.add(head.id)
+                self._headless_groups |= head.groups
                 logger.info(
                     "head is gone", extra={"target": head.id, "silent_s": silent_s}
                 )
             return
         place = report.membership
-        if (
-            place is None
-            or place.group not in head.groups
-            or place.state is MemberState.BROKEN
-        ):
-            self._inactive_heads.add(head.id)
+        if place is None or place.state is MemberState.BROKEN:
+            self._headless_groups |= head.groups
+            return
+        self._headless_groups |= head.groups - {place.group}
+        if place.group not in head.groups:
             return
         order = choose_release_order(place, close_deadline, now)
         if fence and order is not None:
--- a/waxwingpitch/gateway/releases.py
+++ b/waxwingpitch/gateway/releases.py
@@ -53,19 +53,20 @@
     probe
         Returns the report of a target, given its id and address; None if it does not
         answer.
-    get_inactive_heads
-        Returns the heads without an entry that are known to accept no more requests.
+    get_headless_groups
+        Returns the groups whose heads have no entry and are known to accept no more
+        requests for them.
     """
 
     def __init__(
         self,
         view: GatewayView,
         probe: Callable[[str, str], MembershipReport | None],
-        get_inactive_heads: Callable[[], Set[str]],
+        get_headless_groups: Callable[[], Set[str]],
     ):
         self._view = view
         self._probe = probe
-        self._get_inactive_heads = get_inactive_heads
+        self._get_headless_groups = get_headless_groups
         self._cache: dict[tuple[str, int, bool], tuple[float, Release]] = {}
         self._opening_groups: set[tuple[str, int]] = set()
         self._verified_targets: set[str] = set()
@@ -111,7 +112,7 @@
         head = None if place is None else parse_head(place.group)
         if not confirmed.is_granted or head is None:
             return confirmed
-        if head.id in self._get_inactive_heads():
+        if place.group in self._get_headless_groups():
             return Release(True, "head is gone")
         listed = self._find_listed_release(record)
         if listed is not None:
@@ -178,7 +179,7 @@
         """
         report = self._probe(head.id, head.address)
         if report is None:
-            is_gone = head.id in self._get_inactive_heads()
+            is_gone = group in self._get_headless_groups()
             return Release(is_gone, "no report of its head", now)
         place = report.membership
         if place is None or (place.group, place.epoch) != (group, epoch):
--- a/waxwingpitch/groups/fleet.py
+++ b/waxwingpitch/groups/fleet.py
@@ -33,8 +33,9 @@
         Monotonic time at which targets were removed from the list, as far as observed.
     absent
         Members of groups that left the list and still serve, as they were listed last.
-    inactive
-        Heads that are not listed and are known to accept no more requests.
+    headless
+        Groups whose heads are not listed and are known to accept no more requests for
+        them.
     demand
         Requests in flight and queued, by model, over all zones.
     slots
@@ -55,7 +56,7 @@
     membership_since: Mapping[str, float] = field(default_factory=dict)
     removed_at: Mapping[str, float] = field(default_factory=dict)
     absent: Mapping[str, TargetRecord] = field(default_factory=dict)
-    inactive: frozenset[str] = frozenset()
+    headless: frozenset[str] = frozenset()
     demand: Mapping[str, float] = field(default_factory=dict)
     slots: Mapping[str, int] = field(default_factory=dict)
     planned: Mapping[str, int] = field(default_factory=dict)
--- a/waxwingpitch/groups/formation.py
+++ b/waxwingpitch/groups/formation.py
@@ -143,7 +143,7 @@
             return now - membership_since >= UNCONFIRMED_HEAD_ABSENCE_S
         removed_at = view.removed_at.get(head.id, membership_since)
         absent_since = max(membership_since, removed_at)
-        if head.id not in view.inactive:
+        if place.group not in view.headless:
             return now - absent_since >= UNCONFIRMED_HEAD_ABSENCE_S
         if membership_since < removed_at - EFFECT_TIMEOUT_S:
             return True
--- a/waxwingpitch/tests/fleet_fake.py
+++ b/waxwingpitch/tests/fleet_fake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
 from ..configuration.routes import EngineSpec, ModelSpec
@@ -150,13 +151,20 @@
                 key: item.membership_since for key, item in self.targets.items()
             },
             absent={key: self.targets[key].record for key in self.absent},
-            inactive=frozenset(self.inactive),
+            headless=frozenset(self._iter_headless_groups()),
             demand=self.demand,
             slots=slots,
             has_traffic=self.has_traffic,
             longest_answer_s=self.longest_answer_s,
         )
 
+    def _iter_headless_groups(self) -> Iterator[str]:
+        """Yield the groups of heads that are known to accept no more requests."""
+        for item in self.targets.values():
+            place = item.record.membership
+            if place is not None and item.members[0] in self.inactive:
+                yield place.group
+
     def run(self, planner: FormationPlanner, seconds: float) -> None:
         """Let a planner plan every 50 ms."""
         for _ in range(round(seconds / 0.05)):
--- a/waxwingpitch/tests/test_absent_heads.py
+++ b/waxwingpitch/tests/test_absent_heads.py
@@ -74,7 +74,7 @@
     probes.place = replace(probes.place, state=MemberState.READY)
     run(probes, 6.0, 8.0)
     assert probes.orders[1:] == [Leave(GROUP, 5)]
-    assert probes.inactive_heads == {"head"}
+    assert probes.headless_groups == {GROUP}
 
 
 def test_head_that_left_the_list_and_does_not_finish_closing_is_preempted(probes):
@@ -90,7 +90,7 @@
     probes.place = replace(probes.place, state=MemberState.BROKEN)
     run(probes, 0.0, 4.0)
     assert probes.orders == []
-    assert probes.inactive_heads == {"head"}
+    assert probes.headless_groups == {GROUP}
 
 
 HEAD = replace(MEMBER, id="head", membership=Membership(GROUP, 5, 0, MemberState.OPEN))
--- a/waxwingpitch/tests/test_silent_heads.py
+++ b/waxwingpitch/tests/test_silent_heads.py
@@ -10,6 +10,8 @@
 
 from ..gateway import probing
 from ..gateway.probing import HEAD_SILENCE_S, PROBE_INTERVAL_S, TargetProbes
+from ..groups.naming import GroupHead, name_group
+from ..targets.records import Membership, MemberState
 from .group_targets import GroupTarget, GroupTargets
 from .test_absent_heads import CLOSE_TIMEOUT_S, GROUP, MEMBER
 
@@ -33,6 +35,10 @@
         )
         monkeypatch.setattr(probing, "call_target", self.targets.call)
         self.now = 0.0
+        self.records = {
+            "member": MEMBER,
+            "head": replace(MEMBER, id="head", address=HEAD_ADDRESS),
+        }
         pool = SimpleNamespace(drop=lambda address: None)
         self.probes = TargetProbes(
             pool,
@@ -42,11 +48,9 @@
         )
 
     def run(self, seconds: float, listed=("member",)) -> None:
-        head = replace(MEMBER, id="head", address=HEAD_ADDRESS)
-        records = {"member": MEMBER, "head": head}
         end = self.now + seconds
         while self.now < end:
-            view = {target: records[target] for target in listed}
+            view = {target: self.records[target] for target in listed}
             self.probes.probe_missing_heads(view, 0, CLOSE_TIMEOUT_S, self.now)
             gevent.sleep(0)
             self.now += 0.1
@@ -64,13 +68,13 @@
     play.run(SILENCE_S)
     play.targets.silent.clear()
     play.run(3.0)
-    assert play.probes.inactive_heads == set()
+    assert play.probes.headless_groups == set()
 
 
 def test_head_that_stays_silent_is_gone(play):
     play.targets.silent.add(HEAD_ADDRESS)
     play.run(HEAD_SILENCE_S + 2 * PROBE_INTERVAL_S)
-    assert play.probes.inactive_heads == {"head"}
+    assert play.probes.headless_groups == {GROUP}
 
 
 def test_silence_of_a_listed_head_counts_when_it_leaves_the_list(play):
@@ -78,4 +82,18 @@
     play.probes.probe("head", HEAD_ADDRESS)
     play.run(HEAD_SILENCE_S, listed=("head", "member"))
     play.run(0.3)
-    assert play.probes.inactive_heads == {"head"}
+    assert play.probes.headless_groups == {GROUP}
+
+
+def test_head_of_another_group_by_now_is_not_taken_for_gone_in_that_one(play):
+    """Its new group's members are listed later than a member that it left behind."""
+    newer = name_group(9, GroupHead("head", HEAD_ADDRESS))
+    head = play.targets.targets[HEAD_ADDRESS]
+    head.group, head.epoch, head.members = newer, 9, ("head", "other")
+    play.run(PROBE_INTERVAL_S + 0.3)
+    assert play.probes.headless_groups == {GROUP}
+    play.records["other"] = replace(
+        MEMBER, id="other", membership=Membership(newer, 9, 1, MemberState.READY)
+    )
+    play.run(3.0, listed=("member", "other"))
+    assert play.probes.headless_groups == {GROUP}
