Answers: bytes with a status that HTTP does not have are no answer

One of 000 or 099 was skipped like an interim answer, so that the caller waited for its deadline (4 s), and the next bytes on the connection were taken for the answer. The entry daemon passed on 101 to 199 and 600 to 999.

Cause: each reader took any three digits for a status; below 200 all counted as interim.

Change: the gateways' reader of answers takes 100 to 199 as interim and 200 to 599 as final; other bytes are malformed, so that the connection is closed, a repeatable request goes elsewhere and another gets 502 at once, as it may have run. The entry daemon's client takes 200 to 599.

Evidence: test_odd_statuses.py, 34 cases: the reader, calls of both kinds, streams before and after their first event, connections through a peer, the entry daemon. Before: 'assert 600 == 502', 'assert 999 == 502', 4.0 s where 1.0 are allowed for 000 and 099, and the next answer taken for this one. With the change all pass, and test_forwarding_parsing.

--- a/waxwingpitch/forwarding/parsing.py
+++ b/waxwingpitch/forwarding/parsing.py
@@ -17,6 +17,9 @@
 MAX_ANSWER_FIELDS = 256
 
 
+# Highest status that HTTP defines a class for.
+MAX_STATUS = 599
+
 # Bytes in front of trailers that are not counted: the size of the last chunk, and the
 # end of the one before.
 LAST_CHUNK_BYTES = 64
@@ -318,7 +321,7 @@
         ) as exc:
             self._broken = True
             if not self.complete:
-                raise ValueError(str(exc)) from exc
+                raise ValueError(str(exc.__context__ or exc)) from exc
         if self._framing_bytes > MAX_FRAMING_BYTES and not self.complete:
             raise OversizedAnswerError(
                 f"{self._framing_bytes} bytes without a body; "
@@ -357,6 +360,8 @@
     def on_headers_complete(self) -> None:
         answer = self._answers[-1]
         status = self._parser.get_status_code()
+        if not 100 <= status <= MAX_STATUS:
+            raise ValueError(f"status {status:03}; valid: 100 to {MAX_STATUS}")
         if status < 200:
             return
         names = {name.lower() for name, _ in answer.headers}
--- a/waxwingpitch/ports/http.py
+++ b/waxwingpitch/ports/http.py
@@ -20,6 +20,7 @@
 # Time for a body beyond the time for its first byte.
 MAX_BODY_S = 3.0
 READ_BYTES = 65536
+FINAL_STATUSES = range(200, 600)
 # Carries a target's report, as JSON, in its answers.
 REPORT_HEADER = "X-Target-Report"
 # "no" if the target refused the request without running it.
@@ -126,7 +127,7 @@
             connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
         )
         try:
-            return self._pool.request(
+            resp = self._pool.request(
                 method,
                 self._base_url + path,
                 body=body,
@@ -147,6 +148,12 @@
             ) from exc
         except (HTTPError, OSError) as exc:
             raise ConnectionLostError(f"{self._base_url}: {exc}") from exc
+        if resp.status not in FINAL_STATUSES:
+            resp.close()
+            raise ConnectionLostError(
+                f"{self._base_url}: status {resp.status}; valid: 200 to 599"
+            )
+        return resp
 
     def _read_body(self, resp: urllib3.BaseHTTPResponse) -> bytes:
         parts, size = [], 0
