Planner: evidence about heads is of this term, of this service, and checked again

An address in use by another target counts as silence at once. - Silences and headless groups of an earlier term as planner, or of another model service of the zone, were kept or dropped with those of now. Each service has contacts of its own, made anew when the key is acquired; what is known of targets that are gone is dropped. - A headless group was never looked at again. Its head is probed every 4 s, and the group has a head again if that answers. - A report that contradicts the record counted as a confirmation the next time. - A target was ordered to leave whatever group its report names; now only the one that it was judged to be free to leave. - A leave that was answered 202 was taken for the answer to the join.

--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -6,7 +6,7 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 
 import gevent
 
@@ -25,6 +25,7 @@
 from .absent_members import AbsentMembers
 from .beliefs import GatewayView
 from .probing import TargetProbes
+from .releases import get_group_epoch
 from .replicas import KnownTarget
 from .shared_plans import SharedPlans
 from .slots import SlotTask
@@ -46,6 +47,14 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class ServicePlanner:
+    """Planner of one service's groups in a zone, and its contact with their targets."""
+
+    formation: FormationPlanner
+    probes: TargetProbes
+
+
 class ZonePlanner:
     """Plans one zone's groups while it holds the zone's planner key.
 
@@ -94,8 +103,9 @@
         self._demand: dict[str, float] = {}
         self._metrics = metrics
         self._summarized_at = 0.0
-        self._planners: dict[str, FormationPlanner] = {}
-        self._probes = TargetProbes(pool, view, peers_may_reach)
+        self._planners: dict[str, ServicePlanner] = {}
+        self._trusted_after = 0
+        self._build_probes = lambda: TargetProbes(pool, view, peers_may_reach)
         self._absent_members = AbsentMembers(
             lambda target, address: view.expired.find_report(
                 target, address, time.monotonic()
@@ -118,7 +128,7 @@
     def is_busy(self) -> bool:
         """Whether a group is being formed or an order other than Stage is pending."""
         return self.is_holder and any(
-            planner.ledger.is_busy for planner in self._planners.values()
+            planner.formation.ledger.is_busy for planner in self._planners.values()
         )
 
     def list_planned(self) -> list[PlannedGroupsItem]:
@@ -129,7 +139,7 @@
         return [
             PlannedGroupsItem(service, model, count)
             for service, planner in self._planners.items()
-            for model, count in planner.count_planned(now).items()
+            for model, count in planner.formation.count_planned(now).items()
         ]
 
     def start(self) -> None:
@@ -174,7 +184,7 @@
 
     def _reset(self, fence: int) -> None:
         self._planners.clear()
-        self._probes.reset(fence)
+        self._trusted_after = fence
 
     def _plan(self) -> None:
         now = time.monotonic()
@@ -186,28 +196,34 @@
                 continue
             planner = self._planners.get(service.name)
             if planner is None:
-                planner = FormationPlanner(
-                    self._key.next_epoch,
-                    self._load_limit.try_begin,
-                    cancel_load=self._load_limit.cancel,
-                )
-                self._planners[service.name] = planner
+                planner = self._planners[service.name] = self._build_planner()
             if self._is_store_unavailable():
                 self._poll_reports(planner, now)
-            fleet = self._build_fleet_view(service, now)
+            fleet = self._build_fleet_view(service, planner.probes, now)
             if now - self._summarized_at >= SUMMARY_INTERVAL_S:
                 self._summarized_at = now
-                summary = asdict(summarize(fleet, planner.ledger.count_forming()))
+                forming = planner.formation.ledger.count_forming()
+                summary = asdict(summarize(fleet, forming))
                 summary["demand"] = {
                     model: round(demand, 1) for model, demand in fleet.demand.items()
                 }
                 summary["slots"] = dict(fleet.slots)
                 summary["planned_elsewhere"] = dict(fleet.planned)
                 logger.info("fleet", extra={"zone": self.zone, **summary})
-            for target_order in planner.plan(fleet, now):
+            for target_order in planner.formation.plan(fleet, now):
                 gevent.spawn(self._send_order, planner, target_order, now)
 
-    def _build_fleet_view(self, service, now: float) -> FleetView:
+    def _build_planner(self) -> ServicePlanner:
+        formation = FormationPlanner(
+            self._key.next_epoch,
+            self._load_limit.try_begin,
+            cancel_load=self._load_limit.cancel,
+        )
+        probes = self._build_probes()
+        probes.reset(self._trusted_after)
+        return ServicePlanner(formation, probes)
+
+    def _build_fleet_view(self, service, probes: TargetProbes, now: float) -> FleetView:
         targets = {
             known.record.id: known.record
             for known in self._view.iter_targets()
@@ -216,16 +232,16 @@
             and not self._is_free_without_entry(known)
         }
         demand, slots = self._measure_demand(service, now)
-        self._probes.releases.forget_opened_groups(targets)
+        probes.releases.forget_opened_groups(targets)
         self._load_limit.drop_ended(targets)
         suspects = self._progress.list_suspicions(now)
-        self._probes.probe_suspects(targets, suspects, now)
-        self._probes.probe_unreachable(now)
+        probes.probe_suspects(targets, suspects, now)
+        probes.probe_unreachable(now)
         fence = self._key.fence if self.is_holder else 0
         view = FleetView(
             spec=service.engine,
             targets=targets,
-            unreachable=self._probes.unreachable,
+            unreachable=probes.unreachable,
             removed_at={target: at for target, (_, at) in self._view.removed.items()},
             membership_since={
                 known.record.id: known.membership_since
@@ -240,7 +256,7 @@
                 targets,
                 now,
             ),
-            headless=self._probes.headless_groups,
+            headless=probes.headless_groups,
             demand=demand,
             slots=slots,
             planned=self._plans.count_other_groups(self.zone, service.name),
@@ -248,7 +264,7 @@
             may_rebalance=has_turn(self.zone, self._plans.zones, time.time()),
             longest_answer_s=self._view.cfg.find_longest_timeout_s(service.name),
         )
-        self._probes.probe_missing_heads(targets, fence, view.close_timeout_s, now)
+        probes.probe_missing_heads(targets, fence, view.close_timeout_s, now)
         return view
 
     def _is_free_without_entry(self, known: KnownTarget) -> bool:
@@ -270,18 +286,18 @@
         self._demand = demand
         return demand, slots
 
-    def _poll_reports(self, planner: FormationPlanner, now: float) -> None:
+    def _poll_reports(self, planner: ServicePlanner, now: float) -> None:
         """Poll the targets that the plan waits for, as the store is unavailable."""
         if now - self._reports_polled_at < REPORT_POLL_INTERVAL_S:
             return
         self._reports_polled_at = now
-        for target in planner.ledger.list_busy_targets():
+        for target in planner.formation.ledger.list_busy_targets():
             known = self._view.targets.get(target)
             if known is not None:
-                gevent.spawn(self._poll_target, known)
+                gevent.spawn(self._poll_target, planner.probes, known)
 
-    def _poll_target(self, known: KnownTarget) -> None:
-        report = self._probes.probe(known.record.id, known.record.address)
+    def _poll_target(self, probes: TargetProbes, known: KnownTarget) -> None:
+        report = probes.probe(known.record.id, known.record.address)
         if report is None:
             return
         target = known.record.id
@@ -289,7 +305,7 @@
             self._announce(target, known.version, report)
 
     def _send_order(
-        self, planner: FormationPlanner, target_order: TargetOrder, planned_at: float
+        self, planner: ServicePlanner, target_order: TargetOrder, planned_at: float
     ) -> None:
         known = self._view.targets.get(target_order.target)
         if known is None or not self.is_holder:
@@ -299,17 +315,21 @@
         release = None
         if isinstance(order, Join):
             now = time.monotonic()
-            release = self._probes.releases.judge(known.record, now)
+            release = planner.probes.releases.judge(known.record, now)
             evidence = {"leaves": _find_group(known.record)} | release.describe(now)
         waited_ms = round(1000 * (time.monotonic() - planned_at))
         if release is not None and not release.is_granted:
             status, outcome = 0, "its head still takes requests"
         else:
-            status, outcome = self._probes.send_order(
-                target, known.record.address, order, self._key.fence
+            status, outcome = planner.probes.send_order(
+                target,
+                known.record.address,
+                order,
+                self._key.fence,
+                leaves=get_group_epoch(known.record.membership),
             )
         if status not in (200, 202):
-            planner.record_refusal(
+            planner.formation.record_refusal(
                 target, order, time.monotonic(), is_answered=bool(status)
             )
         kind = type(order).__name__.lower()
@@ -327,12 +347,12 @@
             },
         )
 
-    def _describe_evidence(self, planner: FormationPlanner, order: Order) -> dict:
+    def _describe_evidence(self, planner: ServicePlanner, order: Order) -> dict:
         """Return what an order to open a group rests on, for the log line."""
-        forming = planner.ledger.forming.get(getattr(order, "group", ""))
+        forming = planner.formation.ledger.forming.get(getattr(order, "group", ""))
         if not isinstance(order, Open) or forming is None:
             return {}
-        unanswered = self._probes.list_unanswered(forming.members)
+        unanswered = planner.probes.list_unanswered(forming.members)
         return {
             "members": {
                 member: known.version
--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
@@ -38,6 +39,8 @@
 REPORT_TIMEOUT_S = 0.25
 # Minimum time between two probes of the same target.
 PROBE_INTERVAL_S = 1.0
+# The same for heads that are known to accept no more requests, and may be wrongly so.
+RECHECK_INTERVAL_S = 4.0
 # Silence after which a head that no entry host reaches counts as gone. A sound target
 # may be silent for over a second.
 HEAD_SILENCE_S = 2.0
@@ -185,6 +188,9 @@
         """
         self._states.clear()
         self._unanswered.clear()
+        self._silent_since.clear()
+        self._headless_groups.clear()
+        self._missing_since.clear()
         self.releases.reset(fence)
 
     def list_unanswered(self, targets: Iterable[str]) -> list[tuple[str, Order]]:
@@ -225,16 +231,21 @@
         self._headless_groups &= {
             group for head in missing.values() for group in head.groups
         }
-        for target in self._silent_since.keys() - targets.keys() - missing.keys():
-            del self._silent_since[target]
+        for known in (
+            self._silent_since,
+            self._states,
+            self._probed_at,
+            self._unanswered,
+        ):
+            for target in known.keys() - targets.keys() - missing.keys():
+                del known[target]
         self._missing_since = {
             target: self._missing_since.get(target, now) for target in missing
         }
         for target, head in missing.items():
-            if (
-                not head.groups <= self._headless_groups
-                and now - self._probed_at.get(target, 0.0) >= PROBE_INTERVAL_S
-            ):
+            is_resolved = head.groups <= self._headless_groups
+            interval_s = RECHECK_INTERVAL_S if is_resolved else PROBE_INTERVAL_S
+            if now - self._probed_at.get(target, 0.0) >= interval_s:
                 self._probed_at[target] = now
                 missing_since = self._missing_since[target]
                 may_be_relisted = now - missing_since < RELIST_GRACE_S
@@ -295,7 +306,8 @@
         if place is None or place.state is MemberState.BROKEN:
             self._headless_groups |= head.groups
             return
-        self._headless_groups |= head.groups - {place.group}
+        self._headless_groups |= head.groups
+        self._headless_groups.discard(place.group)
         if place.group not in head.groups:
             return
         order = choose_release_order(place, close_deadline, now)
@@ -324,6 +336,13 @@
                 extra={"target": target, "reason": str(exc)},
             )
             return None
+        except AnotherTargetError as exc:
+            self._silent_since[target] = -math.inf
+            logger.info(
+                "address of a target is in use by another",
+                extra={"target": target, "reason": str(exc)},
+            )
+            return None
         except ValueError as exc:
             logger.warning(
                 "target report cannot be decoded",
@@ -344,7 +363,13 @@
         return now - self._silent_since.get(target, now)
 
     def send_order(
-        self, target: str, address: str, order: Order, fence: int
+        self,
+        target: str,
+        address: str,
+        order: Order,
+        fence: int,
+        *,
+        leaves: GroupEpoch | None = None,
     ) -> tuple[int, str]:
         """Send an order; return the status, 0 if there was no answer, and the details.
 
@@ -356,20 +381,25 @@
         ----------
         fence
             Fencing token of the planner that sends it.
+        leaves
+            Group that the target may leave to join another one.
         """
+        if target not in self._states and self.probe(target, address) is None:
+            return 0, "target does not answer"
         state = self._states.get(target)
-        if state is None:
-            if self.probe(target, address) is None:
-                return 0, "target does not answer"
-            state = self._states.get(target)
-        if (
-            isinstance(order, Join)
-            and state is not None
-            and state.group not in (None, (order.group, order.epoch))
-        ):
-            status, outcome = self._send(target, address, Leave(*state.group), fence)
-            if status != 200:
-                return status, f"its group is not left: {outcome}"
+        match order:
+            case Join() if state is not None and state.group not in (
+                None,
+                (order.group, order.epoch),
+            ):
+                if state.group != leaves:
+                    # The report is older than the record, or the other way round.
+                    del self._states[target]
+                    return 0, f"it reports another group: {state.group}"
+                leave = Leave(*state.group)
+                status, outcome = self._send(target, address, leave, fence)
+                if self._states.get(target) is None:
+                    return status, f"its group is not left: {outcome}"
         return self._send(target, address, order, fence)
 
     def _send(
--- a/waxwingpitch/gateway/releases.py
+++ b/waxwingpitch/gateway/releases.py
@@ -145,11 +145,12 @@
         report = self._probe(record.id, record.address)
         if report is None:
             return Release(False, "no own report", now)
-        self._verified_targets.add(record.id)
         self._view.apply_report(record.id, known.version, report)
         is_current = get_group_epoch(report.membership) == get_group_epoch(
             record.membership
         )
+        if is_current:
+            self._verified_targets.add(record.id)
         return Release(is_current, "own report", now)
 
     def _find_listed_release(self, record: TargetRecord) -> Release | None:
--- a/waxwingpitch/tests/test_silent_heads.py
+++ b/waxwingpitch/tests/test_silent_heads.py
@@ -8,8 +8,15 @@
 import gevent
 import pytest
 
+from ..forwarding import AnswerHead
+from ..forwarding.answers import Answer
 from ..gateway import probing
-from ..gateway.probing import HEAD_SILENCE_S, PROBE_INTERVAL_S, TargetProbes
+from ..gateway.probing import (
+    HEAD_SILENCE_S,
+    PROBE_INTERVAL_S,
+    RECHECK_INTERVAL_S,
+    TargetProbes,
+)
 from ..groups.naming import GroupHead, name_group
 from ..targets.records import Membership, MemberState
 from .group_targets import GroupTarget, GroupTargets
@@ -34,7 +41,7 @@
             }
         )
         monkeypatch.setattr(probing, "call_target", self.targets.call)
-        self.now = 0.0
+        self.now = 10.0
         self.records = {
             "member": MEMBER,
             "head": replace(MEMBER, id="head", address=HEAD_ADDRESS),
@@ -97,3 +104,43 @@
     )
     play.run(3.0, listed=("member", "other"))
     assert play.probes.headless_groups == {GROUP}
+
+
+def test_head_whose_address_another_target_has_is_gone(play, monkeypatch):
+    def _call(pool, address, *args, **options):
+        if address == HEAD_ADDRESS:
+            return Answer(AnswerHead(421, ()), b"")
+        return play.targets.call(pool, address, *args, **options)
+
+    monkeypatch.setattr(probing, "call_target", _call)
+    play.run(HEAD_SILENCE_S + 2 * PROBE_INTERVAL_S)
+    assert play.probes.headless_groups == {GROUP}
+
+
+def test_silence_of_an_earlier_term_as_planner_does_not_count(play):
+    play.targets.silent.add(HEAD_ADDRESS)
+    play.run(0.3)
+    play.targets.silent.clear()
+    play.now += 60.0
+    play.probes.reset(2)
+    play.targets.silent.add(HEAD_ADDRESS)
+    play.run(PROBE_INTERVAL_S)
+    assert play.probes.headless_groups == set()
+
+
+def test_head_that_answers_again_is_not_gone(play):
+    play.targets.silent.add(HEAD_ADDRESS)
+    play.run(HEAD_SILENCE_S + PROBE_INTERVAL_S)
+    assert play.probes.headless_groups == {GROUP}
+    play.targets.silent.clear()
+    play.run(RECHECK_INTERVAL_S + PROBE_INTERVAL_S)
+    assert play.probes.headless_groups == set()
+
+
+def test_silence_ends_with_an_answer(play):
+    for _ in range(3):
+        play.targets.silent.add(HEAD_ADDRESS)
+        play.run(PROBE_INTERVAL_S)
+        play.targets.silent.clear()
+        play.run(2 * PROBE_INTERVAL_S)
+    assert play.probes.headless_groups == set()
