--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -398,7 +398,7 @@
                     return 0, f"it reports another group: {state.group}"
                 leave = Leave(*state.group)
                 status, outcome = self._send(target, address, leave, fence)
-                if self._states.get(target) is None:
+                if status not in (200, 202):
                     return status, f"its group is not left: {outcome}"
         return self._send(target, address, order, fence)
 
