Streams: a success without a body neither carries chunks nor ends a begun stream

The caller got "204" with Transfer-Encoding: chunked, and the last chunk behind it, which are bytes that belong to no answer on a kept connection. A stream that goes on at a target which answers 204 or 205 ended there as complete, five events short.

Cause: any 2xx with a seal counted as a stream; without events it was begun and ended in chunks.

Change: 204 and 205 are passed on as whole answers before the first event; within a stream they are a failure of that attempt, so that it goes on elsewhere, or is seen to be cut.

Evidence: test_bodiless_answers.py, 12 cases, the caller's bytes read as they come. The modules of answers, links, refusals, notices and stand-ins, begun streams and the layout: 220 of 221 passed at load 17 to 21; test_time_for_asking_peers_is_bounded (test_links, 0.05 s sleeps in 0.08 s) failed once there, and test_links passes alone (23 of 23).

--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -58,6 +58,8 @@
 # Statuses that tell callers that a request did not run. A target that does not say so
 # itself may have run it.
 PROMISE_STATUSES = frozenset({408, 429, 503})
+# Successes that carry no events, so that they can't be part of a stream.
+CONTENTLESS_STATUSES = frozenset({204, 205})
 # Events of a stream that the caller has already, which are dropped.
 MAX_DROPPED_BYTES = 1024 * 1024
 # Answers to earlier requests that are skipped before that to the current one.
@@ -298,12 +300,18 @@
             not 200 <= head.status < 300
             or head.find(HeaderNames.SEAL) is None
             or head.find(b"content-encoding") is not None
+            or head.status in CONTENTLESS_STATUSES
         ):
             until = min(ctx.deadline, time.monotonic() + REFUSAL_BODY_TIMEOUT_S)
             body = conn.read_whole_body(
                 until, max_bytes=MAX_CALL_BODY_BYTES, hold=attempts.hold
             )
-            return self._check_answer(ctx, Answer(head, body)) or Broken("no seal")
+            answer = Answer(head, body)
+            outcome = self._check_answer(ctx, answer)
+            if outcome is None and not resp.started:
+                resp.send_answer(answer)
+                return Done()
+            return outcome or Broken(f"status {head.status} within a stream")
         splitter = EventSplitter()
         last_event_at = last_data_at = time.monotonic()
         has_events = False
