Answers: bytes of other protocols and versions are no answer of HTTP/1.x

Cause: the parser takes these protocols and versions too, and the reader asked for the status only.

Change: an answer, also one behind an interim answer, must begin with the H of HTTP and have the version 1.0 or 1.1; else the bytes are malformed, as with an odd status. The parser gets the bytes line by line until the final head is complete, so that the start of each answer is known.

Evidence: test_odd_statuses.py. Before: 'DID NOT RAISE ValueError' in 30 cases, 'assert 200 == 502' in 6, 'assert 503 == 502' in one; with the change all pass. Guards that passed before: odd statuses and interim answers with Not-Executed, interim answers without end, fast (502 at once) and five a second (504 at the deadline; a stream goes on elsewhere).

--- a/waxwingpitch/forwarding/parsing.py
+++ b/waxwingpitch/forwarding/parsing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import httptools
@@ -19,6 +20,8 @@
 
 # Highest status that HTTP defines a class for.
 MAX_STATUS = 599
+# Versions that can be read; the parser also takes others, and other protocols.
+VERSIONS = ("1.0", "1.1")
 
 # Bytes in front of trailers that are not counted: the size of the last chunk, and the
 # end of the one before.
@@ -247,6 +250,10 @@
     """An answer, or a part of one, is over its limit."""
 
 
+class _ProtocolError(Exception):
+    """Bytes that do not begin an answer of HTTP."""
+
+
 class _PartialAnswer:
     """The part of an answer that has arrived so far."""
 
@@ -269,6 +276,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._answers: deque[_PartialAnswer] = deque()
         self._broken = False
+        self._is_within_answer = False
         self._framing_bytes = 0
 
     @property
@@ -313,8 +321,11 @@
         """
         self._framing_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            for part in self._split_lines(data):
+                self._check_protocol(part)
+                self._parser.feed_data(part)
         except (
+            _ProtocolError,
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
             httptools.HttpParserCallbackError,
@@ -332,6 +343,20 @@
                 f"over {MAX_ANSWER_FIELDS} header fields; valid: {MAX_ANSWER_FIELDS}"
             )
 
+    def _split_lines(self, data: bytes) -> Iterator[bytes]:
+        """Split bytes at line ends until the head of the current answer is complete."""
+        start = 0
+        while self.head is None and (end := data.find(b"\n", start) + 1):
+            yield data[start:end]
+            start = end
+        if start < len(data):
+            yield data[start:]
+
+    def _check_protocol(self, data: bytes) -> None:
+        """Check that an answer which begins with the data is one of HTTP."""
+        if not self._is_within_answer and data.lstrip(b"\r\n")[:1] not in b"H":
+            raise _ProtocolError(f"no answer of HTTP: {data[:8]!r}")
+
     def feed_eof(self) -> None:
         """Record that the target closed the connection cleanly.
 
@@ -352,6 +377,7 @@
         return data
 
     def on_message_begin(self) -> None:
+        self._is_within_answer = True
         self._answers.append(_PartialAnswer())
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -362,6 +388,8 @@
         status = self._parser.get_status_code()
         if not 100 <= status <= MAX_STATUS:
             raise ValueError(f"status {status:03}; valid: 100 to {MAX_STATUS}")
+        if (version := self._parser.get_http_version()) not in VERSIONS:
+            raise ValueError(f"version {version}; valid: {', '.join(VERSIONS)}")
         if status < 200:
             return
         names = {name.lower() for name, _ in answer.headers}
@@ -377,6 +405,7 @@
         self._answers[-1].body.append(data)
 
     def on_message_complete(self) -> None:
+        self._is_within_answer = False
         answer = self._answers[-1]
         if answer.head is None:
             self._answers.pop()
--- a/waxwingpitch/tests/test_odd_statuses.py
+++ b/waxwingpitch/tests/test_odd_statuses.py
@@ -21,14 +21,17 @@
 
 ODD = ("000", "099", "600", "999")
 EVENTS = 8
+# Protocols whose answers the parser takes too.
+PROTOCOLS = ("HTTP/0.9", "HTTP/2.0", "RTSP/1.0", "ICE/1.0", "RTSP/1.1")
+HINTS = b"HTTP/1.1 103 Early Hints\r\n\r\n"
 # Time until a request whose only target answers oddly has its answer.
 ANSWER_S = 1.0
 
 
-def build_answer(status: str, request: str = "") -> bytes:
+def build_answer(status: str, request: str = "", protocol="HTTP/1.1") -> bytes:
     """Return a whole answer that bears all that a valid one does."""
     return (
-        f"HTTP/1.1 {status} Odd\r\nAttempt-Id: {request}\r\nResponse-Seal: seal.x\r\n"
+        f"{protocol} {status} Odd\r\nAttempt-Id: {request}\r\nResponse-Seal: seal.x\r\n"
         "Content-Length: 3\r\n\r\nodd"
     ).encode()
 
@@ -100,6 +103,41 @@
     assert reader.head is None
 
 
+@pytest.mark.parametrize("size", [1, 1000])
+@pytest.mark.parametrize("before", [b"", b"\r\n", HINTS], ids=["", "blank", "103"])
+@pytest.mark.parametrize("protocol", PROTOCOLS)
+def test_answer_of_another_protocol_is_no_answer(protocol, before, size):
+    reader = AnswerReader()
+    data = before + build_answer("200", protocol=protocol)
+    with pytest.raises(ValueError):
+        for start in range(0, len(data), size):
+            reader.feed(data[start : start + size])
+    assert reader.head is None
+
+
+@pytest.mark.parametrize("protocol", PROTOCOLS)
+def test_answer_of_another_protocol_behind_an_answer_is_surplus(protocol):
+    reader = AnswerReader()
+    reader.feed(build_answer("200"))
+    reader.feed(build_answer("200", protocol=protocol))
+    assert reader.complete and reader.has_surplus_bytes
+
+
+@pytest.mark.parametrize("path", ["/file/x", "/read/x"])
+@pytest.mark.parametrize("protocol", PROTOCOLS[:3])
+def test_caller_does_not_get_an_answer_of_another_protocol(
+    platform, gateway, protocol, path
+):
+    def _script(sock, request: str) -> None:
+        sock.sendall(build_answer("200", request, protocol))
+
+    for target in platform.plain:
+        platform.targets[target].faults = TargetFaults(script=_script)
+    answer = call(gateway.settings.front, path, f"p{protocol[:4]}{path[1:5]}")
+    assert answer.status == 502
+    assert "response-seal" not in answer.headers
+
+
 @pytest.mark.parametrize("path", ["/file/x", "/read/x"])
 @pytest.mark.parametrize("status", ODD)
 def test_caller_of_a_call_does_not_get_an_odd_status(platform, gateway, status, path):
@@ -117,6 +155,64 @@
     assert "response-seal" not in answer.headers
 
 
+@pytest.mark.parametrize("status", [*ODD, "101", "200 in RTSP/1.0"])
+def test_odd_status_is_no_proof_of_not_run(platform, gateway, status):
+    status, _, protocol = status.partition(" in ")
+
+    def _script(sock, request: str) -> None:
+        answer = build_answer(status, request, protocol or "HTTP/1.1")
+        sock.sendall(answer.replace(b"Response-Seal", b"Not-Executed"))
+
+    for target in platform.plain:
+        platform.targets[target].faults = TargetFaults(script=_script)
+    name = f"n{status}{protocol[:4]}"
+    assert call(gateway.settings.front, "/file/x", name).status == 502
+    assert platform.runs[name] == 1
+
+
+def test_interim_answer_is_no_proof_of_not_run(platform, gateway):
+    def _script(sock, request: str) -> None:
+        fields = b"Not-Executed: 1\r\nAttempt-Id: %s\r\n" % request.encode()
+        sock.sendall(b"HTTP/1.1 103 Early\r\n" + fields + b"\r\n")
+        sock.sendall(build_answer("503", request).replace(b"-Seal", b"-Other"))
+
+    for target in platform.plain:
+        platform.targets[target].faults = TargetFaults(script=_script)
+    assert call(gateway.settings.front, "/file/x", "interim-1").status == 502
+    assert platform.runs["interim-1"] == 1
+
+
+def test_interim_answers_without_end_are_a_failure(platform, gateway):
+    def _script(sock, request: str) -> None:
+        sock.sendall(HINTS * 4000)
+
+    for target in platform.plain:
+        platform.targets[target].faults = TargetFaults(script=_script)
+    started_at = time.monotonic()
+    assert call(gateway.settings.front, "/file/x", "interim-2").status == 502
+    assert time.monotonic() - started_at < ANSWER_S
+
+
+def test_interim_answers_now_and_then_are_no_progress(platform, gateway):
+    """The call ends at its deadline, and the stream goes on elsewhere."""
+
+    def _script(sock, request: str) -> None:
+        for _ in range(20):
+            sock.sendall(HINTS)
+            gevent.sleep(0.2)
+
+    for target in platform.plain:
+        platform.targets[target].faults = TargetFaults(script=_script)
+    started_at = time.monotonic()
+    options = {"deadline_ms": 1000}
+    assert call(gateway.settings.front, "/file/x", "slow-1", **options).status == 504
+    assert time.monotonic() - started_at < 1.0 + ANSWER_S
+    platform.stream_scripts = [_script]
+    answer = chat(gateway.settings.front, "slow-2", model=PAIR.name, events=EVENTS)
+    assert answer.is_complete
+    check(answer)
+
+
 @pytest.mark.parametrize("begins", [False, True])
 @pytest.mark.parametrize("status", ODD)
 def test_stream_goes_on_elsewhere_after_an_odd_status(
