Entry daemon: odd status lines and heads without end are no answers

A target or store that sends 100 Continue, or lines of a head, without end held a stream for good where half a second was allowed, and other calls for 3.5 s more.

Cause: http.client reads the status with int(), skips any number of interim answers, and its read timeout begins anew with each part of a head.

Change: the status line must be one of HTTP/1.0 or 1.1 with three digits; at most 16 interim answers are skipped; the head must be complete within the times to connect and for the first byte.

--- a/waxwingpitch/ports/http.py
+++ b/waxwingpitch/ports/http.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import http.client
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 import gevent
 import urllib3
+from urllib3.connection import HTTPConnection, HTTPSConnection
+from urllib3.connectionpool import HTTPConnectionPool, HTTPSConnectionPool
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -21,6 +25,10 @@
 MAX_BODY_S = 3.0
 READ_BYTES = 65536
 FINAL_STATUSES = range(200, 600)
+STATUS_LINE = re.compile(rb"(HTTP/1\.[01]) ([0-9]{3})(?: ([^\r\n]*))?\r?\n")
+MAX_STATUS_LINE_BYTES = 65536
+# Interim answers that are skipped before the final one.
+MAX_INTERIM_ANSWERS = 16
 # Carries a target's report, as JSON, in its answers.
 REPORT_HEADER = "X-Target-Report"
 # "no" if the target refused the request without running it.
@@ -48,6 +56,43 @@
     data: bytes
 
 
+class _Response(http.client.HTTPResponse):
+    """Answer whose status line must be one of HTTP; the base class takes others too."""
+
+    _status_lines = 0
+
+    def _read_status(self) -> tuple[str, int, str]:
+        line = self.fp.readline(MAX_STATUS_LINE_BYTES)
+        if not line:
+            raise http.client.RemoteDisconnected("closed without an answer")
+        self._status_lines += 1
+        valid = STATUS_LINE.fullmatch(line)
+        if valid is None or self._status_lines > MAX_INTERIM_ANSWERS + 1:
+            self._close_conn()
+            raise http.client.BadStatusLine(repr(line[:80]))
+        version, status, phrase = valid.groups(b"")
+        return version.decode(), int(status), phrase.decode("latin-1").strip()
+
+
+class _Connection(HTTPConnection):
+    response_class = _Response
+
+
+class _ConnectionPool(HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
+class _TlsConnection(HTTPSConnection):
+    response_class = _Response
+
+
+class _TlsConnectionPool(HTTPSConnectionPool):
+    ConnectionCls = _TlsConnection
+
+
+POOL_CLASSES = {"http": _ConnectionPool, "https": _TlsConnectionPool}
+
+
 class HttpClient:
     """Pool of connections to one base URL.
 
@@ -76,6 +121,7 @@
         self._max_body_bytes = max_body_bytes
         self._keeps_idle_on_timeout = keeps_idle_on_timeout
         self._pool = urllib3.PoolManager(num_pools=2, maxsize=connections, block=False)
+        self._pool.pool_classes_by_scheme = POOL_CLASSES
 
     def send(
         self,
@@ -123,24 +169,25 @@
 
         Raises the same errors as :meth:`send`.
         """
-        timeout = urllib3.Timeout(
-            connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
-        )
+        connect_timeout_s = min(CONNECT_TIMEOUT_S, timeout_s)
+        late = ResponseTimeoutError("the head does not end")
         try:
-            resp = self._pool.request(
-                method,
-                self._base_url + path,
-                body=body,
-                headers=headers,
-                timeout=timeout,
-                retries=False,
-                redirect=False,
-                preload_content=False,
-                decode_content=False,
-            )
+            # The read timeout alone begins anew with each part of a head.
+            with gevent.Timeout(connect_timeout_s + timeout_s, late):
+                resp = self._pool.request(
+                    method,
+                    self._base_url + path,
+                    body=body,
+                    headers=headers,
+                    timeout=urllib3.Timeout(connect=connect_timeout_s, read=timeout_s),
+                    retries=False,
+                    redirect=False,
+                    preload_content=False,
+                    decode_content=False,
+                )
         except (NewConnectionError, ConnectTimeoutError) as exc:
             raise NotSentError(f"{self._base_url}: {exc}") from exc
-        except ReadTimeoutError as exc:
+        except (ReadTimeoutError, ResponseTimeoutError) as exc:
             if not self._keeps_idle_on_timeout:
                 self.close()
             raise ResponseTimeoutError(
