Store client: a write with an odd answer may have taken effect

A key that a process had written so, such as a planner's, was not read back. An era of 5,000 digits ended in a ValueError.

Cause: any status that is not expected, and what can't be decoded, was StoreUnavailableError, which says "no effect". The platform's page says so of 503 and of refusals only.

Change: 400, 401, 403, 429 and 503 are refusals; all else that is odd is StoreAnswerLostError for a write, after which keys are read back. Reads are as they were.

What a planner does after such an answer was not run.

--- a/waxwingpitch/platform/store.py
+++ b/waxwingpitch/platform/store.py
@@ -30,6 +30,9 @@
 WATCH_MARGIN_S = 3.0
 # A page holds about 1 MB of values, in base64, or one value of up to 1 MB.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_ERA_DIGITS = 18
+# Statuses of calls that had no effect.
+REFUSED_STATUSES = frozenset({400, 401, 403, 429, 503})
 
 
 class _Item(msgspec.Struct):
@@ -106,13 +109,13 @@
             "delete": [],
         }
         resp, era = self._write("POST", "/waxwingpitch/kv-txn", body)
-        return combine_version(era, _decode(resp.data, _WriteResult).revision)
+        return combine_version(era, _decode_written(resp.data, _WriteResult).revision)
 
     def overwrite(self, key: str, value: bytes) -> int:
         entry = {"key": key, "value": base64.b64encode(value).decode()}
         body = {"expected": [], "puts": [entry], "delete": []}
         resp, era = self._write("POST", "/waxwingpitch/kv-txn", body)
-        return combine_version(era, _decode(resp.data, _WriteResult).revision)
+        return combine_version(era, _decode_written(resp.data, _WriteResult).revision)
 
     def delete(self, key: str, *, expect: int) -> None:
         body = {
@@ -172,7 +175,7 @@
     def grant_lease(self, ttl_s: float) -> str:
         body = {"ttl_ms": int(ttl_s * 1000)}
         resp, era = self._write("POST", "/waxwingpitch/kv-lease", body)
-        return _format_lease(_decode(resp.data, _GrantedLease).lease, era)
+        return _format_lease(_decode_written(resp.data, _GrantedLease).lease, era)
 
     def renew_lease(self, lease: str) -> bool:
         number, era = _parse_lease(lease)
@@ -208,8 +211,8 @@
     def _take_era(self, resp) -> int:
         """Return the era of an answer, which becomes the known one if it is later."""
         text = resp.headers.get(STORE_ERA, "0")
-        if not (text.isascii() and text.isdigit()):
-            raise StoreUnavailableError(f"era {text!r}; valid: a whole number")
+        if not (text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS):
+            raise MalformedInputError(f"era {text[:40]!r}; valid: a whole number")
         era = int(text)
         self._era = max(self._era, era)
         return era
@@ -226,7 +229,10 @@
             raise StoreUnavailableError(str(exc)) from exc
         if resp.status not in (200, 404, 410):
             raise StoreUnavailableError(f"GET {path}: unexpected status {resp.status}")
-        era = self._take_era(resp)
+        try:
+            era = self._take_era(resp)
+        except MalformedInputError as exc:
+            raise StoreUnavailableError(str(exc)) from exc
         if era < self._era:
             raise StoreUnavailableError(f"GET {path}: answer of an earlier era")
         return resp, era
@@ -243,7 +249,10 @@
             raise StoreUnavailableError(str(exc)) from exc
         except (ResponseTimeoutError, ConnectionLostError) as exc:
             raise StoreAnswerLostError(str(exc)) from exc
-        era = self._take_era(resp)
+        try:
+            era = self._take_era(resp)
+        except MalformedInputError as exc:
+            raise StoreAnswerLostError(str(exc)) from exc
         if era < self._era:
             raise StoreAnswerLostError(f"{method} {path}: answer of an earlier era")
         if resp.status == 412:
@@ -254,8 +263,10 @@
             raise StoreConflictError(
                 f"{method} {path}: the lease has expired or was revoked"
             )
+        if resp.status in REFUSED_STATUSES:
+            raise StoreUnavailableError(f"{method} {path}: status {resp.status}")
         if resp.status not in (200, 204, 404):
-            raise StoreUnavailableError(
+            raise StoreAnswerLostError(
                 f"{method} {path}: unexpected status {resp.status}"
             )
         return resp, era
@@ -268,6 +279,14 @@
         raise StoreUnavailableError(f"malformed answer of the store: {exc}") from exc
 
 
+def _decode_written(data: bytes, struct_type):
+    """Decode the answer to a write, which has taken effect though it is malformed."""
+    try:
+        return decode_json(data, struct_type)
+    except MalformedInputError as exc:
+        raise StoreAnswerLostError(f"malformed answer of the store: {exc}") from exc
+
+
 def _name_call(path: str) -> str:
     """Return the kind of a call: its path without the prefix and without ids."""
     return path.split("/")[2]
