Calls: Not-Executed in a success or a redirection is no proof of "not run"

The caller got 503, "target refused with 200", and a route with several attempts would have sent it elsewhere.

Cause: the field counted as a refusal whatever the status was.

Change: it does from 400 on. A sealed answer below that is passed on as it came; one without a seal is a failure that promises nothing (502).

--- a/waxwingpitch/gateway/exchange.py
+++ b/waxwingpitch/gateway/exchange.py
@@ -263,7 +263,8 @@
     def _check_answer(self, ctx: RequestContext, answer: Answer) -> Outcome | None:
         """Return the outcome of an answer that is no success; None for a success."""
         head = answer.head
-        if head.find(HeaderNames.NOT_RUN) is not None or head.status == 421:
+        is_refusal = head.status >= 400 and head.find(HeaderNames.NOT_RUN) is not None
+        if is_refusal or head.status == 421:
             reason = f"target refused with {head.status}"
             return NotRun(reason, is_misdirected=head.status == 421)
         if head.find(b"content-encoding") is not None:
--- a/waxwingpitch/tests/test_odd_statuses.py
+++ b/waxwingpitch/tests/test_odd_statuses.py
@@ -170,6 +170,24 @@
     assert platform.runs[name] == 1
 
 
+@pytest.mark.parametrize("is_sealed", [False, True])
+@pytest.mark.parametrize("status", ["200", "202", "302"])
+def test_status_of_no_refusal_is_no_proof_of_not_run(
+    platform, gateway, status, is_sealed
+):
+    def _script(sock, request: str) -> None:
+        fields = b"Not-Executed: 1\r\n" + b"Response-Seal: seal.x\r\n" * is_sealed
+        answer = build_answer(status, request)
+        sock.sendall(answer.replace(b"Response-Seal: seal.x\r\n", fields))
+
+    for target in platform.plain:
+        platform.targets[target].faults = TargetFaults(script=_script)
+    name = f"r{status}{is_sealed}"
+    answer = call(gateway.settings.front, "/file/x", name)
+    assert answer.status == (int(status) if is_sealed else 502)
+    assert platform.runs[name] == 1
+
+
 def test_interim_answer_is_no_proof_of_not_run(platform, gateway):
     def _script(sock, request: str) -> None:
         fields = b"Not-Executed: 1\r\nAttempt-Id: %s\r\n" % request.encode()
