Answers: a connection on which a body may follow a 204 or 304 is not used again

Cause: such an answer counted as complete and its connection as free, unless the body came with the head.

Change: the connection is closed behind it, unless the length is 0.

Evidence: test_bodiless_answers.py, 4 of 8 new cases fail before ('assert True == False', the reader's keep_alive), all pass with the change. The failure of the next request was not played.

--- a/waxwingpitch/forwarding/parsing.py
+++ b/waxwingpitch/forwarding/parsing.py
@@ -264,6 +264,7 @@
         self.complete = False
         self.keep_alive = False
         self.has_framing = False
+        self.may_be_followed = False
 
 
 class AnswerReader:
@@ -392,11 +393,13 @@
             raise ValueError(f"version {version}; valid: {', '.join(VERSIONS)}")
         if status < 200:
             return
-        names = {name.lower() for name, _ in answer.headers}
-        answer.has_framing = (
-            b"content-length" in names
-            or b"transfer-encoding" in names
-            or status in (204, 304)
+        fields = {name.lower(): value for name, value in answer.headers}
+        has_length = b"content-length" in fields or b"transfer-encoding" in fields
+        has_no_body = status in (204, 304)
+        answer.has_framing = has_length or has_no_body
+        # Some send the body all the same, where the next answer is due.
+        answer.may_be_followed = (
+            has_no_body and has_length and fields.get(b"content-length") != b"0"
         )
         answer.head = AnswerHead(status, tuple(answer.headers))
 
@@ -412,4 +415,8 @@
             return
         self._framing_bytes = 0
         answer.complete = True
-        answer.keep_alive = answer.has_framing and self._parser.should_keep_alive()
+        answer.keep_alive = (
+            answer.has_framing
+            and not answer.may_be_followed
+            and self._parser.should_keep_alive()
+        )
--- a/waxwingpitch/tests/test_bodiless_answers.py
+++ b/waxwingpitch/tests/test_bodiless_answers.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 
+from ..forwarding import AnswerReader
 from .fleet_fake import PAIR
 from .gateway_client import Caller, chat, start_gateway, wait_for
 from .platform_standin import PlatformFake
@@ -74,3 +75,22 @@
     result = chat(gateway.settings.front, name, model=PAIR.name, events=EVENTS)
     platform.stream_scripts = []
     check(result)
+
+
+@pytest.mark.parametrize("status", ["204", "304"])
+@pytest.mark.parametrize(
+    ("field", "is_reusable"),
+    [
+        ("Content-Length: 3", False),
+        ("Transfer-Encoding: chunked", False),
+        ("Content-Length: 0", True),
+        ("X: y", True),
+    ],
+)
+def test_connection_on_which_a_body_may_follow_is_not_used_again(
+    status, field, is_reusable
+):
+    reader = AnswerReader()
+    reader.feed(f"HTTP/1.1 {status} Odd\r\n{field}\r\n\r\n".encode())
+    assert reader.complete
+    assert reader.keep_alive == is_reusable
