Entry daemon: a stored answer with an odd status is not replayed

Cause: a stored status is decoded as any number.

Change: a repeat whose stored answer has a status outside 200 to 599 is told that the request ran and that its outcome is unknown, as where the answer was too large to keep.

Evidence: test_odd_entry_answers.py, 7 cases fail before ('DID NOT RAISE RequestError') and pass with the change, at the function that rebuilds the answer; not run with a store of an earlier build.

--- a/waxwingpitch/entry/kept_answers.py
+++ b/waxwingpitch/entry/kept_answers.py
@@ -4,6 +4,7 @@
 
 from ..errors import Ran, RequestError, ResultCode
 from ..ports import PlainAnswer
+from ..ports.http import FINAL_STATUSES
 from ..requests.claims import StoredAnswer, build_stored_answer
 
 REPLAYED_HEADER = "Idempotent-Replayed"
@@ -22,7 +23,8 @@
     Raises
     ------
     RequestError
-        The request ran, but its answer was too large to store.
+        The request ran, but its answer was too large to store, or has a status that
+        no answer bears.
     """
     if stored is None or not stored.whole:
         raise RequestError(
@@ -30,5 +32,11 @@
             "the request ran; its answer was too large to keep",
             ran=Ran.YES,
         )
+    if stored.status not in FINAL_STATUSES:
+        raise RequestError(
+            ResultCode.OUTCOME_UNKNOWN,
+            f"the request ran; its answer is kept with status {stored.status}",
+            ran=Ran.YES,
+        )
     headers = (("Content-Type", stored.content_type), (REPLAYED_HEADER, "true"))
     return PlainAnswer(stored.status, headers, stored.body)
--- a/waxwingpitch/tests/test_odd_entry_answers.py
+++ b/waxwingpitch/tests/test_odd_entry_answers.py
@@ -8,7 +8,10 @@
 import pytest
 from gevent.server import StreamServer
 
+from ..entry.kept_answers import rebuild_answer
+from ..errors import Ran, RequestError
 from ..ports.http import ConnectionLostError, HttpClient, ResponseTimeoutError
+from ..requests.claims import StoredAnswer
 
 TIMEOUT_S = 0.5
 # Time after which a call without a final answer must have failed.
@@ -112,3 +115,10 @@
     assert time.monotonic() - started_at < END_S
     others.kill()
     assert longest_s < PAUSE_S
+
+
+@pytest.mark.parametrize("status", [-1, 0, 99, 101, 199, 600, 999])
+def test_stored_answer_with_an_odd_status_is_not_replayed(status):
+    with pytest.raises(RequestError) as caught:
+        rebuild_answer(StoredAnswer(status, "text/plain", b"odd"))
+    assert caught.value.ran is Ran.YES
