Probes: a target that reports in bytes that are no answer has not ended

Gateways counted it as ended: its runs no longer counted towards a route's max_attempts, and the planner and its witnesses could take a living head that is missing from the store's list for gone.

Cause: a malformed answer and a broken connection are one error, TargetBrokenError.

Change: bytes that are no answer, or without end, are TargetMalformedError, a kind of it; a report that comes so twice is one that can't be decoded. Such a target answers: it has not ended, and witnesses reach it. One that answers 421 is still another target.

--- a/waxwingpitch/forwarding/targets.py
+++ b/waxwingpitch/forwarding/targets.py
@@ -68,7 +68,11 @@
     """The connection broke, or the answer is malformed."""
 
 
-class TargetOversizedError(TargetBrokenError):
+class TargetMalformedError(TargetBrokenError):
+    """The target answers, but not in HTTP."""
+
+
+class TargetOversizedError(TargetMalformedError):
     """An answer, or a part of it, is over its limit."""
 
 
@@ -255,7 +259,7 @@
         except OversizedAnswerError as exc:
             raise TargetOversizedError(f"{self.address}: {exc}") from exc
         except ValueError as exc:
-            raise TargetBrokenError(f"{self.address}: {exc}") from exc
+            raise TargetMalformedError(f"{self.address}: {exc}") from exc
 
     def _check_size(self, size: int, max_bytes: int) -> None:
         if size > max_bytes:
--- a/waxwingpitch/gateway/daemon.py
+++ b/waxwingpitch/gateway/daemon.py
@@ -387,8 +387,15 @@
         """Return whether a target answers this process."""
         try:
             fetch_report(self.pool, target, address)
-        except (UnreachableError, TargetTimeoutError, TargetBrokenError, ValueError):
+        except (
+            UnreachableError,
+            TargetTimeoutError,
+            TargetBrokenError,
+            AnotherTargetError,
+        ):
             return False
+        except ValueError:
+            logger.debug("report of a target can't be decoded")
         return True
 
     def _has_ended(self, target: str, address: str) -> bool:
--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -14,6 +14,7 @@
     AnswerHead,
     ConnectionPool,
     TargetBrokenError,
+    TargetMalformedError,
     TargetTimeoutError,
     UnreachableError,
 )
@@ -103,7 +104,7 @@
     AnotherTargetError
         Another target has its address.
     ValueError
-        The report cannot be decoded.
+        The target answers, but not with a report that can be decoded.
     """
 
     def _fetch() -> MembershipReport:
@@ -126,7 +127,10 @@
         return _fetch()
     except (TargetTimeoutError, TargetBrokenError):
         pool.drop(address)
+    try:
         return _fetch()
+    except TargetMalformedError as exc:
+        raise ValueError(str(exc)) from exc
 
 
 class TargetProbes:
--- a/waxwingpitch/tests/test_odd_statuses.py
+++ b/waxwingpitch/tests/test_odd_statuses.py
@@ -12,6 +12,7 @@
 from ..forwarding.exchange import send_request
 from ..forwarding.relay import RelayListener
 from ..forwarding.targets import open_socket
+from ..gateway.probing import fetch_report
 from ..ports.http import ConnectionLostError, HttpClient
 from .fleet_fake import PAIR
 from .gateway_client import call, chat, find_port, start_gateway, wait_for
@@ -259,6 +260,17 @@
     conn.close()
 
 
+@pytest.mark.parametrize("status", [*ODD, "101"])
+def test_target_that_reports_with_an_odd_status_has_not_ended(
+    gateway, odd_target, status
+):
+    address = odd_target(status)
+    with pytest.raises(ValueError):
+        fetch_report(gateway.pool, "t", address)
+    assert not gateway._has_ended("t", address)
+    assert gateway._is_reachable("t", address)
+
+
 @pytest.mark.parametrize("status", [*ODD, "103", "199"])
 def test_odd_status_is_a_lost_connection_to_the_entry_daemon(odd_target, status):
     client = HttpClient(f"http://{odd_target(status)}")
