Planner: no order is sent once the zone's key is lost while it waits

What callers could see: a group that the next planner has opened stands still, as an order of the one before takes a member out.

Cause: whether the key is held was asked before the probes, which take up to two seconds.

Change: it is asked again just before an order is sent.

--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -105,7 +105,9 @@
         self._summarized_at = 0.0
         self._planners: dict[str, ServicePlanner] = {}
         self._trusted_after = 0
-        self._build_probes = lambda: TargetProbes(pool, view, peers_may_reach)
+        self._build_probes = lambda: TargetProbes(
+            pool, view, peers_may_reach, may_send=lambda: self.is_holder
+        )
         self._absent_members = AbsentMembers(
             lambda target, address: view.expired.find_report(
                 target, address, time.monotonic()
--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -144,6 +144,8 @@
     may_be_reachable
         Asks the peers whether a target, given its id and address, may answer any of
         them.
+    may_send
+        Returns whether orders may be sent now.
 
     Attributes
     ----------
@@ -157,7 +159,10 @@
         view: GatewayView,
         may_be_reachable: Callable[[str, str], bool],
         clock: Callable[[], float] = time.monotonic,
+        *,
+        may_send: Callable[[], bool] = lambda: True,
     ):
+        self._may_send = may_send
         self._clock = clock
         self._pool = pool
         self._view = view
@@ -413,11 +418,14 @@
         state = self._states.pop(target, None)
         if state is None:
             return 0, "another order is on its way"
-        if isinstance(order, Open):
-            self.releases.expect_open(order)
         body = encode_order(order, fence=fence, expected_orders=state.orders)
         try:
             with self._contacts:
+                # The permission may have run out while this order waited.
+                if not self._may_send():
+                    return 0, "the zone is planned elsewhere"
+                if isinstance(order, Open):
+                    self.releases.expect_open(order)
                 answer = call_target(
                     self._pool,
                     address,
--- a/waxwingpitch/tests/test_order_conditions.py
+++ b/waxwingpitch/tests/test_order_conditions.py
@@ -133,6 +133,15 @@
     assert not releases.judge(RECORD, 2.0).is_granted
 
 
+def test_no_order_is_sent_once_the_key_is_lost_while_it_waits(probes, targets):
+    is_held = [True]
+    probes._may_send = lambda: is_held[0]
+    probes.probe("member", MEMBER)
+    is_held[0] = False
+    assert order(probes, JOIN) == 0
+    assert targets.begun == []
+
+
 def test_each_model_service_of_a_zone_has_evidence_of_its_own():
     """The targets of one service are no evidence about heads of another."""
     limit = SimpleNamespace(try_begin=None, cancel=None)
