--- a/waxwingpitch/gateway/probing.py
+++ b/waxwingpitch/gateway/probing.py
@@ -6,7 +6,6 @@
 import math
 import time
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, replace
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -35,6 +34,7 @@
 from .beliefs import GatewayView
 from .releases import Releases, get_group_epoch
 from .replicas import GroupEpoch
+from .target_states import TargetState, UnansweredOrder, find_state_after
 
 ORDER_TIMEOUT_S = 0.6
 REPORT_TIMEOUT_S = 0.25
@@ -56,36 +56,6 @@
     """Another target than the expected one answers at an address."""
 
 
-@dataclass(frozen=True, slots=True)
-class TargetState:
-    """State of a target at one moment, on which orders to it are conditioned.
-
-    Attributes
-    ----------
-    orders
-        Number of orders that it has begun.
-    group
-        Group that it is a member of, and its epoch.
-    """
-
-    orders: int
-    group: GroupEpoch | None
-
-
-@dataclass(frozen=True, slots=True)
-class UnansweredOrder:
-    """An order without an answer.
-
-    Attributes
-    ----------
-    expected_orders
-        Number of orders that the target must have begun for it to be carried out.
-    """
-
-    order: Order
-    expected_orders: int
-
-
 def fetch_report(
     pool: ConnectionPool,
     target: str,
@@ -444,7 +414,7 @@
             gevent.spawn(self.probe, target, address)
             return 0, str(exc)
         status = answer.head.status
-        after = _find_state_after(state, order, status)
+        after = find_state_after(state, order, status)
         if after is not None:
             self._states[target] = after
             self._forget_unanswered(target, after.orders)
@@ -457,23 +427,6 @@
             del self._unanswered[target]
 
 
-def _find_state_after(
-    state: TargetState, order: Order, status: int
-) -> TargetState | None:
-    """Return the state of a target after an order; None if that is not known."""
-    match order, status:
-        case Leave(), 200 | 202:
-            return TargetState(state.orders + 1, None)
-        case Join(), 202:
-            return TargetState(state.orders + 1, (order.group, order.epoch))
-        case _, 202:
-            return replace(state, orders=state.orders + 1)
-        case _, 200:
-            return state
-        case _:
-            return None
-
-
 def _names_request(head: AnswerHead) -> bool:
     """Return whether an answer is to a caller's request; reports have no id."""
     return bool(head.find(HeaderNames.REQUEST_ID))
