--- a/waxwingpitch/tests/order_play.py
+++ b/waxwingpitch/tests/order_play.py
@@ -61,6 +61,8 @@
     """
 
     def __init__(self, monkeypatch, seed: int, size: int = 10):
+        # Greenlets that earlier tests left behind end before the play takes the hub.
+        gevent.sleep(0)
         self.random = Random(seed)
         self.time = VirtualTime()
         for module in (planning, expired_probes):
--- a/waxwingpitch/tests/test_order_conditions.py
+++ b/waxwingpitch/tests/test_order_conditions.py
@@ -37,7 +37,9 @@
         }
     )
     monkeypatch.setattr(probing, "call_target", found.call)
-    return found
+    yield found
+    # Probes that follow orders without an answer end before the next test.
+    gevent.sleep(0)
 
 
 @pytest.fixture
--- a/waxwingpitch/tests/test_silent_heads.py
+++ b/waxwingpitch/tests/test_silent_heads.py
@@ -65,7 +65,8 @@
 
 @pytest.fixture
 def play(monkeypatch):
-    return Play(monkeypatch)
+    yield Play(monkeypatch)
+    gevent.sleep(0)
 
 
 @pytest.mark.parametrize("starts_at", [0.2, 0.6, 1.0])
