--- a/waxwingpitch/gateway/planning.py
+++ b/waxwingpitch/gateway/planning.py
@@ -196,12 +196,10 @@
         for service in cfg.services.values():
             if service.engine is None or not service.engine.models:
                 continue
-            planner = self._planners.get(service.name)
-            if planner is None:
-                planner = self._planners[service.name] = self._build_planner()
+            planner = self._get_planner(service.name)
             if self._is_store_unavailable():
                 self._poll_reports(planner, now)
-            fleet = self._build_fleet_view(service, planner.probes, now)
+            fleet = self._build_fleet_view(service, now)
             if now - self._summarized_at >= SUMMARY_INTERVAL_S:
                 self._summarized_at = now
                 forming = planner.formation.ledger.count_forming()
@@ -215,6 +213,13 @@
             for target_order in planner.formation.plan(fleet, now):
                 gevent.spawn(self._send_order, planner, target_order, now)
 
+    def _get_planner(self, service: str) -> ServicePlanner:
+        """Return the planner of a service, which is made anew in each term."""
+        planner = self._planners.get(service)
+        if planner is None:
+            planner = self._planners[service] = self._build_planner()
+        return planner
+
     def _build_planner(self) -> ServicePlanner:
         formation = FormationPlanner(
             self._key.next_epoch,
@@ -225,7 +230,8 @@
         probes.reset(self._trusted_after)
         return ServicePlanner(formation, probes)
 
-    def _build_fleet_view(self, service, probes: TargetProbes, now: float) -> FleetView:
+    def _build_fleet_view(self, service, now: float) -> FleetView:
+        probes = self._get_planner(service.name).probes
         targets = {
             known.record.id: known.record
             for known in self._view.iter_targets()
