--- a/waxwingpitch/tests/test_silent_heads.py
+++ b/waxwingpitch/tests/test_silent_heads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
 from types import SimpleNamespace
 
 import gevent
@@ -10,7 +11,7 @@
 
 from ..forwarding import AnswerHead
 from ..forwarding.answers import Answer
-from ..gateway import probing
+from ..gateway import planning, probing
 from ..gateway.probing import (
     HEAD_SILENCE_S,
     PROBE_INTERVAL_S,
@@ -145,3 +146,31 @@
         play.targets.silent.clear()
         play.run(2 * PROBE_INTERVAL_S)
     assert play.probes.headless_groups == set()
+
+
+def test_silence_is_measured_while_a_zone_has_two_model_services(play, monkeypatch):
+    """The other service has no targets, and none of its heads is missing."""
+    probes = partial(TargetProbes, clock=lambda: play.now)
+    monkeypatch.setattr(planning, "TargetProbes", probes)
+    limit = SimpleNamespace(try_begin=None, cancel=None)
+    zone = planning.ZonePlanner(
+        SimpleNamespace(zone="z", next_epoch=None),
+        view=SimpleNamespace(targets={"member": MEMBER}),
+        pool=SimpleNamespace(drop=lambda address: None),
+        plans=SimpleNamespace(add_planner=lambda *args: limit),
+        peers_may_reach=lambda *target: False,
+        **dict.fromkeys(
+            ("progress", "slots", "is_store_unavailable", "announce", "metrics")
+        ),
+    )
+    play.targets.silent.add(HEAD_ADDRESS)
+    end = play.now + HEAD_SILENCE_S + 3 * PROBE_INTERVAL_S
+    seen = set()
+    while play.now < end:
+        for service, targets in (("pool", {"member": MEMBER}), ("other", {})):
+            probes = zone._get_planner(service).probes
+            seen |= probes.headless_groups
+            probes.probe_missing_heads(targets, 0, CLOSE_TIMEOUT_S, play.now)
+        gevent.sleep(0)
+        play.now += 0.1
+    assert seen == {GROUP}
