--- a/waxwingpitch/tests/gateway_client.py
+++ b/waxwingpitch/tests/gateway_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import socket
 import time
 from dataclasses import dataclass
@@ -11,6 +10,7 @@
 
 from ..gateway import GatewayDaemon
 from ..settings.gateway import Address, GatewaySettings, OperatingBounds
+from .free_ports import find_port
 
 # Time after which a condition of a test counts as not met.
 WAIT_S = 15.0
@@ -28,29 +28,6 @@
     pass_s=0.12,
 )
 
-# Ports below those that the kernel gives to outgoing connections.
-PORTS = (12000, 32000)
-
-# Not seeded by tests, which would choose the same ports again.
-_random = random.SystemRandom()
-
-
-def find_port() -> int:
-    """Return a TCP port that is free now.
-
-    A port that the kernel chooses may be taken by an outgoing connection before the
-    gateway listens on it ("Address already in use"), so that ports are chosen below
-    those, at random, as several runs may share the machine.
-    """
-    while True:
-        port = _random.randrange(*PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue  # in use; another one is tried
-        return port
-
 
 def build_settings(store: str, name: str = "gw-1", zone: str = "z") -> GatewaySettings:
     """Return settings with free ports on loopback."""
--- a/waxwingpitch/tests/gateway_processes.py
+++ b/waxwingpitch/tests/gateway_processes.py
@@ -11,7 +11,8 @@
 import gevent
 
 from ..settings.gateway import Address
-from .gateway_client import call, find_port
+from .free_ports import find_port
+from .gateway_client import call
 
 ROOT = Path(__file__).parents[2]
 START_S = 20.0
--- a/waxwingpitch/tests/test_links.py
+++ b/waxwingpitch/tests/test_links.py
@@ -26,7 +26,8 @@
 from ..gateway.relays import MAX_ASKED, LinkCheck, RelayChooser
 from ..slots import EntryHost
 from ..targets.links import LOST_TTL_S, LinkBook
-from .gateway_client import find_port, wait_for
+from .free_ports import find_port
+from .gateway_client import wait_for
 
 ADDRESSES = ("t1", "t2", "t3", "t4")
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/waxwingpitch/tests/test_odd_statuses.py
+++ b/waxwingpitch/tests/test_odd_statuses.py
@@ -15,7 +15,8 @@
 from ..gateway.probing import fetch_report
 from ..ports.http import ConnectionLostError, HttpClient
 from .fleet_fake import PAIR
-from .gateway_client import call, chat, find_port, start_gateway, wait_for
+from .free_ports import find_port
+from .gateway_client import call, chat, start_gateway, wait_for
 from .platform_standin import PlatformFake, TargetFaults
 from .test_begun_answers import begin_stream, check
 from .test_links import REQUEST, build_pool
--- a/waxwingpitch/tests/test_process_gateway.py
+++ b/waxwingpitch/tests/test_process_gateway.py
@@ -16,7 +16,8 @@
 from ..settings.gateway import Address
 from ..telemetry.explain import explain, parse_lines
 from .fleet_fake import PAIR
-from .gateway_client import Caller, call, chat, find_port
+from .free_ports import find_port
+from .gateway_client import Caller, call, chat
 from .platform_standin import PlatformFake
 
 ROOT = Path(__file__).parents[2]
--- a/waxwingpitch/tests/test_reported_failures.py
+++ b/waxwingpitch/tests/test_reported_failures.py
@@ -20,15 +20,8 @@
 from ..forwarding import Answer, AnswerHead, CallerListener
 from ..settings.gateway import Address
 from .fleet_fake import PAIR, QUAD
-from .gateway_client import (
-    Caller,
-    call,
-    chat,
-    count_replicas,
-    find_port,
-    start_gateway,
-    wait_for,
-)
+from .free_ports import find_port
+from .gateway_client import Caller, call, chat, count_replicas, start_gateway, wait_for
 from .platform_standin import PlatformFake, TargetFaults
 from .test_process_gateway import SETTINGS, find_loopback_ip, start
 
--- a/waxwingpitch/tests/test_silent_targets.py
+++ b/waxwingpitch/tests/test_silent_targets.py
@@ -13,14 +13,8 @@
 
 from ..requests.culprits import Culprit
 from .fleet_fake import PAIR
-from .gateway_client import (
-    CallerAnswer,
-    chat,
-    count_replicas,
-    find_port,
-    start_gateway,
-    wait_for,
-)
+from .free_ports import find_port
+from .gateway_client import CallerAnswer, chat, count_replicas, start_gateway, wait_for
 from .platform_standin import PlatformFake
 
 REPLICAS = 5
