--- a/waxwingpitch/gateway/following.py
+++ b/waxwingpitch/gateway/following.py
@@ -88,7 +88,6 @@
         self._is_stale = False
         self._source: str | None = ""
         self._source_since = 0.0
-        self._followed_since: float | None = None
         self._failed_until: dict[str | None, float] = {}
         self.on_news: Callable[[], None] = lambda: None
         self._subscribed_at = 0.0
@@ -112,13 +111,6 @@
         """Age of what is known here of what the operators wrote."""
         return self._freshness.find_age_s((OPERATOR_PREFIX,))
 
-    @property
-    def late_s(self) -> float:
-        """Time without news of the store since this process first had a source."""
-        if self._followed_since is None:
-            return 0.0
-        return min(self.data_age_s, boot_time() - self._followed_since)
-
     def read_configuration(self) -> None:
         """Read what the operators wrote, once, before another gateway is followed."""
         try:
@@ -166,8 +158,6 @@
             logger.info("store source", extra={"source": source or "store"})
             self._source = source
             self._source_since = boot_time()
-            if self._followed_since is None:
-                self._followed_since = self._source_since
             self._subscribed_at = 0.0
             self.on_news()
         self._log_age()
--- a/waxwingpitch/gateway/roles.py
+++ b/waxwingpitch/gateway/roles.py
@@ -146,7 +146,7 @@
             self._zone_order,
             self._follower.source,
             failed=self._follower.list_failed_sources(),
-            late_s=self._follower.late_s,
+            age_s=self._follower.data_age_s,
         )
         if source != "":
             self._follower.follow(source, wants_targets=wants_targets)
