--- a/waxwingpitch/gateway/peer_statuses.py
+++ b/waxwingpitch/gateway/peer_statuses.py
@@ -12,8 +12,6 @@
 
 # Age after which a peer's status says nothing about the store or its weight loads.
 STATUS_TTL_S = 2.0
-# Age from which a host reads the store though it neither leads its zone nor would next.
-OWN_READ_AFTER_S = STALE_AFTER_S + 0.2
 # Gateways by which knowledge of the store may come; four in sound operation.
 MAX_PATH = 8
 
@@ -72,7 +70,6 @@
         present: str | None,
         *,
         failed: frozenset[str | None] = frozenset(),
-        age_s: float = 0.0,
     ) -> str | None:
         """Return the gateway to follow; None to read the store, "" if not yet known.
 
@@ -84,8 +81,6 @@
             Whom this process follows now.
         failed
             Whom it has followed in vain lately; None for the store.
-        age_s
-            Age of what is known here of the store.
         """
         name, zone = self._roster.local.name, self._roster.local.zone
         head = self._roster.find_head(zone)
@@ -99,15 +94,8 @@
         if name in deputies:
             return self._find_source_of_head(zones, present, failed)
         sound = (item for item in deputies if item not in failed)
-        source = next(filter(self._is_followable, sound), None)
-        if source is not None:
-            return source
-        # All hosts of the zone that lead or would next may be cut off from the store.
-        is_late = present is None or age_s >= OWN_READ_AFTER_S
-        if is_late and None not in failed:
-            return self._find_source_of_head(zones, present, failed)
         # A whole zone must not read the store at once when its head fails.
-        return head
+        return next(filter(self._is_followable, sound), head)
 
     def _find_source_of_head(
         self,
--- a/waxwingpitch/gateway/roles.py
+++ b/waxwingpitch/gateway/roles.py
@@ -146,7 +146,6 @@
             self._zone_order,
             self._follower.source,
             failed=self._follower.list_failed_sources(),
-            age_s=self._follower.data_age_s,
         )
         if source != "":
             self._follower.follow(source, wants_targets=wants_targets)
