--- a/waxwingpitch/tests/test_followed_sources.py
+++ b/waxwingpitch/tests/test_followed_sources.py
@@ -29,7 +29,7 @@
     f"{zone}-{number}": EntryHost(f"{zone}-{number}", "", zone, 1.0)
     for zone, number in itertools.product(ZONES, range(PER_ZONE))
 }
-# The hosts that lead their zones, and the next ones; only these call the store.
+# The hosts that lead their zones, and the next ones; these call the store always.
 READERS = [
     host.name
     for zone in ZONES
@@ -115,7 +115,7 @@
                     gateway.follower.handle_status(peer, status)
             self._sent = []
             for gateway in self.gateways:
-                if gateway.name in READERS:
+                if gateway.name in READERS or gateway.follower.source is None:
                     gateway.read(self.now, gateway.name in answered)
                 gateway.choose(self.order)
             for gateway in self.gateways:
@@ -143,6 +143,23 @@
     assert max(max(step.values()) for step in settled) < CONFIGURATION_S / 2
 
 
+@pytest.mark.parametrize("name", HOSTS)
+def test_gateway_that_the_store_answers_is_in_time_while_all_heads_are_cut_off(
+    fleet, name
+):
+    fleet.run(set(HOSTS), CONTACT_S)
+    ages = fleet.run({name}, 20.0)
+    assert max(step[name] for step in ages) < CONFIGURATION_S
+
+
+def test_gateways_that_start_together_leave_the_store_to_their_heads(fleet):
+    for _ in range(round(CONTACT_S / STEP_S)):
+        fleet.run(set(HOSTS), STEP_S)
+        readers = {item.name for item in fleet.gateways if item.follower.source is None}
+        assert readers <= set(READERS)
+    assert max(item.follower.data_age_s for item in fleet.gateways) < CONFIGURATION_S
+
+
 @given(st.lists(st.sets(st.sampled_from(READERS), min_size=1), min_size=1, max_size=4))
 def test_knowledge_is_in_time_whichever_gateways_the_store_answers(turns):
     with pytest.MonkeyPatch.context() as monkeypatch:
