Tests: selectors of earlier tests are looked at again

What is frozen is unfrozen before they are listed, so that the check is as strict as before. test_mesh.py and test_collections.py pass.

--- a/waxwingpitch/tests/test_mesh.py
+++ b/waxwingpitch/tests/test_mesh.py
@@ -231,7 +231,8 @@
 
 
 def list_watching_selectors() -> list[GeventSelector]:
-    """Return the selectors that watch a descriptor."""
+    """Return the selectors that watch a descriptor, those of earlier tests too."""
+    gc.unfreeze()
     selectors = [item for item in gc.get_objects() if type(item) is GeventSelector]
     return [item for item in selectors if item._active_watchers]
 
